--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+GOLANGCI_VERSION := v2.15.0
+GOLANGCI := tools/bin/golangci-lint
+# Packages whose tests also run under the race detector.
+RACE := $(shell go list ./... | grep -v /cmd/)
+SEEDS ?= 200
+STEPS ?= 400
+export CGO_ENABLED := 1
+
+.PHONY: all build test check format lint vet link unit race demo bench soak capacity generate
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/...
+
+# Runs every check that CI runs.
+test: format vet lint build link unit race
+
+format:
+	@files=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$files" || { echo "not formatted: $$files"; exit 1; }
+
+vet:
+	go vet ./...
+
+$(GOLANGCI):
+	GOBIN=$(CURDIR)/tools/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+lint: $(GOLANGCI)
+	$(GOLANGCI) run ./...
+
+# The programs are linked dynamically to the C library.
+link: build
+	@for f in bin/*; do readelf -d $$f | grep -q 'NEEDED.*libc\.so' || { echo "$$f is not linked to the C library"; exit 1; }; done
+
+unit:
+	go test ./...
+
+race:
+	go test -race $(RACE)
+
+generate:
+	PATH=$(CURDIR)/tools/bin:$$PATH protoc --go_out=. --go_opt=module=knapweedhoist wire/*.proto
--- /dev/null
+++ b/catalog/service.go
@@ -0,0 +1,36 @@
+package catalog
+
+// ServiceKind tells how a service is called.
+type ServiceKind string
+
+// Kinds of services.
+const (
+	KindModel ServiceKind = "model"
+	KindPlain ServiceKind = "plain"
+)
+
+// Service is a group of endpoints that answer the same calls.
+type Service struct {
+	// Name is the service's unique name: 1 to 63 lower-case letters, digits and hyphens.
+	Name string `json:"name" validate:"required,name"`
+	// Kind is "model" (completions) or "plain" (any HTTP call).
+	Kind ServiceKind `json:"kind" validate:"required,oneof=model plain"`
+	// Models are the model names that callers may ask for; model services only, 1 to 32.
+	Models []string `json:"models,omitempty" validate:"max=32,dive,required,max=128"`
+	// Idempotent are calls that may be repeated beside the safe methods; plain services only.
+	Idempotent []CallRule `json:"idempotent,omitempty" validate:"max=64,dive"`
+	// Deduplicates: the endpoints de-duplicate by Idempotency-Key themselves, so calls need no claim.
+	Deduplicates bool `json:"deduplicates,omitempty"`
+	// ChecksFence: the endpoints refuse orders with an old fencing number.
+	ChecksFence bool `json:"checks_fence,omitempty"`
+	// RetentionHours is how long an Idempotency-Key stays claimed. Default 24, 1 to 168.
+	RetentionHours int `json:"retention_hours,omitempty" validate:"omitempty,min=1,max=168"`
+	// MaxBodyBytes bounds a request body. Default 1048576, 1024 to 16777216.
+	MaxBodyBytes int `json:"max_body_bytes,omitempty" validate:"omitempty,min=1024,max=16777216"`
+}
+
+// CallRule matches calls by method and path prefix.
+type CallRule struct {
+	Method     string `json:"method" validate:"required,oneof=POST PUT PATCH DELETE"`
+	PathPrefix string `json:"path_prefix" validate:"required,startswith=/"`
+}
--- /dev/null
+++ b/cmd/knapweedhoist/main.go
@@ -0,0 +1,6 @@
+// Command knapweedhoist.
+package main
+
+import _ "net" // with cgo, links the program to the C library
+
+func main() {}
--- /dev/null
+++ b/engine/request.go
@@ -0,0 +1,37 @@
+package engine
+
+// Priority orders work inside an engine; a larger value runs first.
+type Priority int
+
+// Priorities of work.
+const (
+	PriorityLong  Priority = 0
+	PriorityShort Priority = 10
+)
+
+// Message is one turn of a conversation.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Request is one attempt at a completion.
+type Request struct {
+	// ID is the request's id; Attempt numbers its attempts from 1.
+	ID        string    `json:"-"`
+	Attempt   int       `json:"-"`
+	Priority  Priority  `json:"-"`
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	// Resume continues an earlier attempt.
+	Resume *Resume `json:"resume,omitempty"`
+}
+
+// Resume is the state from which an attempt continues.
+type Resume struct {
+	// Tokens are the tokens generated so far, in order.
+	Tokens []string `json:"tokens"`
+	// KVHandle names an imported KV cache; "" recomputes from the prompt and Tokens.
+	KVHandle string `json:"kv_handle,omitempty"`
+}
--- /dev/null
+++ b/invariant/checker.go
@@ -0,0 +1,7 @@
+package invariant
+
+// Checker is told of every violated invariant. Implementations are safe for
+// concurrent use.
+type Checker interface {
+	Violated(violation Violation)
+}
