--- /dev/null
+++ b/settings/operator.go
@@ -0,0 +1,9 @@
+package settings
+
+// Operator is a credential for the operators' address.
+type Operator struct {
+	// Name is put into the history of changes. Required.
+	Name string `yaml:"name" validate:"required,name"`
+	// KeyHash is the SHA-256 hash of the operator's bearer key: 64 hexadecimal digits. Required.
+	KeyHash string `yaml:"key_hash" validate:"required,len=64,hexadecimal"`
+}
