Add the object API client and its stand-in

Cause: the decision packages need a store to run against. Change: platform.Client speaks the object API over HTTP with bounded calls and never repeats a write. standin.Platform serves the API in-process and on a loopback address, with versions, conditions, pages, watches, compaction, call rates and scripted faults. Conclusion: other packages can use platform.NewClient and standin.NewPlatform.

--- /dev/null
+++ b/standin/clock.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"context"
+	"time"
+)
+
+// Clock gives a stand-in its time. Implementations are safe for concurrent use.
+type Clock interface {
+	Now() time.Time
+	// After returns a channel that gets the time once d has passed, and a
+	// function that releases the timer.
+	After(d time.Duration) (elapsed <-chan time.Time, stop func())
+}
+
+// WallClock is the time of the machine, or of the bubble in a synctest test.
+var WallClock Clock = wallClock{}
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time {
+	return time.Now()
+}
+
+func (wallClock) After(d time.Duration) (<-chan time.Time, func()) {
+	timer := time.NewTimer(d)
+	return timer.C, func() { timer.Stop() }
+}
+
+func orWallClock(clock Clock) Clock {
+	if clock == nil {
+		return WallClock
+	}
+	return clock
+}
+
+// sleep waits for d, or returns the cause of the end of ctx.
+func sleep(ctx context.Context, clock Clock, d time.Duration) error {
+	if d <= 0 {
+		return context.Cause(ctx)
+	}
+	elapsed, stop := clock.After(d)
+	defer stop()
+	select {
+	case <-elapsed:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/standin/effect.go
@@ -0,0 +1,65 @@
+package standin
+
+import (
+	"context"
+	"time"
+)
+
+// effect is what the faults in force do to one call.
+type effect struct {
+	outage, refuse, lostReply, silence, broken, gap bool
+	delay, lag, retryAfter                          time.Duration
+	afterTokens                                     int
+}
+
+func (e *effect) add(f Fault) {
+	switch f.Kind {
+	case FaultLostReply:
+		e.lostReply = true
+	case FaultDelay:
+		e.delay += f.Delay
+	case FaultOutage:
+		e.outage = true
+	case FaultSilence:
+		e.silence = true
+		e.afterTokens = f.AfterTokens
+	case FaultRefuse:
+		e.refuse = true
+		e.retryAfter = f.RetryAfter
+	case FaultLag:
+		e.lag += f.Delay
+	case FaultGap:
+		e.gap = true
+	case FaultBreak:
+		e.broken = true
+		e.afterTokens = f.AfterTokens
+	}
+}
+
+// before applies the part of e that precedes the call. It returns nil when the
+// call is to run, otherwise unavailable or refused.
+func (e effect) before(ctx context.Context, clock Clock, unavailable, refused error) error {
+	if err := sleep(ctx, clock, e.delay); err != nil {
+		return unavailable
+	}
+	switch {
+	case e.silence && e.afterTokens == 0:
+		goSilent(ctx)
+		return unavailable
+	case e.outage:
+		return unavailable
+	case e.refuse:
+		return refused
+	default:
+		return nil
+	}
+}
+
+// after applies the part of e that follows the call: a lost reply turns into unavailable.
+func (e effect) after(ctx context.Context, err, unavailable error) error {
+	if !e.lostReply {
+		return err
+	}
+	dropConn(ctx)
+	return unavailable
+}
--- /dev/null
+++ b/standin/faults.go
@@ -0,0 +1,60 @@
+package standin
+
+import "sync"
+
+// Faults is the script of faults of one stand-in. It is safe for concurrent use.
+type Faults struct {
+	mu    sync.Mutex // guards rules
+	rules []*faultRule
+}
+
+type faultRule struct {
+	fault   Fault
+	matched int
+}
+
+// Add puts a fault into force and returns a function that removes it.
+func (f *Faults) Add(fault Fault) (remove func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rule := &faultRule{fault: fault}
+	f.rules = append(f.rules, rule)
+	return func() { f.remove(rule) }
+}
+
+// Clear removes all faults.
+func (f *Faults) Clear() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rules = nil
+}
+
+func (f *Faults) remove(rule *faultRule) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, r := range f.rules {
+		if r == rule {
+			f.rules = append(f.rules[:i:i], f.rules[i+1:]...)
+			return
+		}
+	}
+}
+
+// next returns what happens to call and counts it.
+func (f *Faults) next(call Call) effect {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var e effect
+	for _, rule := range f.rules {
+		if rule.fault.matches(call) && rule.hit() {
+			e.add(rule.fault)
+		}
+	}
+	return e
+}
+
+func (r *faultRule) hit() bool {
+	r.matched++
+	n := r.matched - r.fault.Skip
+	return n > 0 && (r.fault.Count == 0 || n <= r.fault.Count)
+}
--- /dev/null
+++ b/standin/listener.go
@@ -0,0 +1,36 @@
+package standin
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+)
+
+// trackingListener registers each accepted connection with its server.
+type trackingListener struct {
+	net.Listener
+	server *Server
+}
+
+func (l trackingListener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c, ok := l.server.track(raw)
+	if !ok {
+		_ = raw.Close()
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+// quietLogger passes the server's messages about broken connections to the
+// debug level, since stand-ins break connections on purpose.
+type quietLogger struct {
+	lg *slog.Logger
+}
+
+func (q quietLogger) Printf(format string, args ...any) {
+	q.lg.Debug("stand-in server", "message", fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/standin/meter.go
@@ -0,0 +1,27 @@
+package standin
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// meter limits calls to a rate, with a burst of one second's worth.
+type meter struct {
+	limiter *rate.Limiter
+}
+
+func newMeter(perSecond int) *meter {
+	return &meter{limiter: rate.NewLimiter(rate.Limit(perSecond), perSecond)}
+}
+
+// take counts a call at now. A call over the rate gets the time until the next one may pass.
+func (m *meter) take(now time.Time) (retryAfter time.Duration, ok bool) {
+	reservation := m.limiter.ReserveN(now, 1)
+	delay := reservation.DelayFrom(now)
+	if delay <= 0 {
+		return 0, true
+	}
+	reservation.CancelAt(now)
+	return delay, false
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,172 @@
+package standin
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"knapweedhoist/platform"
+)
+
+// Platform is a stand-in for the object API. It implements platform.Store.
+type Platform struct {
+	*Server
+	// Faults are the faults in force; operations are "get", "put", "delete", "list" and "watch".
+	Faults Faults
+
+	cfg PlatformConfig
+
+	mu            sync.Mutex // guards the fields below
+	reads, writes *meter
+	objects       *objects
+	stats         PlatformStats
+}
+
+// NewPlatform returns an empty object API.
+func NewPlatform(lg *slog.Logger, cfg PlatformConfig) *Platform {
+	cfg = cfg.withDefaults()
+	p := &Platform{
+		cfg:     cfg,
+		reads:   newMeter(cfg.ReadsPerSecond),
+		writes:  newMeter(cfg.WritesPerSecond),
+		objects: newObjects(cfg.History),
+	}
+	p.Server = newServer(lg, "platform", p.serveHTTP)
+	return p
+}
+
+// Do implements platform.Store.
+func (p *Platform) Do(ctx context.Context, request platform.Request) (platform.Reply, error) {
+	if err := request.Validate(); err != nil {
+		return platform.Reply{}, err
+	}
+	e := p.Faults.next(Call{Op: request.Op.String(), Name: request.Name, Body: request.Value})
+	e.delay += p.cfg.Latency
+	refused := &platform.ThrottledError{RetryAfter: e.retryAfter}
+	if err := e.before(ctx, p.cfg.Clock, platform.ErrUnavailable, refused); err != nil {
+		return platform.Reply{}, err
+	}
+	reply, err := p.run(ctx, request)
+	if err := e.after(ctx, err, platform.ErrUnavailable); err != nil {
+		return conflictOnly(reply, err), err
+	}
+	return reply, nil
+}
+
+// conflictOnly keeps the reply of a failed call only for a conflict, whose
+// reply holds the current object.
+func conflictOnly(reply platform.Reply, err error) platform.Reply {
+	if err == platform.ErrConflict { //nolint:errorlint // run returns the sentinel itself
+		return reply
+	}
+	return platform.Reply{}
+}
+
+func (p *Platform) run(ctx context.Context, request platform.Request) (platform.Reply, error) {
+	p.mu.Lock()
+	if err := p.meter(request.Op); err != nil {
+		p.mu.Unlock()
+		return platform.Reply{}, err
+	}
+	if request.Op == platform.OpWatch {
+		p.mu.Unlock()
+		return p.watch(ctx, request)
+	}
+	defer p.mu.Unlock()
+	reply, err := p.objects.run(request)
+	if err == platform.ErrConflict { //nolint:errorlint // objects return the sentinel itself
+		p.stats.Conflicts++
+	}
+	reply.Version = p.objects.version
+	return reply, err
+}
+
+// meter counts a call against the rates. The caller holds p.mu.
+func (p *Platform) meter(op platform.Op) error {
+	limit := p.reads
+	if op == platform.OpPut || op == platform.OpDelete {
+		limit = p.writes
+	}
+	if after, ok := limit.take(p.cfg.Clock.Now()); !ok {
+		p.stats.Throttled++
+		return &platform.ThrottledError{RetryAfter: after}
+	}
+	p.count(op)
+	return nil
+}
+
+func (p *Platform) count(op platform.Op) {
+	switch op {
+	case platform.OpGet:
+		p.stats.Gets++
+	case platform.OpPut:
+		p.stats.Puts++
+	case platform.OpDelete:
+		p.stats.Deletes++
+	case platform.OpList:
+		p.stats.Lists++
+	case platform.OpWatch:
+		p.stats.Watches++
+	}
+}
+
+// watch returns the events after request.From, waiting for the first one.
+func (p *Platform) watch(ctx context.Context, request platform.Request) (platform.Reply, error) {
+	elapsed, stop := p.cfg.Clock.After(request.Wait)
+	defer stop()
+	for {
+		reply, changed, err := p.events(request)
+		if err != nil || len(reply.Events) > 0 {
+			return reply, err
+		}
+		if !p.wait(ctx, changed, elapsed) {
+			return reply, nil
+		}
+		if ctx.Err() != nil {
+			return platform.Reply{}, platform.ErrUnavailable
+		}
+	}
+}
+
+func (p *Platform) events(request platform.Request) (platform.Reply, <-chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.objects.events(request.Kind, request.From)
+}
+
+// wait returns false when the time of the watch is over.
+func (p *Platform) wait(ctx context.Context, changed <-chan struct{}, elapsed <-chan time.Time) bool {
+	p.waiting(1)
+	defer p.waiting(-1)
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+		return true
+	case <-elapsed:
+		return false
+	}
+}
+
+func (p *Platform) waiting(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.WaitingWatches += n
+}
+
+// Compact forgets all past changes: watches from older versions get ErrCompacted.
+func (p *Platform) Compact() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects.compact(0)
+}
+
+// Stats returns the counts so far.
+func (p *Platform) Stats() PlatformStats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stats := p.stats
+	stats.Objects = p.objects.count()
+	return stats
+}
--- /dev/null
+++ b/standin/platform_test.go
@@ -0,0 +1,244 @@
+package standin_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"knapweedhoist/platform"
+	"knapweedhoist/standin"
+)
+
+// testConfig has rates that no test reaches by chance.
+var testConfig = standin.PlatformConfig{ReadsPerSecond: 1 << 20, WritesPerSecond: 1 << 20}
+
+func newClient(addr string) *platform.Client {
+	client := platform.NewClient(lg, platform.ClientConfig{Address: addr, Timeout: hangGuard})
+	DeferCleanup(client.Close)
+	return client
+}
+
+var _ = Describe("platform over HTTP", func() {
+	var (
+		server *standin.Platform
+		client *platform.Client
+		ctx    context.Context
+	)
+	BeforeEach(func() {
+		server = standin.NewPlatform(lg, testConfig)
+		client = newClient(start(server))
+		ctx = guarded()
+	})
+
+	It("guards against a condition that is lost on the way, and a conflict without the current object", func() {
+		first, err := client.Do(ctx, platform.Create("claim", "3/7", []byte("a")))
+		Expect(err).NotTo(HaveOccurred())
+		reply, err := client.Do(ctx, platform.Create("claim", "3/7", []byte("b")))
+		Expect(err).To(MatchError(platform.ErrConflict))
+		Expect(reply.Object).To(Equal(first.Object))
+		second, err := client.Do(ctx, platform.Update("claim", "3/7", first.Object.Version, []byte("b")))
+		Expect(err).NotTo(HaveOccurred())
+		reply, err = client.Do(ctx, platform.Update("claim", "3/7", first.Object.Version, []byte("c")))
+		Expect(err).To(MatchError(platform.ErrConflict))
+		Expect(reply.Object).To(Equal(second.Object))
+		_, err = client.Do(ctx, platform.Request{
+			Op: platform.OpDelete, Kind: "claim", Name: "3/7", Condition: platform.Condition{IfVersion: first.Object.Version},
+		})
+		Expect(err).To(MatchError(platform.ErrConflict))
+	})
+
+	It("guards against names that are changed by escaping", func() {
+		for _, name := range []string{"a/b", "a//b", "../x", "%2F", "ü ?&=#", "a b"} {
+			_, err := client.Do(ctx, platform.Create("claim", name, []byte(name)))
+			Expect(err).NotTo(HaveOccurred())
+			reply, err := client.Do(ctx, platform.Get("claim", name))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.Object.Name).To(Equal(name))
+		}
+		Expect(server.Stats().Objects).To(Equal(6))
+	})
+
+	It("guards against a page that drops or repeats an object", func() {
+		for i := range 25 {
+			_, err := client.Do(ctx, platform.Create("claim", fmt.Sprintf("x%02d", i), nil))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := client.Do(ctx, platform.Create("claim", "y", nil))
+		Expect(err).NotTo(HaveOccurred())
+		var names []string
+		request := platform.Request{Op: platform.OpList, Kind: "claim", Name: "x", Limit: 10}
+		for {
+			reply, err := client.Do(ctx, request)
+			Expect(err).NotTo(HaveOccurred())
+			for _, object := range reply.Objects {
+				names = append(names, object.Name)
+			}
+			if reply.Next == "" {
+				break
+			}
+			request.After = reply.Next
+		}
+		Expect(names).To(HaveLen(25))
+		Expect(names[24]).To(Equal("x24"))
+	})
+
+	It("guards against a watch that misses a change or does not report compaction", func() {
+		reply, err := client.Do(ctx, platform.Create("config", "current", []byte("1")))
+		Expect(err).NotTo(HaveOccurred())
+		from := reply.Version
+		events := make(chan platform.Reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			reply, err := client.Do(ctx, platform.Request{Op: platform.OpWatch, Kind: "config", From: from, Wait: hangGuard})
+			Expect(err).NotTo(HaveOccurred())
+			events <- reply
+		}()
+		Eventually(func() int { return server.Stats().WaitingWatches }, hangGuard).Should(Equal(1))
+		_, err = client.Do(ctx, platform.Create("lease", "quota", nil))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client.Do(ctx, platform.Request{Op: platform.OpDelete, Kind: "config", Name: "current"})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(events, hangGuard).Should(Receive(&reply))
+		Expect(reply.Events).To(HaveLen(1))
+		Expect(reply.Events[0].Deleted).To(BeTrue())
+		server.Compact()
+		_, err = client.Do(ctx, platform.Request{Op: platform.OpWatch, Kind: "config", From: from})
+		Expect(err).To(MatchError(platform.ErrCompacted))
+	})
+
+	It("guards against a lost reply that is repeated or reported as certain", func() {
+		server.Faults.Add(standin.Fault{Kind: standin.FaultLostReply, Op: "put", Count: 1})
+		_, err := client.Do(ctx, platform.Create("config", "current", []byte("1")))
+		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(server.Stats().Puts).To(Equal(int64(1)))
+		reply, err := client.Do(ctx, platform.Get("config", "current"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Object.Value).To(Equal([]byte("1")))
+	})
+
+	It("guards against a refusal or an outage that is taken for another error", func() {
+		server.Faults.Add(standin.Fault{Kind: standin.FaultRefuse, Count: 1, RetryAfter: 3 * time.Second})
+		_, err := client.Do(ctx, platform.Create("lease", "quota", nil))
+		var throttled *platform.ThrottledError
+		Expect(err).To(MatchError(platform.ErrThrottled))
+		Expect(asError(err, &throttled)).To(BeTrue())
+		Expect(throttled.RetryAfter).To(Equal(3 * time.Second))
+		server.Faults.Add(standin.Fault{Kind: standin.FaultOutage, Count: 1})
+		_, err = client.Do(ctx, platform.Get("lease", "quota"))
+		Expect(err).To(MatchError(platform.ErrUnavailable))
+		_, err = client.Do(ctx, platform.Get("lease", "quota"))
+		Expect(err).To(MatchError(platform.ErrNotFound))
+		Expect(server.Close()).To(Succeed())
+		_, err = client.Do(ctx, platform.Get("lease", "quota"))
+		Expect(err).To(MatchError(platform.ErrUnavailable))
+	})
+
+	It("guards against a silent connection that blocks later calls", func() {
+		server.Faults.Add(standin.Fault{Kind: standin.FaultSilence, Count: 1})
+		silent, cancel := context.WithCancel(ctx)
+		failed := make(chan error, 1)
+		go func() {
+			_, err := client.Do(silent, platform.Get("lease", "quota"))
+			failed <- err
+		}()
+		Consistently(failed, "50ms").ShouldNot(Receive())
+		_, err := client.Do(ctx, platform.Create("lease", "quota", nil))
+		Expect(err).NotTo(HaveOccurred())
+		cancel()
+		Eventually(failed, hangGuard).Should(Receive(MatchError(platform.ErrUnavailable)))
+	})
+})
+
+func TestPlatformRates(t *testing.T) {
+	g := NewWithT(t)
+	clock := standin.NewManualClock(time.Unix(1000, 0))
+	store := standin.NewPlatform(lg, standin.PlatformConfig{Clock: clock, ReadsPerSecond: 10, WritesPerSecond: 1})
+	call := func(request platform.Request) error {
+		_, err := store.Do(t.Context(), request)
+		return err
+	}
+	g.Expect(call(platform.Create("lease", "quota", nil))).To(Succeed())
+	g.Expect(call(platform.Create("lease", "capacity", nil))).To(MatchError(platform.ErrThrottled))
+	for range 9 {
+		g.Expect(call(platform.Get("lease", "quota"))).To(Succeed())
+	}
+	// Guards against a watch that is not counted: it takes the tenth call.
+	g.Expect(call(platform.Request{Op: platform.OpWatch, Kind: "lease"})).To(Succeed())
+	g.Expect(call(platform.Get("lease", "quota"))).To(MatchError(platform.ErrThrottled))
+	clock.Advance(time.Second)
+	g.Expect(call(platform.Create("lease", "capacity", nil))).To(Succeed())
+}
+
+func TestPlatformWatchWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := standin.NewPlatform(lg, testConfig)
+		began := time.Now()
+		reply, err := store.Do(t.Context(), platform.Request{Op: platform.OpWatch, Kind: "config", Wait: 30 * time.Second})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Events).To(BeEmpty())
+		g.Expect(time.Since(began)).To(Equal(30 * time.Second))
+	})
+}
+
+// Guards against a store that accepts a write at a wrong version, or whose
+// watch does not lead to the state that reads show.
+func TestPlatformModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		store := standin.NewPlatform(lg, testConfig)
+		model := map[string]platform.Version{}
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "name")
+			at := platform.Version(rapid.IntRange(1, 20).Draw(rt, "at"))
+			request := rapid.SampledFrom([]platform.Request{
+				platform.Create("k", name, []byte("v")),
+				platform.Update("k", name, at, []byte("w")),
+				{Op: platform.OpDelete, Kind: "k", Name: name},
+			}).Draw(rt, "request")
+			applyModel(rt, store, model, request)
+		}
+		checkWatch(rt, store, model)
+	})
+}
+
+func applyModel(rt *rapid.T, store platform.Store, model map[string]platform.Version, request platform.Request) {
+	current, exists := model[request.Name]
+	accepted := exists
+	if request.Op == platform.OpPut {
+		accepted = request.Condition.IfAbsent && !exists || exists && request.Condition.IfVersion == current
+	}
+	reply, err := store.Do(context.Background(), request)
+	if accepted != (err == nil) {
+		rt.Fatalf("%v at %d: accepted %v, error %v", request, current, accepted, err)
+	}
+	switch {
+	case err != nil:
+	case request.Op == platform.OpDelete:
+		delete(model, request.Name)
+	default:
+		model[request.Name] = reply.Object.Version
+	}
+}
+
+func checkWatch(rt *rapid.T, store platform.Store, model map[string]platform.Version) {
+	reply, err := store.Do(context.Background(), platform.Request{Op: platform.OpWatch, Kind: "k"})
+	if err != nil {
+		rt.Fatal(err)
+	}
+	seen := map[string]platform.Version{}
+	for _, event := range reply.Events {
+		seen[event.Object.Name] = event.Object.Version
+		if event.Deleted {
+			delete(seen, event.Object.Name)
+		}
+	}
+	if fmt.Sprint(seen) != fmt.Sprint(model) {
+		rt.Fatalf("watch shows %v, want %v", seen, model)
+	}
+}
--- /dev/null
+++ b/standin/reply.go
@@ -0,0 +1,42 @@
+package standin
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// problem is the JSON body of an error reply.
+type problem struct {
+	Error string `json:"error"`
+	// Status is a word for programs, such as "leaving"; "" when the code says enough.
+	Status string `json:"status,omitempty"`
+}
+
+func writeJSON(rc *fasthttp.RequestCtx, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		status = fasthttp.StatusInternalServerError
+	}
+	rc.SetStatusCode(status)
+	rc.SetContentType("application/json")
+	rc.SetBody(body)
+}
+
+func writeProblem(rc *fasthttp.RequestCtx, status int, message string) {
+	writeJSON(rc, status, problem{Error: message})
+}
+
+// writeRetry answers 429 with Retry-After in whole seconds, at least one.
+func writeRetry(rc *fasthttp.RequestCtx, after time.Duration, message string) {
+	setRetryAfter(rc, after)
+	writeProblem(rc, fasthttp.StatusTooManyRequests, message)
+}
+
+func setRetryAfter(rc *fasthttp.RequestCtx, after time.Duration) {
+	seconds := max(1, int(math.Ceil(after.Seconds())))
+	rc.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
+}
