Add the engine client and its stand-in

Cause: attempts, routing and handover need an engine to run against. Change: engine.Client streams server-sent events on a connection of its own, detects silence and closes the connection with its context. standin.Engine models continuous batching, priorities, a bounded prefix cache with late events, late load reports, KV export and import, orders and reclaim. Its text is a function of the prompt and the index (standin.ExpectedAnswer). Conclusion: engine.NewClient and standin.NewEngine can be used by others.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -16,6 +16,8 @@
 	ErrLeaving = errors.New("engine: leaving")
 	// ErrBroken: the connection broke or went silent; the request may be running.
 	ErrBroken = errors.New("engine: connection broken")
+	// ErrUnreachable: no connection could be opened; nothing ran.
+	ErrUnreachable = errors.New("engine: unreachable")
 	// ErrStaleFence: an order carried an old fencing number and was refused.
 	ErrStaleFence = errors.New("engine: stale fencing number")
 	// ErrNotFound: the engine does not know the request or KV handle.
--- /dev/null
+++ b/engine/suite_test.go
@@ -0,0 +1,143 @@
+package engine_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/engine"
+)
+
+var lg = slog.New(slog.DiscardHandler)
+
+const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// piped returns a client whose connections lead to script, with the time of the bubble.
+func piped(script func(server net.Conn)) *engine.Client {
+	dial := func(context.Context, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() {
+			reader := bufio.NewReader(server)
+			for line := ""; line != "\r\n"; {
+				line, _ = reader.ReadString('\n')
+			}
+			go func() { _, _ = io.Copy(io.Discard, reader) }()
+			script(server)
+		}()
+		return client, nil
+	}
+	return engine.NewClient(lg, engine.ClientConfig{Address: "127.0.0.1:1", Dial: dial})
+}
+
+func chunk(server net.Conn, text string) {
+	_, _ = fmt.Fprintf(server, "%x\r\n%s\r\n", len(text), text)
+}
+
+func token(index int) string {
+	return fmt.Sprintf("id: %d\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t\"},\"finish_reason\":null}]}\n\n", index)
+}
+
+func stream(ctx context.Context, client *engine.Client, yield func(engine.Event) error) (int, error) {
+	count := 0
+	err := client.Stream(ctx, engine.Request{ID: "r1", Attempt: 1}, func(event engine.Event) error {
+		count++
+		return yield(event)
+	})
+	return count, err
+}
+
+func accept(engine.Event) error { return nil }
+
+// Guards against a silent connection that is noticed late or never, and
+// against comments that do not count as progress.
+func TestStreamSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		client := piped(func(server net.Conn) {
+			_, _ = io.WriteString(server, head)
+			chunk(server, token(0))
+			for range 10 {
+				time.Sleep(5 * time.Second)
+				chunk(server, ": no token yet\n\n")
+			}
+		})
+		began := time.Now()
+		count, err := stream(t.Context(), client, accept)
+		g.Expect(err).To(MatchError(engine.ErrBroken))
+		g.Expect(count).To(Equal(1))
+		g.Expect(time.Since(began)).To(Equal(56 * time.Second))
+	})
+}
+
+// Guards against a stream without its proper end that counts as whole.
+func TestStreamCutShort(t *testing.T) {
+	ends := map[string]func(server net.Conn){
+		"body ends":    func(server net.Conn) { _, _ = io.WriteString(server, "0\r\n\r\n") },
+		"closed":       func(net.Conn) {},
+		"half a chunk": func(server net.Conn) { _, _ = io.WriteString(server, "40\r\ndata: [DO") },
+		"bad data":     func(server net.Conn) { chunk(server, "data: {]\n\n") },
+		"endless line": func(server net.Conn) {
+			for range 100 {
+				chunk(server, fmt.Sprintf("%01024d", 0))
+			}
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				client := piped(func(server net.Conn) {
+					_, _ = io.WriteString(server, head)
+					chunk(server, token(0)[:20])
+					chunk(server, token(0)[20:]+token(1))
+					end(server)
+					_ = server.Close()
+				})
+				count, err := stream(t.Context(), client, accept)
+				g.Expect(err).To(MatchError(engine.ErrBroken))
+				g.Expect(count).To(Equal(2))
+			})
+		})
+	}
+}
+
+// Guards against a connection that stays open after its context or its reader has ended.
+func TestStreamClosesConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		closed := make(chan error, 4)
+		client := piped(func(server net.Conn) {
+			_, _ = io.WriteString(server, head)
+			chunk(server, token(0))
+			for {
+				time.Sleep(time.Second)
+				if _, err := io.WriteString(server, "3\r\n:x\n\r\n"); err != nil {
+					closed <- err
+					return
+				}
+			}
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		_, err := stream(ctx, client, accept)
+		g.Expect(err).To(MatchError(engine.ErrBroken))
+		g.Expect(err).To(MatchError(context.DeadlineExceeded))
+		g.Expect(<-closed).To(HaveOccurred())
+		enough := errors.New("enough")
+		_, err = stream(t.Context(), client, func(engine.Event) error { return enough })
+		g.Expect(err).To(Equal(enough))
+		g.Expect(<-closed).To(HaveOccurred())
+		g.Expect(<-closed).To(HaveOccurred(), "the connection of the cancel call")
+		client.Close()
+		time.Sleep(10 * time.Second)
+	})
+}
--- /dev/null
+++ b/standin/attempt.go
@@ -0,0 +1,53 @@
+package standin
+
+import "knapweedhoist/engine"
+
+// Attempt is the record of one attempt that an engine accepted.
+type Attempt struct {
+	ID       string
+	Number   int
+	Priority engine.Priority
+	Model    string
+	// FirstIndex is the index of the first new token; Tokens the number of new tokens.
+	FirstIndex int
+	Tokens     int
+	// Outcome is "running", "finished", "cancelled" or "broken".
+	Outcome string
+	Usage   engine.Usage
+	// ResumeMismatch tells that the tokens to resume from are not those of the answer.
+	ResumeMismatch bool
+}
+
+// Outcomes of an attempt.
+const (
+	OutcomeRunning   = "running"
+	OutcomeFinished  = "finished"
+	OutcomeCancelled = "cancelled"
+	OutcomeBroken    = "broken"
+)
+
+// maxAttempts bounds the records of attempts; the oldest leave first.
+const maxAttempts = 1 << 16
+
+// settle writes the state of the sequence to its record.
+func (s *sequence) settle() {
+	s.record.Tokens = s.generated - s.record.FirstIndex
+	s.record.Usage = s.usage
+	switch s.state {
+	case sequenceFinished:
+		s.record.Outcome = OutcomeFinished
+	case sequenceCancelled:
+		s.record.Outcome = OutcomeCancelled
+	case sequenceBroken:
+		s.record.Outcome = OutcomeBroken
+	default:
+		s.record.Outcome = OutcomeRunning
+	}
+}
+
+func newAttempt(s *sequence) *Attempt {
+	return &Attempt{
+		ID: s.request.ID, Number: s.request.Attempt, Priority: s.request.Priority, Model: s.request.Model,
+		FirstIndex: s.generated, Outcome: OutcomeRunning, ResumeMismatch: s.mismatch(),
+	}
+}
--- /dev/null
+++ b/standin/batch.go
@@ -0,0 +1,142 @@
+package standin
+
+import (
+	"slices"
+	"time"
+)
+
+// batch is the service-time model of continuous batching: each step computes
+// a chunk of prefill and one token of each decoding sequence. Its owner
+// serialises the calls.
+type batch struct {
+	cfg     EngineConfig
+	queue   []*sequence
+	running []*sequence
+}
+
+// step is the work of one iteration.
+type step struct {
+	prefill  []prefillShare
+	decode   []*sequence
+	duration time.Duration
+}
+
+type prefillShare struct {
+	sequence *sequence
+	tokens   int
+}
+
+func (s step) empty() bool {
+	return len(s.prefill) == 0 && len(s.decode) == 0
+}
+
+// enqueue adds a sequence behind those of the same or a higher priority. It
+// returns false when the queue is full.
+func (b *batch) enqueue(s *sequence) bool {
+	if len(b.queue) >= b.cfg.MaxQueue && len(b.running) >= b.cfg.MaxBatch {
+		return false
+	}
+	at := slices.IndexFunc(b.queue, func(other *sequence) bool { return before(s, other) })
+	if at < 0 {
+		at = len(b.queue)
+	}
+	b.queue = slices.Insert(b.queue, at, s)
+	return true
+}
+
+// before orders sequences by priority, then by arrival.
+func before(s, other *sequence) bool {
+	if s.request.Priority != other.request.Priority {
+		return s.request.Priority > other.request.Priority
+	}
+	return s.arrival < other.arrival
+}
+
+// fill moves queued sequences into the batch; admit is told of each.
+func (b *batch) fill(admit func(*sequence)) {
+	for len(b.queue) > 0 && len(b.running) < b.cfg.MaxBatch {
+		s := b.queue[0]
+		b.queue = b.queue[1:]
+		b.running = append(b.running, s)
+		admit(s)
+	}
+}
+
+// plan returns the next step. Prefill goes to the highest priority first.
+func (b *batch) plan() step {
+	var next step
+	budget := b.cfg.PrefillChunk
+	for _, s := range b.byPriority() {
+		if s.prefill == 0 {
+			next.decode = append(next.decode, s)
+			continue
+		}
+		if tokens := min(s.prefill, budget); tokens > 0 {
+			next.prefill = append(next.prefill, prefillShare{sequence: s, tokens: tokens})
+			budget -= tokens
+		}
+	}
+	next.duration = b.duration(len(next.decode), b.cfg.PrefillChunk-budget)
+	return next
+}
+
+func (b *batch) byPriority() []*sequence {
+	order := slices.Clone(b.running)
+	slices.SortFunc(order, func(s, other *sequence) int {
+		if before(s, other) {
+			return -1
+		}
+		return 1
+	})
+	return order
+}
+
+func (b *batch) duration(decoding, prefill int) time.Duration {
+	duration := time.Duration(float64(prefill) / b.cfg.PrefillPerSecond * float64(time.Second))
+	if decoding > 0 {
+		duration += b.cfg.InterToken + time.Duration(decoding-1)*b.cfg.InterTokenEach
+	}
+	return duration
+}
+
+// commit applies a step to the sequences that are still running. The last part
+// of a prefill also gives the first token; computed is told of its end.
+func (b *batch) commit(done step, computed func(*sequence)) {
+	for _, share := range done.prefill {
+		s := share.sequence
+		if s.state != sequenceRunning {
+			continue
+		}
+		s.prefill -= share.tokens
+		if s.prefill == 0 {
+			computed(s)
+			s.decode()
+		}
+	}
+	for _, s := range done.decode {
+		if s.state == sequenceRunning {
+			s.decode()
+		}
+	}
+	b.sweep()
+}
+
+// sweep drops the sequences that have ended.
+func (b *batch) sweep() {
+	ended := func(s *sequence) bool { return !s.active() }
+	b.running = slices.DeleteFunc(b.running, ended)
+	b.queue = slices.DeleteFunc(b.queue, ended)
+}
+
+// outstanding returns the prefill and decode tokens not yet done.
+func (b *batch) outstanding() (prefill, decode int) {
+	for _, s := range b.running {
+		prefill += s.prefill
+		decode += s.answer.Tokens - s.generated
+	}
+	for _, s := range b.queue {
+		prefill += s.usage.PromptTokens + s.resumed()
+		decode += s.answer.Tokens - s.generated
+	}
+	return prefill, decode
+}
--- a/standin/conn.go
+++ b/standin/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 )
@@ -30,7 +31,21 @@
 	return c.Conn.Write(p)
 }
 
+// Close closes the connection. A silent one stays open until the caller closes
+// its side, since the end would not reach the caller either.
 func (c *conn) Close() error {
+	if !c.silent.Load() {
+		return c.kill()
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, c.Conn)
+		_ = c.kill()
+	}()
+	return nil
+}
+
+// kill closes the connection even when it is silent.
+func (c *conn) kill() error {
 	c.forget(c)
 	return c.Conn.Close()
 }
@@ -46,19 +61,20 @@
 	return c, ok
 }
 
-// goSilent silences the connection of a call. A call without a connection, made
-// in the same process, blocks until its context ends.
-func goSilent(ctx context.Context) {
+// goSilent silences the connection of a call and returns true. A call without
+// a connection, made in the same process, blocks until its context ends.
+func goSilent(ctx context.Context) bool {
 	if c, ok := connOf(ctx); ok {
 		c.silent.Store(true)
-		return
+		return true
 	}
 	<-ctx.Done()
+	return false
 }
 
 // dropConn closes the connection of a call, if it has one.
 func dropConn(ctx context.Context) {
 	if c, ok := connOf(ctx); ok {
-		_ = c.Close()
+		_ = c.kill()
 	}
 }
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,222 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"knapweedhoist/engine"
+)
+
+// Engine is a stand-in for a model engine with continuous batching. It
+// implements engine.Engine. An engine that has ended stays ended.
+type Engine struct {
+	*Server
+	// Faults are the faults in force; operations are "stream", "cancel",
+	// "export", "import", "load", "cache_events", "order" and, for FaultGap, "cache_event".
+	Faults Faults
+
+	cfg  EngineConfig
+	life context.Context
+	end  context.CancelFunc
+
+	mu       sync.Mutex // guards the fields below
+	batch    *batch
+	stepping bool
+	slowdown float64
+	arrivals uint64
+	active   map[attemptKey]*sequence
+	attempts []*Attempt
+	cache    *prefixCache
+	events   cacheLog
+	load     loadHistory
+	kv       kvShelf
+	exports  uint64
+	orders   []engine.Order
+	fence    uint64
+	models   []string
+	leaving  bool
+	ended    bool
+}
+
+type attemptKey struct {
+	id     string
+	number int
+}
+
+// NewEngine returns an idle engine.
+func NewEngine(lg *slog.Logger, cfg EngineConfig) *Engine {
+	cfg = cfg.withDefaults()
+	e := &Engine{
+		cfg: cfg, batch: &batch{cfg: cfg}, slowdown: 1, active: make(map[attemptKey]*sequence), models: cfg.Models,
+	}
+	e.life, e.end = context.WithCancel(context.Background())
+	e.cache = newPrefixCache(cfg.CacheTokens, e.publish)
+	e.Server = newServer(lg, "engine", e.serveHTTP)
+	return e
+}
+
+// publish records a cache event. The caller holds e.mu.
+func (e *Engine) publish(prefix engine.Prefix, evicted bool) {
+	lost := e.Faults.next(Call{Op: "cache_event"}).gap
+	event := engine.CacheEvent{Prefix: prefix.Hash, Tokens: prefix.Tokens, Evicted: evicted}
+	e.events.add(e.cfg.Clock.Now(), event, lost)
+}
+
+// sample records the present load. The caller holds e.mu.
+func (e *Engine) sample() {
+	prefill, decode := e.batch.outstanding()
+	e.load.add(e.cfg.Clock.Now(), engine.LoadReport{
+		Running: len(e.batch.running), Queued: len(e.batch.queue),
+		PrefillTokens: prefill, DecodeTokens: decode, Leaving: e.leaving,
+	})
+}
+
+// SetSlowdown makes each step take factor times as long, as a noisy neighbour would.
+func (e *Engine) SetSlowdown(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slowdown = factor
+}
+
+// Leave is a reclaim notice: the engine takes no new work from now on, and ends after notice.
+func (e *Engine) Leave(notice time.Duration) {
+	e.refuseNew()
+	go func() {
+		if sleep(e.life, e.cfg.Clock, notice) == nil {
+			_ = e.Close()
+		}
+	}()
+}
+
+func (e *Engine) refuseNew() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+	e.sample()
+}
+
+// Close ends the engine at once: streams break and connections close.
+func (e *Engine) Close() error {
+	e.mu.Lock()
+	e.ended = true
+	for _, s := range e.active {
+		s.end(sequenceBroken)
+	}
+	e.mu.Unlock()
+	e.end()
+	return e.Server.Close()
+}
+
+// Attempts returns the records of the attempts, oldest first.
+func (e *Engine) Attempts() []Attempt {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	records := make([]Attempt, len(e.attempts))
+	for _, s := range e.active {
+		s.settle()
+	}
+	for i, record := range e.attempts {
+		records[i] = *record
+	}
+	return records
+}
+
+// Orders returns the orders that the engine accepted.
+func (e *Engine) Orders() []engine.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+// begin applies the faults that precede a call. The error, if any, says why
+// the call does not run.
+func (e *Engine) begin(ctx context.Context, call Call) (effect, error) {
+	if e.life.Err() != nil {
+		return effect{}, engine.ErrUnreachable
+	}
+	fault := e.Faults.next(call)
+	refused := &engine.RefusedError{RetryAfter: fault.retryAfter, Reason: "scripted"}
+	return fault, fault.before(ctx, e.cfg.Clock, engine.ErrBroken, refused)
+}
+
+// Cancel implements engine.Engine.
+func (e *Engine) Cancel(ctx context.Context, id string, attempt int) error {
+	fault, err := e.begin(ctx, Call{Op: "cancel", Name: id, Attempt: attempt})
+	if err != nil {
+		return err
+	}
+	return fault.after(ctx, e.cancel(attemptKey{id: id, number: attempt}), engine.ErrBroken)
+}
+
+func (e *Engine) cancel(key attemptKey) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.active[key]
+	if !ok {
+		return engine.ErrNotFound
+	}
+	s.end(sequenceCancelled)
+	return nil
+}
+
+// Load implements engine.Engine. The report shows the load of LoadLag ago.
+func (e *Engine) Load(ctx context.Context) (engine.LoadReport, error) {
+	fault, err := e.begin(ctx, Call{Op: "load"})
+	if err != nil {
+		return engine.LoadReport{}, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report := e.load.at(e.cfg.Clock.Now().Add(-e.cfg.LoadLag - fault.lag))
+	return report, fault.after(ctx, nil, engine.ErrBroken)
+}
+
+// CacheEvents implements engine.Engine. Events appear CacheEventLag after they happened.
+func (e *Engine) CacheEvents(ctx context.Context, from uint64) ([]engine.CacheEvent, error) {
+	fault, err := e.begin(ctx, Call{Op: "cache_events"})
+	if err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	events := e.events.after(from, e.cfg.Clock.Now().Add(-e.cfg.CacheEventLag-fault.lag))
+	return events, fault.after(ctx, nil, engine.ErrBroken)
+}
+
+// Order implements engine.Engine.
+func (e *Engine) Order(ctx context.Context, order engine.Order) error {
+	fault, err := e.begin(ctx, Call{Op: "order", Name: order.Name})
+	if err != nil {
+		return err
+	}
+	return fault.after(ctx, e.obey(order), engine.ErrBroken)
+}
+
+func (e *Engine) obey(order engine.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.ChecksFence && order.Fence < e.fence {
+		return fmt.Errorf("%w: %d after %d", engine.ErrStaleFence, order.Fence, e.fence)
+	}
+	e.fence = max(e.fence, order.Fence)
+	e.orders = append(e.orders, order)
+	switch order.Kind {
+	case engine.OrderDrain:
+		e.leaving = true
+		e.sample()
+	case engine.OrderLoadModel:
+		e.loadModel(order.Name)
+	}
+	return nil
+}
+
+// loadModel adds a model. An engine without a list of models serves any model already.
+func (e *Engine) loadModel(name string) {
+	if len(e.models) > 0 && !slices.Contains(e.models, name) {
+		e.models = append(slices.Clone(e.models), name)
+	}
+}
--- /dev/null
+++ b/standin/engine_http_stream.go
@@ -0,0 +1,144 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httputil"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/engine"
+)
+
+// serveStream takes the connection over, so that it sees at once when the
+// caller closes it, and can go silent or break after an exact token.
+func (e *Engine) serveStream(ctx context.Context, rc *fasthttp.RequestCtx) {
+	request, ok := parseCompletion(rc)
+	if !ok {
+		return
+	}
+	s, fault, err := e.accept(ctx, request)
+	if err != nil {
+		writeEngine(rc, nil, err)
+		return
+	}
+	rc.HijackSetNoResponse(true)
+	rc.Hijack(func(raw net.Conn) { e.writeStream(ctx, raw, s, fault) })
+}
+
+func parseCompletion(rc *fasthttp.RequestCtx) (engine.Request, bool) {
+	var body engine.CompletionBody
+	if !readJSON(rc, &body) {
+		return engine.Request{}, false
+	}
+	if !body.Stream {
+		writeProblem(rc, fasthttp.StatusBadRequest, "only streams are served")
+		return engine.Request{}, false
+	}
+	request := body.Request
+	request.ID = string(rc.Request.Header.Peek(engine.HeaderRequestID))
+	attempt, attemptErr := headerInt(rc, engine.HeaderAttempt, 1)
+	priority, priorityErr := headerInt(rc, engine.HeaderPriority, 0)
+	if request.ID == "" || attemptErr != nil || priorityErr != nil {
+		writeProblem(rc, fasthttp.StatusBadRequest, "request id, attempt or priority")
+		return engine.Request{}, false
+	}
+	request.Attempt = attempt
+	request.Priority = engine.Priority(priority)
+	return request, true
+}
+
+func headerInt(rc *fasthttp.RequestCtx, name string, fallback int) (int, error) {
+	text := string(rc.Request.Header.Peek(name))
+	if text == "" {
+		return fallback, nil
+	}
+	return strconv.Atoi(text)
+}
+
+// writeStream ends a finished stream properly; any other end only closes the connection.
+func (e *Engine) writeStream(ctx context.Context, raw net.Conn, s *sequence, fault effect) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		_, _ = io.Copy(io.Discard, raw)
+	}()
+	writer := newEventWriter(raw, s.request)
+	if err := writer.head(); err != nil {
+		e.release(s)
+		return
+	}
+	if err := e.follow(ctx, s, fault, sink{event: writer.event, idle: writer.comment}); err != nil {
+		return
+	}
+	_ = writer.end()
+}
+
+// eventWriter writes server-sent events in the chunked encoding.
+type eventWriter struct {
+	conn    *bufio.Writer
+	chunked io.WriteCloser
+	request engine.Request
+}
+
+func newEventWriter(conn net.Conn, request engine.Request) *eventWriter {
+	buffered := bufio.NewWriter(conn)
+	return &eventWriter{conn: buffered, chunked: httputil.NewChunkedWriter(buffered), request: request}
+}
+
+func (w *eventWriter) head() error {
+	var header fasthttp.ResponseHeader
+	header.SetStatusCode(fasthttp.StatusOK)
+	header.SetContentType("text/event-stream")
+	header.SetContentLength(-1)
+	header.SetConnectionClose()
+	if err := header.Write(w.conn); err != nil {
+		return err
+	}
+	return w.conn.Flush()
+}
+
+func (w *eventWriter) event(event engine.Event) error {
+	choice := engine.Choice{Delta: engine.Delta{Content: event.Token}}
+	if event.Finish != "" {
+		choice.FinishReason = &event.Finish
+	}
+	data, err := json.Marshal(engine.Chunk{
+		ID: w.request.ID, Object: engine.ChunkObject, Model: w.request.Model,
+		Choices: []engine.Choice{choice}, Usage: event.Usage,
+	})
+	if err != nil {
+		return err
+	}
+	return w.write(fmt.Sprintf("id: %d\ndata: %s\n\n", event.Index, data))
+}
+
+func (w *eventWriter) comment() error {
+	return w.write(": no token yet\n\n")
+}
+
+func (w *eventWriter) write(text string) error {
+	if _, err := io.WriteString(w.chunked, text); err != nil {
+		return err
+	}
+	return w.conn.Flush()
+}
+
+func (w *eventWriter) end() error {
+	if err := w.write("data: " + engine.StreamEnd + "\n\n"); err != nil {
+		return err
+	}
+	if err := w.chunked.Close(); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(w.conn, "\r\n"); err != nil {
+		return err
+	}
+	return w.conn.Flush()
+}
--- /dev/null
+++ b/standin/engine_kv.go
@@ -0,0 +1,99 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/engine"
+	"knapweedhoist/internal/httpcall"
+)
+
+// ExportKV implements engine.Engine. It takes time by the length of the cache,
+// and also works while the engine is leaving. The attempt runs on.
+func (e *Engine) ExportKV(ctx context.Context, id string, attempt int) (engine.KVHandle, error) {
+	fault, err := e.begin(ctx, Call{Op: "export", Name: id, Attempt: attempt})
+	if err != nil {
+		return engine.KVHandle{}, err
+	}
+	handle, err := e.export(attemptKey{id: id, number: attempt})
+	if err != nil {
+		return engine.KVHandle{}, fault.after(ctx, err, engine.ErrBroken)
+	}
+	if err := e.transfer(ctx, handle); err != nil {
+		return engine.KVHandle{}, err
+	}
+	return handle, fault.after(ctx, nil, engine.ErrBroken)
+}
+
+func (e *Engine) export(key attemptKey) (engine.KVHandle, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.active[key]
+	if !ok || s.state != sequenceRunning || s.prefill > 0 {
+		return engine.KVHandle{}, fmt.Errorf("%w: no computed KV cache", engine.ErrNotFound)
+	}
+	e.exports++
+	handle := engine.KVHandle{
+		ID:     key.id + "." + strconv.Itoa(key.number) + "." + strconv.FormatUint(e.exports, 10),
+		Tokens: s.usage.PromptTokens + s.generated,
+		Source: e.Addr(),
+	}
+	e.kv.put(handle)
+	return handle, nil
+}
+
+// transfer takes the time to copy a KV cache; it fails when the engine ends meanwhile.
+func (e *Engine) transfer(ctx context.Context, handle engine.KVHandle) error {
+	seconds := float64(handle.Tokens) / e.cfg.KVPerSecond
+	if sleep(ctx, e.cfg.Clock, time.Duration(seconds*float64(time.Second))) != nil || e.life.Err() != nil {
+		return engine.ErrBroken
+	}
+	return nil
+}
+
+// ImportKV implements engine.Engine. The source has to be alive.
+func (e *Engine) ImportKV(ctx context.Context, handle engine.KVHandle) error {
+	fault, err := e.begin(ctx, Call{Op: "import", Name: handle.ID})
+	if err != nil {
+		return err
+	}
+	if err := e.cfg.FetchKV(ctx, handle); err != nil {
+		return fault.after(ctx, err, engine.ErrBroken)
+	}
+	if err := e.transfer(ctx, handle); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.kv.put(handle)
+	e.mu.Unlock()
+	return fault.after(ctx, nil, engine.ErrBroken)
+}
+
+// HoldsKV reports whether the engine holds a KV cache, exported or imported.
+// It can serve as FetchKV of another engine in the same process.
+func (e *Engine) HoldsKV(_ context.Context, handle engine.KVHandle) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if held, ok := e.kv.get(handle.ID); !ok || held.Tokens != handle.Tokens || e.ended {
+		return engine.ErrNotFound
+	}
+	return nil
+}
+
+// fetchKV asks the source of a handle over HTTP whether it still holds it.
+func fetchKV(ctx context.Context, handle engine.KVHandle) error {
+	client := httpcall.New(httpcall.Config{Address: handle.Source})
+	defer client.Close()
+	query := "?tokens=" + strconv.Itoa(handle.Tokens)
+	path := "/v1/kv/" + url.PathEscape(handle.ID) + query
+	response, err := client.Do(ctx, httpcall.Request{Method: fasthttp.MethodGet, Path: path})
+	if err != nil || response.Status != fasthttp.StatusOK {
+		return fmt.Errorf("%w: at the source", engine.ErrNotFound)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/engine_steps.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"time"
+
+	"knapweedhoist/engine"
+)
+
+// wake starts the steps, unless they go on already. The caller holds e.mu.
+func (e *Engine) wake() {
+	if e.stepping {
+		return
+	}
+	e.stepping = true
+	go e.steps()
+}
+
+// steps runs the batch until there is no work. Each step begins when the one
+// before was due to end, so that late timers do not slow the engine down.
+func (e *Engine) steps() {
+	due := e.cfg.Clock.Now()
+	for {
+		next, duration, ok := e.plan()
+		if !ok {
+			return
+		}
+		due = due.Add(duration)
+		now := e.cfg.Clock.Now()
+		if late := now.Sub(due); late > duration {
+			due = now
+		}
+		if sleep(e.life, e.cfg.Clock, due.Sub(now)) != nil {
+			return
+		}
+		e.commit(next)
+	}
+}
+
+func (e *Engine) plan() (step, time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.batch.sweep()
+	e.batch.fill(e.admit)
+	next := e.batch.plan()
+	if next.empty() {
+		e.stepping = false
+		e.sample()
+		return next, 0, false
+	}
+	return next, time.Duration(float64(next.duration) * e.slowdown), true
+}
+
+// admit starts a sequence with what the caches cover. The caller holds e.mu.
+func (e *Engine) admit(s *sequence) {
+	covered := e.cache.lookup(engine.Prefixes(s.request.Model, s.request.Messages))
+	if s.request.Resume != nil {
+		if handle, ok := e.kv.get(s.request.Resume.KVHandle); ok {
+			covered = max(covered, handle.Tokens)
+		}
+	}
+	s.admit(covered)
+}
+
+func (e *Engine) commit(done step) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.batch.commit(done, e.computed)
+	for _, s := range done.decode {
+		if s.state == sequenceFinished {
+			e.keep(s)
+		}
+	}
+	e.sample()
+}
+
+// computed puts the prefixes of a prompt into the cache. The caller holds e.mu.
+func (e *Engine) computed(s *sequence) {
+	e.cache.insert(engine.Prefixes(s.request.Model, s.request.Messages))
+}
+
+// keep puts a prompt with its answer into the cache, where the next turn of
+// the conversation finds it. The caller holds e.mu.
+func (e *Engine) keep(s *sequence) {
+	messages := append(s.request.Messages[:len(s.request.Messages):len(s.request.Messages)],
+		engine.Message{Role: "assistant", Content: s.answer.Text()})
+	e.cache.insert(engine.Prefixes(s.request.Model, messages))
+}
--- /dev/null
+++ b/standin/engine_stream.go
@@ -0,0 +1,179 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"knapweedhoist/engine"
+)
+
+// sink takes the output of a stream.
+type sink struct {
+	event func(engine.Event) error
+	// idle is called when no token was ready for Comment.
+	idle func() error
+}
+
+// Stream implements engine.Engine.
+func (e *Engine) Stream(ctx context.Context, request engine.Request, yield func(engine.Event) error) error {
+	s, fault, err := e.accept(ctx, request)
+	if err != nil {
+		return err
+	}
+	return e.follow(ctx, s, fault, sink{event: yield, idle: func() error { return nil }})
+}
+
+// accept takes a request into the queue, or says why it does not run.
+func (e *Engine) accept(ctx context.Context, request engine.Request) (*sequence, effect, error) {
+	fault, err := e.begin(ctx, Call{Op: "stream", Name: request.ID, Attempt: request.Attempt})
+	if err != nil {
+		return nil, fault, err
+	}
+	s, err := e.submit(request)
+	return s, fault, err
+}
+
+func (e *Engine) submit(request engine.Request) (*sequence, error) {
+	s := newSequence(request)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.refusal(request); err != nil {
+		return nil, err
+	}
+	e.arrivals++
+	s.arrival = e.arrivals
+	if !e.batch.enqueue(s) {
+		return nil, &engine.RefusedError{RetryAfter: e.backlog(), Reason: "queue full"}
+	}
+	s.record = newAttempt(s)
+	e.active[s.key()] = s
+	e.remember(s.record)
+	e.sample()
+	e.wake()
+	return s, nil
+}
+
+// refusal returns the reason not to run a request. The caller holds e.mu.
+func (e *Engine) refusal(request engine.Request) error {
+	_, duplicate := e.active[attemptKey{id: request.ID, number: request.Attempt}]
+	switch {
+	case e.ended:
+		return engine.ErrUnreachable
+	case e.leaving:
+		return engine.ErrLeaving
+	case duplicate:
+		return &engine.RefusedError{Reason: "attempt is running"}
+	case len(request.Messages) == 0:
+		return &engine.RefusedError{Reason: "no messages"}
+	case len(e.models) > 0 && !slices.Contains(e.models, request.Model):
+		return &engine.RefusedError{Reason: "model not loaded"}
+	default:
+		return nil
+	}
+}
+
+// backlog estimates the time until the queue has room. The caller holds e.mu.
+func (e *Engine) backlog() time.Duration {
+	shortest := maxAnswerTokens
+	for _, s := range e.batch.running {
+		shortest = min(shortest, s.answer.Tokens-s.generated)
+	}
+	return time.Duration(shortest) * e.batch.duration(len(e.batch.running), 0)
+}
+
+// remember keeps a record. The caller holds e.mu.
+func (e *Engine) remember(record *Attempt) {
+	e.attempts = append(e.attempts, record)
+	if len(e.attempts) > 2*maxAttempts {
+		e.attempts = slices.Clone(e.attempts[maxAttempts:])
+	}
+}
+
+func (s *sequence) key() attemptKey {
+	return attemptKey{id: s.request.ID, number: s.request.Attempt}
+}
+
+// follow passes the tokens of a sequence on until it ends.
+func (e *Engine) follow(ctx context.Context, s *sequence, fault effect, out sink) error {
+	defer e.release(s)
+	sent := s.resumed()
+	for {
+		generated, state := e.progress(s)
+		for ; sent < generated; sent++ {
+			if err := fault.onToken(ctx, sent-s.resumed()); err != nil {
+				return err
+			}
+			if err := out.event(engine.Event{Index: sent, Token: s.answer.Token(sent)}); err != nil {
+				return err
+			}
+		}
+		switch state {
+		case sequenceFinished:
+			return e.finish(ctx, s, fault, out)
+		case sequenceCancelled, sequenceBroken:
+			return engine.ErrBroken
+		}
+		if err := e.await(ctx, s, out); err != nil {
+			return err
+		}
+	}
+}
+
+// onToken applies a fault that begins after a number of tokens. On a silent
+// connection the engine goes on, as it cannot know that nothing arrives.
+func (e effect) onToken(ctx context.Context, sent int) error {
+	if e.afterTokens == 0 && !e.broken || sent < e.afterTokens {
+		return nil
+	}
+	if e.silence && !goSilent(ctx) {
+		return engine.ErrBroken
+	}
+	if e.broken {
+		dropConn(ctx)
+		return engine.ErrBroken
+	}
+	return nil
+}
+
+func (e *Engine) finish(ctx context.Context, s *sequence, fault effect, out sink) error {
+	if err := fault.onToken(ctx, s.generated-s.resumed()); err != nil {
+		return err
+	}
+	usage := s.usage
+	event := engine.Event{Index: s.generated, Finish: s.answer.Finish, Usage: &usage}
+	return fault.after(ctx, out.event(event), engine.ErrBroken)
+}
+
+func (e *Engine) progress(s *sequence) (generated int, state sequenceState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.generated, s.state
+}
+
+// await waits for a change of the sequence, and calls idle while there is none.
+func (e *Engine) await(ctx context.Context, s *sequence, out sink) error {
+	elapsed, stop := e.cfg.Clock.After(e.cfg.Comment)
+	defer stop()
+	select {
+	case <-s.ready:
+		return nil
+	case <-elapsed:
+		return out.idle()
+	case <-ctx.Done():
+		return engine.ErrBroken
+	}
+}
+
+// release ends a sequence whose stream has ended.
+func (e *Engine) release(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.active() {
+		s.end(sequenceCancelled)
+	}
+	s.settle()
+	delete(e.active, s.key())
+	e.batch.sweep()
+	e.sample()
+}
--- /dev/null
+++ b/standin/engine_test.go
@@ -0,0 +1,306 @@
+package standin_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"knapweedhoist/engine"
+	"knapweedhoist/standin"
+)
+
+func prompt(id, text string) engine.Request {
+	return engine.Request{
+		ID: id, Attempt: 1, Model: "m",
+		Messages: []engine.Message{{Role: "system", Content: strings.Repeat("rules ", 400)}, {Role: "user", Content: text}},
+	}
+}
+
+// take streams a request and returns its tokens and last event.
+func take(ctx context.Context, e engine.Engine, request engine.Request) ([]string, engine.Event, error) {
+	var tokens []string
+	var last engine.Event
+	err := e.Stream(ctx, request, func(event engine.Event) error {
+		last = event
+		if event.Token != "" {
+			tokens = append(tokens, event.Token)
+		}
+		return nil
+	})
+	return tokens, last, err
+}
+
+func engineClient(addr string) *engine.Client {
+	client := engine.NewClient(lg, engine.ClientConfig{Address: addr, Timeout: hangGuard, Silence: hangGuard})
+	DeferCleanup(client.Close)
+	return client
+}
+
+// fast generates quickly, so that tests over real connections are short.
+var fast = standin.EngineConfig{InterToken: time.Microsecond, InterTokenEach: time.Nanosecond, PrefillPerSecond: 1e9}
+
+// slow generates nothing within the time of a test.
+var slow = standin.EngineConfig{InterToken: time.Hour, PrefillPerSecond: 1e9, Comment: time.Millisecond}
+
+var _ = Describe("engine over HTTP", func() {
+	var ctx context.Context
+	BeforeEach(func() { ctx = guarded() })
+
+	It("guards against a stream with a gap, a repeat or a wrong end", func() {
+		client := engineClient(start(standin.NewEngine(lg, fast)))
+		request := prompt("r1", "draft tokens=300")
+		tokens, last, err := take(ctx, client, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(tokens).To(Equal(standin.ExpectedAnswer(request).List()))
+		Expect(last.Finish).To(Equal("stop"))
+		Expect(last.Index).To(Equal(300))
+		Expect(last.Usage.CompletionTokens).To(Equal(300))
+	})
+
+	It("guards against a resumed stream that does not continue exactly", func() {
+		first, second := standin.NewEngine(lg, fast), standin.NewEngine(lg, fast)
+		client, other := engineClient(start(first)), engineClient(start(second))
+		first.Faults.Add(standin.Fault{Kind: standin.FaultBreak, Op: "stream", AfterTokens: 40})
+		request := prompt("r1", "draft tokens=100")
+		tokens, _, err := take(ctx, client, request)
+		Expect(err).To(MatchError(engine.ErrBroken))
+		Expect(tokens).To(HaveLen(40))
+		request.Attempt = 2
+		request.Resume = &engine.Resume{Tokens: tokens}
+		rest, last, err := take(ctx, other, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(append(tokens, rest...)).To(Equal(standin.ExpectedAnswer(request).List()))
+		Expect(last.Usage.RecomputedTokens).To(Equal(engine.PromptTokens(request.Messages) + 40))
+		attempts := second.Attempts()
+		Expect(attempts).To(HaveLen(1))
+		Expect(attempts[0].FirstIndex).To(Equal(40))
+		Expect(attempts[0].Outcome).To(Equal(standin.OutcomeFinished))
+		Expect(attempts[0].ResumeMismatch).To(BeFalse())
+	})
+
+	It("guards against recomputing what an imported KV cache holds", func() {
+		first, second := standin.NewEngine(lg, slow), standin.NewEngine(lg, fast)
+		client, other := engineClient(start(first)), engineClient(start(second))
+		request := prompt("r1", "draft tokens=100")
+		events := make(chan engine.Event, 200)
+		go func() {
+			_ = client.Stream(ctx, request, func(event engine.Event) error { events <- event; return nil })
+		}()
+		var event engine.Event
+		Eventually(events, hangGuard).Should(Receive(&event))
+		handle, err := client.ExportKV(ctx, "r1", 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(other.ImportKV(ctx, handle)).To(Succeed())
+		request.Attempt = 2
+		request.Resume = &engine.Resume{Tokens: []string{event.Token}, KVHandle: handle.ID}
+		_, last, err := take(ctx, other, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(last.Usage.RecomputedTokens).To(BeZero())
+		handle.ID = "unknown"
+		Expect(other.ImportKV(ctx, handle)).To(MatchError(engine.ErrNotFound))
+	})
+
+	It("guards against an attempt that runs on after its caller cancelled or left", func() {
+		server := standin.NewEngine(lg, slow)
+		client := engineClient(start(server))
+		streaming, cancel := context.WithCancel(ctx)
+		ended := make(chan error, 2)
+		for _, id := range []string{"r1", "r2"} {
+			go func() { _, _, err := take(streaming, client, prompt(id, "x")); ended <- err }()
+		}
+		running := func() (n int) {
+			for _, attempt := range server.Attempts() {
+				if attempt.Outcome == standin.OutcomeRunning {
+					n++
+				}
+			}
+			return n
+		}
+		Eventually(running, hangGuard).Should(Equal(2))
+		Expect(client.Cancel(ctx, "r1", 1)).To(Succeed())
+		Eventually(ended, hangGuard).Should(Receive(MatchError(engine.ErrBroken)))
+		cancel()
+		Eventually(ended, hangGuard).Should(Receive(MatchError(engine.ErrBroken)))
+		Eventually(running, hangGuard).Should(BeZero())
+		Expect(client.Cancel(ctx, "r1", 1)).To(MatchError(engine.ErrNotFound))
+	})
+
+	It("guards against a refusal that is mistaken for a broken run", func() {
+		server := standin.NewEngine(lg, standin.EngineConfig{Models: []string{"m"}, ChecksFence: true})
+		client := engineClient(start(server))
+		request := prompt("r1", "x")
+		request.Model = "other"
+		_, _, err := take(ctx, client, request)
+		Expect(err).To(MatchError(engine.ErrRefused))
+		server.Faults.Add(standin.Fault{Kind: standin.FaultRefuse, Count: 1, RetryAfter: 2 * time.Second})
+		_, _, err = take(ctx, client, prompt("r1", "x"))
+		var refused *engine.RefusedError
+		Expect(asError(err, &refused)).To(BeTrue())
+		Expect(refused.RetryAfter).To(Equal(2 * time.Second))
+		Expect(client.Order(ctx, engine.Order{Kind: engine.OrderLoadModel, Name: "other", Fence: 5})).To(Succeed())
+		Expect(client.Order(ctx, engine.Order{Kind: engine.OrderSetRole, Fence: 4})).To(MatchError(engine.ErrStaleFence))
+		Expect(server.Orders()).To(HaveLen(1))
+		server.Leave(hangGuard)
+		_, _, err = take(ctx, client, prompt("r1", "x"))
+		Expect(err).To(MatchError(engine.ErrLeaving))
+		Expect(server.Close()).To(Succeed())
+		_, _, err = take(ctx, client, prompt("r1", "x"))
+		Expect(err).To(MatchError(engine.ErrUnreachable))
+	})
+
+	It("guards against a silent connection that also stops new ones", func() {
+		server := standin.NewEngine(lg, fast)
+		client := engineClient(start(server))
+		server.Faults.Add(standin.Fault{Kind: standin.FaultSilence, Op: "stream", Count: 1, AfterTokens: 5})
+		silent, cancel := context.WithCancel(ctx)
+		got := make(chan string, 100)
+		ended := make(chan error, 1)
+		go func() {
+			ended <- client.Stream(silent, prompt("r1", "tokens=50"), func(event engine.Event) error {
+				got <- event.Token
+				return nil
+			})
+		}()
+		Eventually(got, hangGuard).Should(HaveLen(5))
+		_, _, err := take(ctx, client, prompt("r2", "tokens=50"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(HaveLen(5))
+		Expect(ended).NotTo(Receive())
+		cancel()
+		Eventually(ended, hangGuard).Should(Receive(MatchError(engine.ErrBroken)))
+	})
+})
+
+func inBubble(t *testing.T, cfg standin.EngineConfig, test func(ctx context.Context, g *WithT, e *standin.Engine)) {
+	synctest.Test(t, func(t *testing.T) {
+		e := standin.NewEngine(lg, cfg)
+		test(t.Context(), NewWithT(t), e)
+		_ = e.Close()
+	})
+}
+
+// Guards against a service time that ignores the prompt or the batch.
+func TestEngineServiceTime(t *testing.T) {
+	inBubble(t, standin.EngineConfig{}, func(ctx context.Context, g *WithT, e *standin.Engine) {
+		began := time.Now()
+		request := prompt("r1", "tokens=11")
+		_, _, err := take(ctx, e, request)
+		g.Expect(err).NotTo(HaveOccurred())
+		prefill := time.Duration(engine.PromptTokens(request.Messages)) * time.Second / 20000
+		g.Expect(time.Since(began)).To(BeNumerically("~", prefill+10*8*time.Millisecond, time.Millisecond))
+	})
+	// 100 steps of 9 ms, and one more for sequences that miss the first step.
+	inBubble(t, standin.EngineConfig{PrefillPerSecond: 1e9, PrefillChunk: 1 << 20}, func(ctx context.Context, g *WithT, e *standin.Engine) {
+		began := time.Now()
+		ended := make(chan error, 5)
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
+			go func() { _, _, err := take(ctx, e, prompt(id, "tokens=101")); ended <- err }()
+		}
+		for range 5 {
+			g.Expect(<-ended).To(Succeed())
+		}
+		g.Expect(time.Since(began)).To(BeNumerically("~", 900*time.Millisecond, 9*time.Millisecond))
+	})
+}
+
+// Guards against short work that waits behind queued long work.
+func TestEnginePriority(t *testing.T) {
+	inBubble(t, standin.EngineConfig{MaxBatch: 1, MaxQueue: 2}, func(ctx context.Context, g *WithT, e *standin.Engine) {
+		order := make(chan string, 4)
+		run := func(id string, priority engine.Priority) {
+			request := prompt(id, "tokens=10")
+			request.Priority = priority
+			go func() {
+				if _, _, err := take(ctx, e, request); err == nil {
+					order <- id
+				}
+			}()
+			synctest.Wait()
+		}
+		run("running", engine.PriorityLong)
+		run("long", engine.PriorityLong)
+		run("short", engine.PriorityShort)
+		_, _, err := take(ctx, e, prompt("over", "x"))
+		g.Expect(err).To(MatchError(engine.ErrRefused))
+		g.Expect([]string{<-order, <-order, <-order}).To(Equal([]string{"running", "short", "long"}))
+	})
+}
+
+// Guards against a cache without a bound, and events that are early or renumbered after a gap.
+func TestEngineCache(t *testing.T) {
+	inBubble(t, standin.EngineConfig{CacheTokens: 1000}, func(ctx context.Context, g *WithT, e *standin.Engine) {
+		e.Faults.Add(standin.Fault{Kind: standin.FaultGap, Op: "cache_event", Skip: 1, Count: 1})
+		first := prompt("r1", "tokens=2")
+		_, _, err := take(ctx, e, first)
+		g.Expect(err).NotTo(HaveOccurred())
+		events, err := e.CacheEvents(ctx, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(events).To(BeEmpty())
+		time.Sleep(time.Second)
+		events, _ = e.CacheEvents(ctx, 0)
+		g.Expect(events).To(HaveLen(2))
+		g.Expect(events[1].Sequence).To(Equal(uint64(3)))
+		g.Expect(events[0].Prefix).To(Equal(engine.Prefixes("m", first.Messages)[0].Hash))
+		began := time.Now()
+		_, _, err = take(ctx, e, prompt("r2", "tokens=2"))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(time.Since(began)).To(BeNumerically("<", 30*time.Millisecond), "the prompt is cached")
+		big := prompt("r3", strings.Repeat("long ", 600)+"tokens=2")
+		_, _, err = take(ctx, e, big)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		events, _ = e.CacheEvents(ctx, 3)
+		g.Expect(events).To(ContainElement(HaveField("Evicted", true)))
+	})
+}
+
+// Guards against load reports that are not late, and an end that comes before its notice.
+func TestEngineLoadAndLeave(t *testing.T) {
+	inBubble(t, standin.EngineConfig{}, func(ctx context.Context, g *WithT, e *standin.Engine) {
+		ended := make(chan error, 1)
+		go func() { _, _, err := take(ctx, e, prompt("r1", "tokens=10000")); ended <- err }()
+		time.Sleep(500 * time.Millisecond)
+		report, err := e.Load(ctx)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(report.Running).To(BeZero())
+		time.Sleep(600 * time.Millisecond)
+		report, _ = e.Load(ctx)
+		g.Expect(report.Running).To(Equal(1))
+		g.Expect(report.AtMs).To(Equal(time.Now().Add(-time.Second).UnixMilli()))
+		noticed := time.Now()
+		e.Leave(5 * time.Second)
+		g.Expect(<-ended).To(MatchError(engine.ErrBroken))
+		g.Expect(time.Since(noticed)).To(Equal(5 * time.Second))
+		g.Expect(e.Attempts()[0].Outcome).To(Equal(standin.OutcomeBroken))
+	})
+}
+
+// Guards against a chain of attempts, each broken at some token, that does not add up to the answer.
+func TestEngineResumeProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		request := prompt("r1", rapid.StringMatching(`[a-z ]{0,20}`).Draw(rt, "text"))
+		request.MaxTokens = rapid.IntRange(0, 40).Draw(rt, "limit")
+		var got []string
+		for {
+			e := standin.NewEngine(lg, fast)
+			e.Faults.Add(standin.Fault{Kind: standin.FaultBreak, AfterTokens: rapid.IntRange(1, 60).Draw(rt, "tokens")})
+			tokens, _, err := take(context.Background(), e, request)
+			_ = e.Close()
+			got = append(got, tokens...)
+			if err == nil {
+				break
+			}
+			request.Attempt++
+			request.Resume = &engine.Resume{Tokens: append([]string(nil), got...)}
+		}
+		if want := standin.ExpectedAnswer(request).Text(); strings.Join(got, "") != want {
+			rt.Fatalf("got %q, want %q", strings.Join(got, ""), want)
+		}
+	})
+}
--- a/standin/server.go
+++ b/standin/server.go
@@ -109,7 +109,7 @@
 	cancel()
 	err := ln.Close()
 	for _, c := range s.open() {
-		_ = c.Close()
+		_ = c.kill()
 	}
 	<-served
 	return err
