Add peer: authenticated calls between entry instances

Cause: claims, handover, configuration relay and timeline queries need calls between entry instances that notice silent connections. Errors tell whether the call may have taken effect.

--- /dev/null
+++ b/peer/frame.go
@@ -0,0 +1,20 @@
+package peer
+
+// frameKind tells what a frame carries.
+type frameKind byte
+
+const (
+	frameCall   frameKind = iota + 1 // wire.Call with one answer
+	frameStream                      // wire.Call with a stream of answers
+	frameAnswer                      // wire.Answer
+	frameEnd                         // end of a stream of answers; wire.Answer with a failure, or empty
+	framePing
+	framePong
+)
+
+// Frame layout: payload length (4 bytes, big-endian), kind (1), MAC (16), payload.
+const (
+	lengthBytes = 4
+	macBytes    = 16
+	headerBytes = lengthBytes + 1 + macBytes
+)
--- /dev/null
+++ b/peer/framer.go
@@ -0,0 +1,126 @@
+package peer
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"hash"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// framer reads and writes the frames of one yamux stream. A MAC covers the
+// direction, the stream and the frame's position in it, so that a frame
+// cannot be replayed, reordered or moved to another stream. Reading and
+// writing may run in two goroutines.
+type framer struct {
+	stream io.ReadWriter
+	limit  int
+	// progress is called for each authenticated frame that arrives.
+	progress func()
+	in, out  direction
+}
+
+// direction is the state of one direction of a framer.
+type direction struct {
+	mac hash.Hash
+	// prefix is the direction (1 byte) and the stream id (4 bytes).
+	prefix [5]byte
+	index  uint64
+}
+
+const (
+	towardsServer byte = 1
+	towardsClient byte = 2
+)
+
+func newFramer(stream io.ReadWriter, id uint32, keys sessionKeys, client bool, limit int, progress func()) *framer {
+	in, out := towardsServer, towardsClient
+	if client {
+		in, out = towardsClient, towardsServer
+	}
+	return &framer{
+		stream: stream, limit: limit, progress: progress,
+		in: newDirection(keys, in, id), out: newDirection(keys, out, id),
+	}
+}
+
+func newDirection(keys sessionKeys, towards byte, id uint32) direction {
+	d := direction{mac: hmac.New(sha256.New, keys[:])}
+	d.prefix[0] = towards
+	binary.BigEndian.PutUint32(d.prefix[1:], id)
+	return d
+}
+
+// sum returns the MAC of the next frame and advances the position.
+func (d *direction) sum(header [lengthBytes + 1]byte, payload []byte) []byte {
+	var index [8]byte
+	binary.BigEndian.PutUint64(index[:], d.index)
+	d.index++
+	d.mac.Reset()
+	d.mac.Write(d.prefix[:])
+	d.mac.Write(index[:])
+	d.mac.Write(header[:])
+	d.mac.Write(payload)
+	return d.mac.Sum(nil)[:macBytes]
+}
+
+// write sends one frame; message may be nil.
+func (f *framer) write(kind frameKind, message proto.Message) error {
+	frame := make([]byte, headerBytes, headerBytes+sizeOf(message))
+	if message != nil {
+		var err error
+		frame, err = proto.MarshalOptions{}.MarshalAppend(frame, message)
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrProtocol, err)
+		}
+	}
+	payload := frame[headerBytes:]
+	if len(payload) > f.limit {
+		return fmt.Errorf("%w: %d bytes, limit %d", ErrFrameTooLarge, len(payload), f.limit)
+	}
+	header := frameHeader(kind, len(payload))
+	copy(frame, header[:])
+	copy(frame[len(header):], f.out.sum(header, payload))
+	_, err := f.stream.Write(frame)
+	return err
+}
+
+func sizeOf(message proto.Message) int {
+	if message == nil {
+		return 0
+	}
+	return proto.Size(message)
+}
+
+func frameHeader(kind frameKind, length int) (header [lengthBytes + 1]byte) {
+	binary.BigEndian.PutUint32(header[:], uint32(length))
+	header[lengthBytes] = byte(kind)
+	return header
+}
+
+// read returns the next frame. The buffer grows with the bytes that arrive
+// and not with the announced length.
+func (f *framer) read() (frameKind, []byte, error) {
+	var head [headerBytes]byte
+	if _, err := io.ReadFull(f.stream, head[:]); err != nil {
+		return 0, nil, err
+	}
+	length := int64(binary.BigEndian.Uint32(head[:]))
+	if length > int64(f.limit) {
+		return 0, nil, fmt.Errorf("%w: %d bytes announced, limit %d", ErrFrameTooLarge, length, f.limit)
+	}
+	var payload bytes.Buffer
+	if _, err := io.CopyN(&payload, f.stream, length); err != nil {
+		return 0, nil, err
+	}
+	want := f.in.sum([lengthBytes + 1]byte(head[:lengthBytes+1]), payload.Bytes())
+	if !hmac.Equal(want, head[lengthBytes+1:]) {
+		return 0, nil, errorsJoin(ErrAuthentication, "MAC of a frame does not match")
+	}
+	f.progress()
+	return frameKind(head[lengthBytes]), payload.Bytes(), nil
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// acceptRetry is the pause after a failed accept, for example without file descriptors.
+const acceptRetry = 50 * time.Millisecond
+
+// Server answers the calls of peers.
+type Server struct {
+	lg      *slog.Logger
+	cfg     Config
+	handler Handler
+
+	mu        sync.Mutex // guards the fields below
+	listeners map[net.Listener]struct{}
+	conns     map[net.Conn]struct{}
+	closed    bool
+	running   sync.WaitGroup
+}
+
+// NewServer returns a Server that passes calls to handler.
+func NewServer(lg *slog.Logger, cfg Config, handler Handler) (*Server, error) {
+	cfg, err := cfg.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	return &Server{
+		lg: lg, cfg: cfg, handler: handler,
+		listeners: make(map[net.Listener]struct{}), conns: make(map[net.Conn]struct{}),
+	}, nil
+}
+
+// Serve accepts connections until the server is closed; it then returns nil.
+func (s *Server) Serve(listener net.Listener) error {
+	if !s.addListener(listener) {
+		return stepError("peer/serve", "", ErrClosed)
+	}
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			s.lg.Warn("accept failed; trying again", "step", "peer/accept", "error", err)
+			time.Sleep(acceptRetry)
+			continue
+		}
+		s.accept(conn)
+	}
+}
+
+// Close ends all listeners and sessions and waits for their goroutines.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	for listener := range s.listeners {
+		_ = listener.Close()
+	}
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.running.Wait()
+	return nil
+}
+
+func (s *Server) addListener(listener net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.listeners[listener] = struct{}{}
+	return true
+}
+
+// accept starts a session unless the server is closed or has its most sessions.
+func (s *Server) accept(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= s.cfg.MaxSessions {
+		metrics.GetOrRegisterCounter("peer_sessions_refused_total", s.cfg.Metrics).Inc(1)
+		_ = conn.Close()
+		return
+	}
+	s.conns[conn] = struct{}{}
+	s.running.Add(1)
+	go s.run(conn)
+}
+
+func (s *Server) run(conn net.Conn) {
+	defer s.running.Done()
+	defer s.remove(conn)
+	session, err := acceptSession(s.lg, s.cfg, s.handler, countBytes(conn, s.cfg.Metrics))
+	if err != nil {
+		metrics.GetOrRegisterCounter("peer_sessions_refused_total", s.cfg.Metrics).Inc(1)
+		s.lg.Warn("peer session refused", "step", "peer/handshake", "peer", conn.RemoteAddr().String(), "error", err)
+		return
+	}
+	session.run()
+}
+
+func (s *Server) remove(conn net.Conn) {
+	_ = conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
