--- a/backend/errors.go
+++ b/backend/errors.go
@@ -12,6 +12,8 @@
 	ErrBroken = errors.New("backend: connection broken")
 	// ErrAnswerTooLarge: the answer exceeds its limit; the call ran.
 	ErrAnswerTooLarge = errors.New("backend: answer too large")
+	// errInterrupted: the former home sent the call, which must not be repeated, and left.
+	errInterrupted = errors.New("backend: interrupted by a handover")
 	// errProtocol: the engine's events are out of order or end without a finish.
 	errProtocol = errors.New("backend: engine broke the protocol")
 )
--- a/backend/fail.go
+++ b/backend/fail.go
@@ -45,6 +45,11 @@
 		return request.Finish{Status: http.StatusGatewayTimeout, Step: "deadline", Detail: "the deadline passed"}
 	case errors.Is(err, request.ErrTooLarge), errors.Is(err, ErrAnswerTooLarge):
 		return request.Finish{Status: http.StatusBadGateway, Step: "answer", Detail: "the answer exceeds the size limit"}
+	case errors.Is(err, errInterrupted):
+		return request.Finish{
+			Status: http.StatusBadGateway, Step: "handover",
+			Detail: "the instance that sent the call left before the answer arrived",
+		}
 	default:
 		return request.Finish{
 			Status: http.StatusBadGateway, Step: "endpoint",
--- a/backend/run.go
+++ b/backend/run.go
@@ -30,6 +30,11 @@
 }
 
 func (r *run) execute() {
+	if !r.entry.MaySend() {
+		// Another instance sent the call before it moved here.
+		r.fail(errInterrupted)
+		return
+	}
 	if !r.claim() {
 		return
 	}
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -83,7 +83,7 @@
 	r.forgetLeft()
 	r.leaving[endpoint] = until
 	for t := range r.tries[endpoint] {
-		t.leave <- until
+		t.notify(until)
 	}
 }
 
@@ -108,7 +108,7 @@
 	}
 	tries[t] = struct{}{}
 	if until, leaving := r.leaving[t.choice.Endpoint]; leaving {
-		t.leave <- until
+		t.notify(until)
 	}
 }
 
--- a/backend/try.go
+++ b/backend/try.go
@@ -27,6 +27,14 @@
 	usage  *engine.Usage
 }
 
+// notify passes on that the endpoint is leaving; only the first notice counts.
+func (t *try) notify(until time.Time) {
+	select {
+	case t.leave <- until:
+	default:
+	}
+}
+
 // end is how an attempt ended.
 type end struct {
 	try    *try
--- a/request/hold.go
+++ b/request/hold.go
@@ -36,12 +36,19 @@
 // Move gives the request to a peer: nothing more is sent or delivered here,
 // and readers get ErrMoved.
 func (e *Entry) Move() error {
+	return e.move((*Machine).Move)
+}
+
+// MoveUnsent is Move for a call that must not be repeated: it succeeds only
+// while no byte was sent, so that the peer may send it.
+func (e *Entry) MoveUnsent() error {
+	return e.move((*Machine).MoveUnsent)
+}
+
+func (e *Entry) move(step func(*Machine) error) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.machine.state == StateMoved {
-		return nil
-	}
-	if err := e.machine.Move(); err != nil {
+	if err := step(e.machine); err != nil {
 		return err
 	}
 	e.show(e.visible)
@@ -52,3 +59,10 @@
 	e.registry.moved(e)
 	return nil
 }
+
+// Visible returns the position that readers can see.
+func (e *Entry) Visible() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.visible
+}
--- /dev/null
+++ b/request/id_test.go
@@ -0,0 +1,28 @@
+package request
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against ids that are accepted in more than one text form, and against
+// panics on hostile ids.
+func FuzzParseID(f *testing.F) {
+	for _, seed := range []string{
+		incarnation + "-1", incarnation + "-18446744073709551615", incarnation + "-18446744073709551616",
+		incarnation + "-01", incarnation + "-0", incarnation + "--1", incarnation + "-", incarnation, "", "-1",
+		strings.ToLower(incarnation) + "-1", "81ZZZZZZZZZZZZZZZZZZZZZZZZ-1", incarnation + "-1 ",
+		incarnation[:25] + "U-1", incarnation[:25] + "é-1", strings.Repeat("1", 10000),
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := ParseID(text)
+		if err != nil {
+			return
+		}
+		if id.String() != text || id.Sequence == 0 || len(text) > MaxIDLength {
+			t.Fatalf("%q was read as %q", text, id)
+		}
+	})
+}
--- a/request/machine.go
+++ b/request/machine.go
@@ -108,7 +108,10 @@
 }
 
 func (m *Machine) maySend(number int) error {
+	live := m.find(number)
 	switch {
+	case live == nil:
+		return m.refusal()
 	case m.state == StateMoved:
 		m.violated(InvariantSentElsewhere, "send", number)
 		return ErrMoved
@@ -118,27 +121,36 @@
 	case m.spec.NeedsClaim && !m.claimed:
 		m.violated(InvariantNotClaimed, "send", number)
 		return ErrNotClaimed
-	case m.everSent && !m.spec.Repeatable():
+	case live.sent, m.everSent && !m.spec.Repeatable():
 		m.violated(InvariantSentTwice, "send", number)
 		return ErrSentOnce
 	}
-	live := m.find(number)
-	if live == nil {
+	return nil
+}
+
+// refusal is the error for attempts that are no longer live. It is no violation:
+// a finish or a move may happen while an attempt is about to start.
+func (m *Machine) refusal() error {
+	switch m.state {
+	case StateFinished:
+		return ErrFinished
+	case StateMoved:
+		return ErrMoved
+	default:
 		return ErrSuperseded
 	}
-	if live.sent {
-		m.violated(InvariantSentTwice, "send", number)
-		return ErrSentOnce
-	}
-	return nil
 }
 
 // Token adds a generated token at position index of the whole answer. Events
-// of superseded attempts are dropped and counted, with ErrSuperseded.
+// of attempts that are no longer live are dropped and counted, with an error.
 func (m *Machine) Token(number, index int, token string) error {
 	if m.find(number) == nil {
 		m.late++
-		return ErrSuperseded
+		return m.refusal()
+	}
+	if m.state != StateAdmitted {
+		m.violated(InvariantAfterFinish, "token", number)
+		return m.refusal()
 	}
 	if index != m.log.count() {
 		m.violated(indexInvariant(index, m.log.count()), "token", number)
@@ -178,7 +190,6 @@
 func (m *Machine) Finish(now time.Time, finish Finish) error {
 	switch m.state {
 	case StateFinished:
-		m.violated(InvariantAfterFinish, "finish", m.last)
 		return ErrFinished
 	case StateMoved:
 		return ErrMoved
@@ -194,10 +205,18 @@
 	return nil
 }
 
+// MoveUnsent moves the request if no byte of it was sent, else it returns ErrSentOnce.
+func (m *Machine) MoveUnsent() error {
+	if m.everSent {
+		return ErrSentOnce
+	}
+	return m.Move()
+}
+
 // Move gives the request to a peer. Later events of its attempts are dropped.
 func (m *Machine) Move() error {
-	if m.state == StateFinished {
-		return ErrFinished
+	if m.state != StateAdmitted {
+		return m.refuseState("move")
 	}
 	m.state = StateMoved
 	m.supersedeAll()
@@ -262,7 +281,6 @@
 func (m *Machine) refuseState(step string) error {
 	switch m.state {
 	case StateFinished:
-		m.violated(InvariantAfterFinish, step, m.last)
 		return ErrFinished
 	case StateMoved:
 		return ErrMoved
--- a/request/registry.go
+++ b/request/registry.go
@@ -49,10 +49,10 @@
 
 // Create registers a received request. It returns ErrFull at the limits.
 func (r *Registry) Create(now time.Time, spec Spec) (*Entry, error) {
-	return r.add(now, NewMachine(spec, r.check))
+	return r.add(now, NewMachine(spec, r.check), true)
 }
 
-func (r *Registry) add(now time.Time, machine *Machine) (*Entry, error) {
+func (r *Registry) add(now time.Time, machine *Machine, bounded bool) (*Entry, error) {
 	entry := newEntry(r, machine)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -61,7 +61,7 @@
 		return nil, ErrExists
 	}
 	r.makeRoom(int64(entry.bytes))
-	if r.inProgress >= r.cfg.MaxInProgress || r.bytes.Load()+int64(entry.bytes) > r.cfg.MaxBytes {
+	if bounded && r.full(entry.bytes) {
 		return nil, ErrFull
 	}
 	r.entries[machine.spec.ID] = entry
@@ -73,6 +73,10 @@
 	return entry, nil
 }
 
+func (r *Registry) full(need int) bool {
+	return r.inProgress >= r.cfg.MaxInProgress || r.bytes.Load()+int64(need) > r.cfg.MaxBytes
+}
+
 // Find returns a request of the team.
 func (r *Registry) Find(id ID, team string) (*Entry, error) {
 	r.mu.Lock()
