Serve a streamed completion from end to end over separate processes

Cause: the parts existed only apart. Change: package knapweedhoist wires gateway, backend, object API and lagging list; daemons knapweedhoist (serve, check-config, version) and hoistdev standins; one control goroutine publishes the state that traffic reads. Before: no request was served.

--- a/cmd/hoistdev/main.go
+++ b/cmd/hoistdev/main.go
@@ -1,6 +1,12 @@
-// Command hoistdev.
+// Command hoistdev tries and tests the system with stand-ins.
 package main
 
-import _ "net" // with cgo, links the program to the C library
+import (
+	"os"
 
-func main() {}
+	"knapweedhoist/internal/devtool"
+)
+
+func main() {
+	os.Exit(devtool.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/cmd/knapweedhoist/main.go
+++ b/cmd/knapweedhoist/main.go
@@ -1,6 +1,12 @@
-// Command knapweedhoist.
+// Command knapweedhoist is the entry daemon.
 package main
 
-import _ "net" // with cgo, links the program to the C library
+import (
+	"os"
 
-func main() {}
+	"knapweedhoist/internal/daemon"
+)
+
+func main() {
+	os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"knapweedhoist"
+	"knapweedhoist/settings"
+)
+
+// configFlag names the settings file.
+type configFlag struct {
+	Config string `short:"c" long:"config" description:"Settings file (YAML)" required:"true" value-name:"FILE"`
+}
+
+// load reads the settings; a fault in them is a settingsError.
+func (f configFlag) load() (settings.Settings, error) {
+	loaded, err := settings.Load(f.Config)
+	if err != nil {
+		return settings.Settings{}, &settingsError{err: err}
+	}
+	return loaded, nil
+}
+
+// settingsError is a fault in the settings file, found before anything started.
+type settingsError struct {
+	err error
+}
+
+func (e *settingsError) Error() string { return e.err.Error() }
+func (e *settingsError) Unwrap() error { return e.err }
+
+type serveCommand struct {
+	configFlag
+	stderr io.Writer
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	cfg, err := c.load()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return knapweedhoist.New(cfg.Log.Logger(c.stderr), cfg).Run(ctx)
+}
--- /dev/null
+++ b/internal/devtool/entry_settings.go
@@ -0,0 +1,58 @@
+package devtool
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+
+	"knapweedhoist/settings"
+)
+
+// fleetKey is the fleet's key of the sample deployment. It is for trials only.
+var fleetKey = strings.Repeat("5a", 32)
+
+// entrySettings are the settings of the sample deployment's entry instance n, from 0.
+func (d *deployment) entrySettings(n int) (settings.Settings, error) {
+	cfg := settings.Default()
+	cfg.Instance = fmt.Sprintf("entry-%d", n+1)
+	cfg.Datacentre = sampleDatacentres[n%len(sampleDatacentres)]
+	cfg.Region = sampleRegion
+	cfg.FleetKey = settings.Secret(fleetKey)
+	cfg.Operators = []settings.Operator{{Name: "operator", KeyHash: hashKey(operatorKey)}}
+	cfg.Platform.Address = d.platform.Addr()
+	cfg.List.Address = d.roster.Addr()
+	cfg.Log.Format = "text"
+	for _, field := range []*string{&cfg.Listen.Callers, &cfg.Listen.Operators, &cfg.Listen.Peers, &cfg.Listen.Heartbeats} {
+		address, err := freeAddress()
+		if err != nil {
+			return cfg, err
+		}
+		*field = address
+	}
+	return cfg, nil
+}
+
+// freeAddress returns a loopback address whose port is free for TCP.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+func (d *deployment) writeSettings(path string, n int) error {
+	cfg, err := d.entrySettings(n)
+	if err != nil {
+		return err
+	}
+	content, err := yaml.Marshal(cfg)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, content, 0o600)
+}
