Add membership: who is live, who leaves, who owns and watches what

Change: table over the lagging list, notices and heartbeats; leaving is final per incarnation and asserted; suspect and dead after 3 and 6 intervals; leaves at once and in the next 10 datagrams; rendezvous choice of owners and watchers; successor chains; load reports with age. Conclusion: ready for the datagram loop.

--- /dev/null
+++ b/membership/list.go
@@ -0,0 +1,87 @@
+package membership
+
+import "time"
+
+// List takes the entries of the lagging list in. It never revives what left.
+// An empty list is ignored: the fleet has at least this instance.
+func (t *Table) List(now time.Time, entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	listed := make(map[string]struct{}, len(entries))
+	for _, e := range entries {
+		if e.Kind == KindEndpoint {
+			listed[e.ID] = struct{}{}
+			t.listEndpoint(e)
+		} else {
+			listed[e.incarnation()] = struct{}{}
+			t.listMember(e)
+		}
+	}
+	t.dropUnlisted(now, listed)
+}
+
+// dropUnlisted removes what only the list knew of and no longer has.
+func (t *Table) dropUnlisted(now time.Time, listed map[string]struct{}) {
+	for id, e := range t.endpoints {
+		if _, ok := listed[id]; !ok && !t.recentLoad(now, e) {
+			delete(t.endpoints, id)
+			t.changed = true
+		}
+	}
+	for incarnation, m := range t.members {
+		if _, ok := listed[incarnation]; !ok && m.State == Listed {
+			t.forget(incarnation)
+		}
+	}
+}
+
+func (t *Table) recentLoad(now time.Time, e *Endpoint) bool {
+	age, ok := e.LoadAge(now)
+	return ok && age < freshLoad
+}
+
+func (t *Table) listMember(e Entry) {
+	incarnation := e.incarnation()
+	if incarnation == t.cfg.Incarnation {
+		return
+	}
+	t.listLeaving(e)
+	_, known := t.members[incarnation]
+	if known || t.left.has(incarnation) {
+		return
+	}
+	t.put(Member{ID: e.ID, Incarnation: incarnation, Datacentre: e.Datacentre, DatagramAddress: e.Address})
+}
+
+func (t *Table) listLeaving(e Entry) {
+	if e.Leaving && !t.left.has(e.incarnation()) {
+		t.depart(e.incarnation(), "", time.Time{})
+	}
+}
+
+func (t *Table) listEndpoint(e Entry) {
+	incarnation := e.incarnation()
+	t.listLeaving(e)
+	next := Endpoint{ID: e.ID}
+	if old, ok := t.endpoints[e.ID]; ok {
+		if old.Incarnation != incarnation && t.left.has(incarnation) {
+			// A late entry of an earlier incarnation.
+			return
+		}
+		if old.Incarnation == incarnation {
+			next = *old
+		} else if old.Incarnation < incarnation {
+			// An instance runs one incarnation at a time. Without this order the
+			// list may be the late one, and nothing final follows from it.
+			t.depart(old.Incarnation, "", time.Time{})
+		}
+	}
+	before := next
+	next.Incarnation, next.Service, next.Datacentre = incarnation, e.Service, e.Datacentre
+	next.Zone, next.Class, next.Address, next.Reclaimable = e.Zone, e.Class, e.Address, e.Reclaimable
+	next.Leaving = t.left.has(incarnation)
+	if next != before {
+		t.putEndpoint(next)
+	}
+}
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,296 @@
+package membership_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"knapweedhoist/engine"
+	"knapweedhoist/invariant"
+	"knapweedhoist/membership"
+	"knapweedhoist/timeline"
+	"knapweedhoist/wire"
+)
+
+func TestMembership(t *testing.T) {
+	// A fixed seed, unless the command gives another one.
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("20260101")
+	}
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "membership")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// strict fails the run on a violated invariant.
+type strict struct {
+	t interface{ Fatalf(string, ...any) }
+}
+
+func (s strict) Violated(v invariant.Violation) { s.t.Fatalf("%s at %s: %s", v.Name, v.Step, v.Detail) }
+
+// site is a fleet of tables that exchange their datagrams in memory.
+type site struct {
+	now    time.Time
+	tables map[string]*membership.Table // by datagram address
+	down   map[string]bool
+	late   []membership.Entry
+}
+
+func newSite(t strict, datacentres, perDatacentre int) *site {
+	s := &site{now: start, tables: make(map[string]*membership.Table), down: make(map[string]bool)}
+	for i := range datacentres * perDatacentre {
+		id := fmt.Sprintf("e%02d", i)
+		e := membership.Entry{
+			ID: id, Incarnation: "01J" + id, Kind: membership.KindEntry,
+			Datacentre: fmt.Sprintf("dc%d", i%datacentres), Address: id + ":7",
+		}
+		s.late = append(s.late, e)
+		s.tables[e.Address] = membership.NewTable(membership.Config{
+			ID: e.ID, Incarnation: e.Incarnation, Datacentre: e.Datacentre, DatagramAddress: e.Address,
+			PeerAddress: id + ":8",
+		}, t, timeline.Discard, start)
+	}
+	for i := range 2 * datacentres {
+		id := fmt.Sprintf("p%02d", i)
+		s.late = append(s.late, membership.Entry{
+			ID: id, Incarnation: "01J" + id, Kind: membership.KindEndpoint, Service: "s",
+			Datacentre: fmt.Sprintf("dc%d", i%datacentres), Address: id + ":9",
+		})
+	}
+	for _, table := range s.tables {
+		table.List(start, s.late)
+	}
+	return s
+}
+
+func (s *site) deliver(out []membership.Outgoing) {
+	for _, o := range out {
+		for _, to := range o.To {
+			if table, ok := s.tables[to]; ok && !s.down[to] {
+				table.Heartbeat(s.now, o.Beat)
+			}
+		}
+	}
+}
+
+// run passes n intervals.
+func (s *site) run(n int) {
+	for range n {
+		s.now = s.now.Add(membership.MinInterval)
+		for _, address := range s.addresses() {
+			if !s.down[address] {
+				s.deliver(s.tables[address].Tick(s.now, membership.Local{}))
+			}
+		}
+	}
+}
+
+func (s *site) addresses() []string {
+	var addresses []string
+	for _, e := range s.late {
+		if e.Kind == membership.KindEntry {
+			addresses = append(addresses, e.Address)
+		}
+	}
+	return addresses
+}
+
+var _ = Describe("membership", func() {
+	It("guards against a left incarnation that a late source makes live again", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			table := membership.NewTable(membership.Config{ID: "self", Incarnation: "01Jself", Datacentre: "dc0"},
+				strict{t}, timeline.Discard, start)
+			now, left := start, map[string]bool{}
+			incarnation := rapid.SampledFrom([]string{"01Ja", "01Jb", "01Jc", "01Jd"})
+			entry := func(t *rapid.T) membership.Entry {
+				kind := rapid.SampledFrom([]membership.Kind{membership.KindEntry, membership.KindEndpoint}).Draw(t, "kind")
+				in := incarnation.Draw(t, "incarnation")
+				if kind == membership.KindEndpoint {
+					in += "-endpoint"
+				}
+				return membership.Entry{
+					// Two incarnations share an id.
+					ID: string(in[3]&^1) + string(kind), Incarnation: in, Kind: kind, Datacentre: "dc0",
+					Address: in + ":1", Leaving: rapid.IntRange(0, 4).Draw(t, "leaving") == 0,
+				}
+			}
+			t.Repeat(map[string]func(*rapid.T){
+				"list": func(t *rapid.T) {
+					entries := rapid.SliceOfN(rapid.Custom(entry), 0, 6).Draw(t, "entries")
+					table.List(now, entries)
+					for _, e := range entries {
+						left[e.Incarnation] = left[e.Incarnation] || e.Leaving
+					}
+				},
+				"heartbeat": func(t *rapid.T) {
+					e := entry(t)
+					table.Heartbeat(now, &wire.Heartbeat{
+						Instance: e.ID, Incarnation: e.Incarnation, Datacentre: "dc0", Leaving: e.Leaving,
+						Loads: []*wire.EndpointLoad{{Endpoint: "bendpoint"}, {Endpoint: "`endpoint"}},
+					})
+					left[e.Incarnation] = left[e.Incarnation] || e.Leaving
+				},
+				"leave": func(t *rapid.T) {
+					e := entry(t)
+					table.Leaves(now, []*wire.Leave{{Id: e.ID, Incarnation: e.Incarnation}})
+					left[e.Incarnation] = true
+				},
+				"notice": func(t *rapid.T) {
+					e := entry(t)
+					table.Notice(now, membership.Notice{ID: e.ID, Incarnation: e.Incarnation})
+					left[e.Incarnation] = true
+				},
+				"tick": func(t *rapid.T) {
+					now = now.Add(time.Duration(rapid.IntRange(1, 8).Draw(t, "seconds")) * time.Second)
+					table.Tick(now, membership.Local{})
+				},
+				"": func(t *rapid.T) {
+					view := table.View()
+					for _, m := range view.Live() {
+						if left[m.Incarnation] {
+							t.Fatalf("member %s left and is live", m.Incarnation)
+						}
+					}
+					for _, e := range view.Service("") {
+						if left[e.Incarnation] {
+							t.Fatalf("endpoint %s left and is offered", e.Incarnation)
+						}
+					}
+				},
+			})
+		})
+	})
+
+	It("guards against watchers or owners on which instances do not agree, with any number of data centres", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			datacentres := rapid.IntRange(1, 4).Draw(t, "datacentres")
+			each := rapid.IntRange(1, 5).Draw(t, "each")
+			s := newSite(strict{t}, datacentres, each)
+			s.run(12)
+			watches := map[string]int{}
+			owners := map[string]string{}
+			for _, address := range s.addresses() {
+				view := s.tables[address].View()
+				if len(view.Live()) != datacentres*each {
+					t.Fatalf("%s sees %d of %d live", address, len(view.Live()), datacentres*each)
+				}
+				for _, e := range view.Watched() {
+					watches[e.ID]++
+				}
+				for shard := range 8 {
+					key := fmt.Sprintf("claim/%d", shard)
+					owner := view.Owner(key).Incarnation
+					if owners[key] != "" && owners[key] != owner {
+						t.Fatalf("%s is owned by %s and %s", key, owners[key], owner)
+					}
+					owners[key] = owner
+				}
+			}
+			for id, n := range watches {
+				if n != min(2, each) {
+					t.Fatalf("endpoint %s has %d watchers", id, n)
+				}
+			}
+		})
+	})
+
+	It("guards against a change of one member that moves keys between two others", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var members []*membership.Member
+			for i := range rapid.IntRange(2, 40).Draw(t, "members") {
+				members = append(members, &membership.Member{Incarnation: fmt.Sprintf("01J%03d", i)})
+			}
+			gone := rapid.IntRange(0, len(members)-1).Draw(t, "gone")
+			rest := slices.Delete(slices.Clone(members), gone, gone+1)
+			for i := range 32 {
+				key := fmt.Sprintf("claim/%d", i)
+				before, after := membership.Choose(members, key, 2), membership.Choose(rest, key, 1)
+				want := before[0]
+				if want == members[gone] {
+					want = before[1]
+				}
+				if after[0] != want {
+					t.Fatalf("%s moved from %s to %s", key, before[0].Incarnation, after[0].Incarnation)
+				}
+			}
+		})
+	})
+
+	It("guards against a dead instance that stays live and one that is cut off briefly and stays dead", func() {
+		s := newSite(strict{GinkgoT()}, 2, 3)
+		s.run(10)
+		s.down["e01:7"] = true
+		state := func(observer string) membership.State { return s.tables[observer].View().Member("01Je01").State }
+		s.run(membership.SuspectIntervals + 1)
+		Expect(state("e03:7")).To(Equal(membership.Suspect))
+		s.run(membership.DeadIntervals)
+		Expect(state("e03:7")).To(Equal(membership.Dead))
+		s.run(membership.DeadIntervals)
+		Expect(state("e00:7")).To(Equal(membership.Dead))
+		s.down["e01:7"] = false
+		s.run(12)
+		Expect(state("e03:7")).To(Equal(membership.Live))
+		Expect(state("e00:7")).To(Equal(membership.Live))
+	})
+
+	It("guards against a leave that is told late or not repeated, and against a lost successor", func() {
+		s := newSite(strict{GinkgoT()}, 2, 3)
+		s.run(10)
+		leaver := s.tables["e01:7"]
+		out := leaver.Notice(s.now, membership.Notice{ID: "e01", Incarnation: "01Je01", Successor: "01Je03"})
+		Expect(out).To(HaveLen(1))
+		Expect(out[0].To).To(HaveLen(5))
+		s.down["e00:7"] = true
+		s.deliver(out)
+		s.down["e00:7"] = false
+		Expect(s.tables["e02:7"].View().Member("01Je01").State).To(Equal(membership.Leaving))
+		Expect(s.tables["e00:7"].View().Member("01Je01").State).To(Equal(membership.Live))
+		s.run(2)
+		Expect(s.tables["e00:7"].View().Member("01Je01").State).To(Equal(membership.Leaving))
+		repeats := 2
+		for ; len(leaver.Tick(s.now, membership.Local{})[0].Beat.GetLeaves()) > 0; repeats++ {
+		}
+		Expect(repeats).To(Equal(membership.LeaveRepeats))
+		s.tables["e03:7"].Notice(s.now, membership.Notice{ID: "e03", Incarnation: "01Je03", Successor: "01Je05"})
+		last, ok := s.tables["e03:7"].View().Successor("01Je01")
+		Expect(ok).To(BeTrue())
+		Expect(last).To(Equal("01Je05"))
+	})
+
+	It("guards against a newer load report that an older one replaces", func() {
+		s := newSite(strict{GinkgoT()}, 1, 1)
+		table := s.tables["e00:7"]
+		table.Load(s.now, "p00", engine.LoadReport{Running: 2})
+		table.Heartbeat(s.now, &wire.Heartbeat{
+			Instance: "x", Incarnation: "01Jx", Datacentre: "dc0",
+			Loads: []*wire.EndpointLoad{{Endpoint: "p00", AgeMs: 900, Running: 9}},
+		})
+		e := table.View().Endpoint("p00")
+		age, _ := e.LoadAge(s.now.Add(time.Second))
+		Expect(e.Load.Running).To(Equal(2))
+		Expect(age).To(Equal(time.Second))
+	})
+
+	It("guards against an interval that exceeds the budget in a large data centre", func() {
+		s := newSite(strict{GinkgoT()}, 1, 60)
+		Expect(s.tables["e00:7"].Interval()).To(Equal(2 * time.Second))
+	})
+
+	It("guards against memory that grows with each incarnation", func() {
+		table := membership.NewTable(membership.Config{ID: "s", Incarnation: "01Js", MaxLeft: 4, MaxMembers: 4},
+			strict{GinkgoT()}, timeline.Discard, start)
+		for i := range 20 {
+			in := fmt.Sprintf("01J%02d", i)
+			table.Heartbeat(start, &wire.Heartbeat{Instance: in, Incarnation: in})
+		}
+		Expect(len(table.View().Members)).To(Equal(5))
+	})
+})
--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,115 @@
+package membership
+
+import (
+	"time"
+
+	"knapweedhoist/invariant"
+	"knapweedhoist/timeline"
+)
+
+// Table is the state of membership. The control goroutine owns it.
+type Table struct {
+	cfg      Config
+	checker  invariant.Checker
+	recorder timeline.Recorder
+
+	// members by incarnation, without this instance; endpoints by id. The
+	// values are replaced and never modified, since views share them.
+	members   map[string]*Member
+	endpoints map[string]*Endpoint
+	// deadSince is when a member was found dead, for forgetting it.
+	deadSince  map[string]time.Time
+	left       *left
+	successors *successors
+	leaves     leaveQueue
+
+	self    Member
+	started time.Time
+	// round counts the heartbeats sent.
+	round uint64
+	view  *View
+	// changed: members or endpoints changed since view was made.
+	changed bool
+}
+
+// NewTable returns a table that knows only this instance.
+func NewTable(cfg Config, checker invariant.Checker, recorder timeline.Recorder, now time.Time) *Table {
+	cfg = cfg.withDefaults()
+	return &Table{
+		cfg: cfg, checker: checker, recorder: recorder,
+		members: make(map[string]*Member), endpoints: make(map[string]*Endpoint),
+		deadSince: make(map[string]time.Time),
+		left:      newLeft(cfg.MaxLeft), successors: newSuccessors(cfg.MaxLeft),
+		self: Member{
+			ID: cfg.ID, Incarnation: cfg.Incarnation, Datacentre: cfg.Datacentre, State: Live, LastHeard: now,
+			PeerAddress: cfg.PeerAddress, DatagramAddress: cfg.DatagramAddress, OperatorAddress: cfg.OperatorAddress,
+		},
+		started: now, changed: true,
+	}
+}
+
+// Interval returns the time between two heartbeats of this instance.
+func (t *Table) Interval() time.Duration {
+	n := 1
+	for _, m := range t.members {
+		if m.Datacentre == t.cfg.Datacentre && m.State != Leaving && m.State != Dead {
+			n++
+		}
+	}
+	return max(MinInterval, time.Duration(n)*time.Second/MembersPerSecond)
+}
+
+// put stores a member and asserts that leaving is final.
+func (t *Table) put(m Member) {
+	if m.State != Leaving && t.left.has(m.Incarnation) {
+		t.checker.Violated(invariant.Violation{
+			Name: "membership/left_is_live", Step: "membership/put", Peer: m.ID,
+			Detail: "incarnation " + m.Incarnation + " left and became " + m.State.String(),
+		})
+		m.State = Leaving
+	}
+	old, ok := t.members[m.Incarnation]
+	if !ok && len(t.members) >= t.cfg.MaxMembers {
+		return
+	}
+	if !ok || old.State != m.State {
+		t.recordMember(m)
+	}
+	t.members[m.Incarnation] = &m
+	t.changed = true
+}
+
+func (t *Table) recordMember(m Member) {
+	t.recorder.Record(timeline.Event{
+		Kind: timeline.KindMember, Peer: m.ID, Step: "membership/" + m.State.String(),
+		Detail: m.Incarnation + " in " + m.Datacentre,
+	})
+}
+
+// putEndpoint stores an endpoint and asserts that leaving is final.
+func (t *Table) putEndpoint(e Endpoint) {
+	if !e.Leaving && t.left.has(e.Incarnation) {
+		t.checker.Violated(invariant.Violation{
+			Name: "membership/left_is_live", Step: "membership/put_endpoint", Peer: e.ID,
+			Detail: "incarnation " + e.Incarnation + " left and became live",
+		})
+		e.Leaving = true
+	}
+	old, ok := t.endpoints[e.ID]
+	if !ok && len(t.endpoints) >= t.cfg.MaxMembers {
+		return
+	}
+	if !ok || old.Leaving != e.Leaving || old.Incarnation != e.Incarnation {
+		t.recordEndpoint(e)
+	}
+	t.endpoints[e.ID] = &e
+	t.changed = true
+}
+
+func (t *Table) recordEndpoint(e Endpoint) {
+	step := "membership/live"
+	if e.Leaving {
+		step = "membership/leaving"
+	}
+	t.recorder.Record(timeline.Event{Kind: timeline.KindEndpoint, Endpoint: e.ID, Step: step, Detail: e.Incarnation})
+}
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,137 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// watchersPerEndpoint and configWatchersPerDatacentre come from the design page.
+const (
+	watchersPerEndpoint         = 2
+	configWatchersPerDatacentre = 2
+)
+
+// View is an immutable picture of the fleet for many readers.
+type View struct {
+	// Self is this instance.
+	Self *Member
+	// Members are all known entry instances with Self, by incarnation.
+	Members []*Member
+	// Endpoints are all known endpoints, by id.
+	Endpoints []*Endpoint
+	// Interval is the time between heartbeats.
+	Interval time.Duration
+	// StartedAt is when this instance began to listen. Until Settled, members
+	// that are live may not have been heard yet.
+	StartedAt time.Time
+
+	live       []*Member
+	watched    []*Endpoint
+	members    map[string]*Member
+	endpoints  map[string]*Endpoint
+	services   map[string][]*Endpoint
+	successors map[string]string
+}
+
+// View returns the current view. It is rebuilt only after a change.
+func (t *Table) View() *View {
+	if t.view != nil && !t.changed {
+		return t.view
+	}
+	self := t.self
+	v := &View{
+		Self: &self, Members: append(t.sorted(), &self), Endpoints: make([]*Endpoint, 0, len(t.endpoints)),
+		Interval: t.Interval(), StartedAt: t.started,
+		members:   make(map[string]*Member, len(t.members)+1),
+		endpoints: make(map[string]*Endpoint, len(t.endpoints)),
+		services:  make(map[string][]*Endpoint), successors: t.successors.copy(),
+	}
+	for _, e := range t.endpoints {
+		v.Endpoints = append(v.Endpoints, e)
+		v.endpoints[e.ID] = e
+	}
+	slices.SortFunc(v.Members, func(a, b *Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	slices.SortFunc(v.Endpoints, func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	v.index()
+	t.view, t.changed = v, false
+	return v
+}
+
+func (v *View) index() {
+	for _, m := range v.Members {
+		v.members[m.Incarnation] = m
+		if m.State == Live {
+			v.live = append(v.live, m)
+		}
+	}
+	near := v.LiveIn(v.Self.Datacentre)
+	for _, e := range v.Endpoints {
+		if !e.Leaving {
+			v.services[e.Service] = append(v.services[e.Service], e)
+		}
+		if e.Datacentre == v.Self.Datacentre && slices.Contains(Choose(near, "endpoint/"+e.ID, watchersPerEndpoint), v.Self) {
+			v.watched = append(v.watched, e)
+		}
+	}
+}
+
+// Live returns the live entry instances, by incarnation.
+func (v *View) Live() []*Member { return v.live }
+
+// LiveIn returns the live entry instances of a data centre, by incarnation.
+func (v *View) LiveIn(datacentre string) []*Member {
+	var live []*Member
+	for _, m := range v.live {
+		if m.Datacentre == datacentre {
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
+// Member returns the entry instance with an incarnation, nil when unknown.
+func (v *View) Member(incarnation string) *Member { return v.members[incarnation] }
+
+// Endpoint returns the endpoint with an id, nil when unknown.
+func (v *View) Endpoint(id string) *Endpoint { return v.endpoints[id] }
+
+// Service returns the endpoints of a service that are not leaving, by id.
+func (v *View) Service(name string) []*Endpoint { return v.services[name] }
+
+// Owner returns the live member that owns key, for example "claim/7"; nil when there is none.
+func (v *View) Owner(key string) *Member {
+	chosen := Choose(v.live, key, 1)
+	if len(chosen) == 0 {
+		return nil
+	}
+	return chosen[0]
+}
+
+// Watched returns the endpoints that this instance watches.
+func (v *View) Watched() []*Endpoint { return v.watched }
+
+// Watchers returns the members that watch an endpoint.
+func (v *View) Watchers(e *Endpoint) []*Member {
+	return Choose(v.LiveIn(e.Datacentre), "endpoint/"+e.ID, watchersPerEndpoint)
+}
+
+// ConfigWatchers returns the members that watch the configuration in a data centre.
+func (v *View) ConfigWatchers(datacentre string) []*Member {
+	return Choose(v.LiveIn(datacentre), "config/"+datacentre, configWatchersPerDatacentre)
+}
+
+// WatchesConfig reports whether this instance watches the configuration.
+func (v *View) WatchesConfig() bool {
+	return slices.Contains(v.ConfigWatchers(v.Self.Datacentre), v.Self)
+}
+
+// Successor returns the last known successor of a departed incarnation.
+func (v *View) Successor(incarnation string) (string, bool) {
+	return lastSuccessor(v.successors, incarnation)
+}
+
+// Settled reports whether this instance has listened long enough to know who is live.
+func (v *View) Settled(now time.Time) bool {
+	return now.Sub(v.StartedAt) >= SuspectIntervals*v.Interval
+}
