--- /dev/null
+++ b/timeline/legend.go
@@ -0,0 +1,42 @@
+package timeline
+
+// Families of kinds; each has its own colour on the page.
+const (
+	familyRequest = "request"
+	familyChoice  = "choice"
+	familyControl = "control"
+	familyMember  = "member"
+	familyFault   = "fault"
+)
+
+// legend gives each kind a two-letter code, so that marks differ without colour.
+var legend = []legendItem{
+	{"AC", familyRequest, KindAccept, "request accepted"},
+	{"AT", familyRequest, KindAttempt, "attempt started"},
+	{"FT", familyRequest, KindFirstToken, "first token"},
+	{"RE", familyRequest, KindResume, "resumed by a new attempt"},
+	{"FI", familyRequest, KindFinish, "request finished"},
+	{"SH", familyChoice, KindShed, "shed at admission"},
+	{"CL", familyChoice, KindClaim, "claim of a key"},
+	{"CH", familyChoice, KindChoose, "endpoint chosen"},
+	{"HO", familyControl, KindHandover, "handover"},
+	{"LE", familyControl, KindLease, "lease"},
+	{"OR", familyControl, KindOrder, "order to an endpoint"},
+	{"PR", familyControl, KindPreset, "preset in force"},
+	{"RV", familyControl, KindRevision, "configuration revision"},
+	{"ME", familyMember, KindMember, "entry instance changed state"},
+	{"EP", familyMember, KindEndpoint, "endpoint changed state"},
+	{"IN", familyFault, KindInvariant, "invariant violated"},
+	{"SI", familyFault, KindSilence, "connection went silent"},
+	{"PD", familyFault, KindPlatformDown, "platform not available"},
+}
+
+// legendOf returns the legend item of a kind; unknown kinds get their own code.
+func legendOf(kind Kind) legendItem {
+	for _, item := range legend {
+		if item.Kind == kind {
+			return item
+		}
+	}
+	return legendItem{Code: "··", Family: familyControl, Kind: kind, Meaning: "other"}
+}
--- /dev/null
+++ b/timeline/merge.go
@@ -0,0 +1,53 @@
+package timeline
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+)
+
+// Merge returns the events of many processes in one causal order: an event
+// that could have caused another comes before it. Events that were given
+// twice, because an instance was asked twice, appear once.
+func Merge(streams ...[]Event) []Event {
+	merged := slices.Concat(streams...)
+	slices.SortStableFunc(merged, compare)
+	return slices.CompactFunc(merged, func(a, b Event) bool { return a == b })
+}
+
+func compare(a, b Event) int {
+	return cmp.Or(
+		cmp.Compare(a.Stamp.WallMs, b.Stamp.WallMs),
+		cmp.Compare(a.Stamp.Logical, b.Stamp.Logical),
+		cmp.Compare(a.Instance, b.Instance),
+	)
+}
+
+// Newest returns the last limit events of a merged timeline; 0 is no limit.
+func Newest(events []Event, limit int) []Event {
+	return Filter{Limit: limit}.newest(events)
+}
+
+// Encode returns the events for wire.TimelineEvents.
+func Encode(events []Event) ([][]byte, error) {
+	encoded := make([][]byte, 0, len(events))
+	for _, event := range events {
+		item, err := json.Marshal(event)
+		if err != nil {
+			return nil, err
+		}
+		encoded = append(encoded, item)
+	}
+	return encoded, nil
+}
+
+// Decode reverses Encode.
+func Decode(encoded [][]byte) ([]Event, error) {
+	events := make([]Event, len(encoded))
+	for i, item := range encoded {
+		if err := json.Unmarshal(item, &events[i]); err != nil {
+			return nil, err
+		}
+	}
+	return events, nil
+}
