lease: keep leases with fences in the object API

Cause: capacity and quota need one holder at a time, also when a holder is paused or a reply is lost. Change: lease.Keeper (renewal, takeover on the contender's clock, fence, wait-out for endpoints that ignore fences, release), rendezvous.Top, and testutil: a scripted object store with faults and a driver for many instances.

--- /dev/null
+++ b/lease/config.go
@@ -0,0 +1,48 @@
+package lease
+
+import (
+	"time"
+
+	"knapweedhoist/invariant"
+	"knapweedhoist/timeline"
+)
+
+// Defaults of Config.
+const (
+	DefaultDuration     = 10 * time.Second
+	DefaultMargin       = 2 * time.Second
+	DefaultLongestOrder = 5 * time.Second
+)
+
+// Config describes one duty as one instance sees it.
+type Config struct {
+	// Duty names the lease; its object is lease/{Duty}.
+	Duty string
+	// Holder is the id of this instance, Incarnation its ULID of this start.
+	Holder      string
+	Incarnation string
+	// Duration is the length of the lease. Default 10 s; at least 3 times Margin.
+	Duration time.Duration
+	// Margin covers differences of clock rates and the time from a check to its order. Default 2 s.
+	Margin time.Duration
+	// LongestOrder bounds how long an order can be in flight. Default 5 s.
+	LongestOrder time.Duration
+	Recorder     timeline.Recorder
+	Checker      invariant.Checker
+}
+
+func (c Config) withDefaults() Config {
+	if c.Duration == 0 {
+		c.Duration = DefaultDuration
+	}
+	if c.Margin == 0 {
+		c.Margin = DefaultMargin
+	}
+	if c.LongestOrder == 0 {
+		c.LongestOrder = DefaultLongestOrder
+	}
+	if c.Recorder == nil {
+		c.Recorder = timeline.Discard
+	}
+	return c
+}
--- /dev/null
+++ b/lease/keeper_test.go
@@ -0,0 +1,152 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"knapweedhoist/platform"
+	"knapweedhoist/testutil"
+)
+
+func drawFaults(t *rapid.T) testutil.Faults {
+	return testutil.Faults{
+		MinDelay: time.Millisecond, MaxDelay: time.Duration(rapid.IntRange(2, 3000).Draw(t, "delay_ms")) * time.Millisecond,
+		LoseReply: rapid.Float64Range(0, 0.3).Draw(t, "lose"), Drop: rapid.Float64Range(0, 0.2).Draw(t, "drop"),
+		Late: rapid.Float64Range(0, 0.2).Draw(t, "late"), MaxLate: 40 * time.Second,
+		Throttle: rapid.Float64Range(0, 0.1).Draw(t, "throttle"),
+	}
+}
+
+// Guards against two holders at once, a fence that does not change with the holder, and overlapping orders at
+// endpoints that ignore fences, under pauses, outages, restarts and lost, late and throttled calls.
+func TestOneHolder(t *testing.T) {
+	steps, acquired := 0, uint64(0)
+	injected := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rapid.Int64().Draw(rt, "seed"), rapid.IntRange(2, 5).Draw(rt, "instances"), drawFaults(rt), nil)
+		w.run(1500, nil)
+		w.finish()
+		if len(w.faults) > 0 {
+			rt.Fatalf("%v", w.faults)
+		}
+		w.settle(rt)
+		steps += w.steps
+		acquired += w.record.Fence
+		for name, n := range w.Store.Injected {
+			injected[name] += n
+		}
+	})
+	t.Logf("steps %d, changes of holder %d, faults injected %v", steps, acquired, injected)
+}
+
+// settle ends all faults: the lease must find a holder again.
+func (w *world) settle(t *rapid.T) {
+	w.Store.SetOutage(false)
+	w.Store.SetFaults(testutil.Faults{MinDelay: time.Millisecond, MaxDelay: 5 * time.Millisecond})
+	w.start(w.names[0], nil)
+	for range 1000 {
+		w.Step(100 * time.Millisecond)
+	}
+	for _, name := range w.names {
+		if _, held := w.seats[name].Held(w.Now); held {
+			return
+		}
+	}
+	t.Fatalf("no holder 100 s after the last fault; record %+v", w.record)
+}
+
+// Guards against checks that cannot fail: each planted fault must be found by the same seeds.
+func TestPlantedFaults(t *testing.T) {
+	plants := map[string]func(*seat){
+		"holder acts after expiry": func(s *seat) {
+			s.tamper = func(k *Keeper) { k.heldUntil = k.heldUntil.Add(time.Hour) }
+		},
+		"contender does not wait":  func(s *seat) { s.tamper = func(k *Keeper) { k.seenAt = time.Time{} } },
+		"writes without condition": func(s *seat) { s.strip = true },
+		"no wait for old orders":   func(s *seat) { s.tamper = func(k *Keeper) { k.orderFrom = time.Time{} } },
+	}
+	faults := testutil.Faults{MinDelay: time.Millisecond, MaxDelay: 500 * time.Millisecond, LoseReply: 0.1, Late: 0.1, MaxLate: 20 * time.Second}
+	for name, plant := range plants {
+		caught := 0
+		for seed := range int64(50) {
+			w := newWorld(seed, 4, faults, plant)
+			w.run(1500, plant)
+			w.finish()
+			if len(w.faults) > 0 {
+				caught++
+			}
+		}
+		t.Logf("%s: caught by %d of 50 seeds", name, caught)
+		if caught == 0 {
+			t.Errorf("%s: not caught", name)
+		}
+	}
+}
+
+var _ = Describe("keeper", func() {
+	now := time.UnixMilli(1_800_000_000_000)
+	keeper := func() *Keeper {
+		return NewKeeper(discardLog, Config{Duty: "quota", Holder: "a", Incarnation: "A"})
+	}
+	acquire := func(k *Keeper) Output {
+		read := k.Tick(now)
+		create := k.Done(now, platform.Done{ID: read.Calls[0].ID, Err: platform.ErrNotFound})
+		Expect(create.Calls[0].Request.Condition.IfAbsent).To(BeTrue())
+		done := platform.Done{ID: create.Calls[0].ID, Reply: platform.Reply{Object: platform.Object{Version: 5}}}
+		return k.Done(now.Add(time.Second), done)
+	}
+
+	It("guards against a lease that is counted from its reply instead of from its request", func() {
+		k := keeper()
+		Expect(acquire(k).Events).To(ConsistOf(Event{Kind: Acquired, Fence: 1}))
+		_, held := k.Held(now.Add(8*time.Second - time.Millisecond))
+		Expect(held).To(BeTrue())
+		_, held = k.Held(now.Add(8 * time.Second))
+		Expect(held).To(BeFalse())
+	})
+
+	It("guards against orders to endpoints that ignore fences while old orders are in flight", func() {
+		k := keeper()
+		acquire(k)
+		_, err := k.Permit(now.Add(2*time.Second), false)
+		Expect(err).To(MatchError(ErrWaitingOut))
+		permit, err := k.Permit(now.Add(2*time.Second), true)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(permit).To(Equal(Permit{Fence: 1, Timeout: DefaultLongestOrder}))
+		_, err = k.Permit(now.Add(6*time.Second), false)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("guards against a renewal whose lost reply makes the holder give up", func() {
+		k := keeper()
+		acquire(k)
+		renew := k.Tick(now.Add(4 * time.Second)).Calls[0]
+		k.Done(now.Add(5*time.Second), platform.Done{ID: renew.ID, Err: platform.ErrUnavailable})
+		again := k.Tick(now.Add(6 * time.Second)).Calls[0]
+		stored := platform.Object{Version: 6, Value: renew.Request.Value}
+		conflict := platform.Done{ID: again.ID, Reply: platform.Reply{Object: stored}, Err: platform.ErrConflict}
+		Expect(k.Done(now.Add(7*time.Second), conflict).Events).To(BeEmpty())
+		_, held := k.Held(now.Add(12*time.Second - time.Millisecond))
+		Expect(held).To(BeTrue())
+	})
+
+	It("guards against a release that keeps the next holder waiting for the expiry", func() {
+		k := keeper()
+		acquire(k)
+		release := k.Release(now.Add(4 * time.Second)).Calls[0]
+		_, held := k.Held(now.Add(4 * time.Second))
+		Expect(held).To(BeFalse())
+		next := NewKeeper(discardLog, Config{Duty: "quota", Holder: "b", Incarnation: "B"})
+		read := next.Tick(now).Calls[0]
+		stored := platform.Object{Version: 6, Value: release.Request.Value}
+		takeover := next.Done(now, platform.Done{ID: read.ID, Reply: platform.Reply{Object: stored}})
+		Expect(takeover.Calls).To(HaveLen(1))
+		record, err := decodeRecord(takeover.Calls[0].Request.Value)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(record.Fence).To(Equal(uint64(2)))
+	})
+})
--- /dev/null
+++ b/lease/record.go
@@ -0,0 +1,39 @@
+package lease
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Record is the stored value of a lease, as JSON.
+type Record struct {
+	Holder      string `json:"holder"`
+	Incarnation string `json:"incarnation"`
+	// Fence grows by one with each change of holder.
+	Fence      uint64 `json:"fence"`
+	DurationMs int64  `json:"duration_ms"`
+	// Nonce numbers the writes of an incarnation, so that it recognises a write whose reply was lost.
+	Nonce uint64 `json:"nonce"`
+	// Released: the holder has given the lease up; the next one need not wait for the expiry.
+	Released bool `json:"released,omitempty"`
+}
+
+func (r Record) encode() []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // the type holds only strings, numbers and booleans
+	}
+	return value
+}
+
+func decodeRecord(value []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Record{}, oops.In("lease").With("step", "decode").Wrap(err)
+	}
+	return r, nil
+}
+
+func (r Record) duration() time.Duration { return time.Duration(r.DurationMs) * time.Millisecond }
--- /dev/null
+++ b/rendezvous/rendezvous_test.go
@@ -0,0 +1,51 @@
+package rendezvous_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/rendezvous"
+)
+
+func TestRendezvous(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "rendezvous")
+}
+
+var _ = Describe("the choice of owners", func() {
+	members := make([]string, 60)
+	for i := range members {
+		members[i] = fmt.Sprintf("entry-%d", i)
+	}
+
+	It("guards against a choice that depends on the order of members or moves keys of live owners", func() {
+		for key := range 200 {
+			name := fmt.Sprint(key)
+			top := rendezvous.Top(name, members, 2)
+			reversed := slices.Clone(members)
+			slices.Reverse(reversed)
+			Expect(rendezvous.Top(name, reversed, 2)).To(Equal(top))
+			without := slices.DeleteFunc(reversed, func(m string) bool { return m == top[0] })
+			Expect(rendezvous.Top(name, without, 1)).To(Equal(top[1:]))
+		}
+	})
+
+	It("guards against a choice that loads few members", func() {
+		owned := map[string]int{}
+		for key := range 6000 {
+			owned[rendezvous.Top(fmt.Sprint(key), members, 1)[0]]++
+		}
+		Expect(owned).To(HaveLen(60))
+		for _, n := range owned {
+			Expect(n).To(BeNumerically("~", 100, 50))
+		}
+	})
+
+	It("guards against a panic with fewer members than owners", func() {
+		Expect(rendezvous.Top("k", []string{"a"}, 2)).To(Equal([]string{"a"}))
+	})
+})
--- /dev/null
+++ b/testutil/delivery.go
@@ -0,0 +1,14 @@
+package testutil
+
+import (
+	"time"
+
+	"knapweedhoist/platform"
+)
+
+// Delivery is a reply that is due to the instance To.
+type Delivery struct {
+	At   time.Time
+	To   string
+	Done platform.Done
+}
--- /dev/null
+++ b/testutil/store.go
@@ -0,0 +1,248 @@
+package testutil
+
+import (
+	"math/rand"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"knapweedhoist/platform"
+)
+
+// Store is an object API under a scripted clock. It is not safe for concurrent use.
+type Store struct {
+	rng      *rand.Rand
+	faults   Faults
+	queue    queue
+	outage   bool
+	version  platform.Version
+	floor    platform.Version // watches from below this version are answered with ErrCompacted
+	objects  map[string]platform.Object
+	history  []platform.WatchEvent
+	versions []platform.Version // store versions of the entries of history
+	parked   []*watch
+	due      []Delivery
+	// Injected counts the faults by name; Calls counts the calls by operation.
+	Injected map[string]int
+	Calls    map[string]int
+}
+
+type watch struct {
+	to       string
+	call     platform.Call
+	deadline time.Time
+}
+
+// NewStore returns an empty Store.
+func NewStore(rng *rand.Rand, faults Faults) *Store {
+	return &Store{
+		rng: rng, faults: faults, version: 1, objects: make(map[string]platform.Object),
+		Injected: make(map[string]int), Calls: make(map[string]int),
+	}
+}
+
+// SetOutage starts or ends an outage: calls that reach the store are answered with ErrUnavailable.
+func (s *Store) SetOutage(on bool) {
+	if on && !s.outage {
+		s.Injected["outage"]++
+	}
+	s.outage = on
+}
+
+// SetFaults replaces the faults that later calls meet.
+func (s *Store) SetFaults(faults Faults) { s.faults = faults }
+
+// Compact drops the watch history.
+func (s *Store) Compact() {
+	s.Injected["compaction"]++
+	s.floor = s.version
+	s.history, s.versions = nil, nil
+}
+
+// Object returns the stored object.
+func (s *Store) Object(kind platform.Kind, name string) (platform.Object, bool) {
+	object, ok := s.objects[key(kind, name)]
+	return object, ok
+}
+
+// Objects returns the stored objects whose names have the prefix, in order of names.
+func (s *Store) Objects(kind platform.Kind, prefix string) []platform.Object {
+	var found []platform.Object
+	for _, object := range s.objects {
+		if object.Kind == kind && strings.HasPrefix(object.Name, prefix) {
+			found = append(found, object)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Name < found[j].Name })
+	return found
+}
+
+// Submit accepts calls of the instance to at now.
+func (s *Store) Submit(now time.Time, to string, calls ...platform.Call) {
+	for _, call := range calls {
+		call.Request.Value = slices.Clone(call.Request.Value)
+		s.Calls[call.Request.Op.String()]++
+		s.submit(now, to, call)
+	}
+}
+
+// Advance applies the effects that are due at now and returns the replies that are due.
+func (s *Store) Advance(now time.Time) []Delivery {
+	s.queue.runUntil(now)
+	s.expireWatches(now)
+	due := s.due
+	s.due = nil
+	return due
+}
+
+func (s *Store) submit(now time.Time, to string, call platform.Call) {
+	effect := now.Add(s.delay())
+	write := call.Request.Op == platform.OpPut || call.Request.Op == platform.OpDelete
+	switch draw := s.rng.Float64(); {
+	case draw < s.faults.Throttle:
+		s.Injected["throttle"]++
+		s.reply(effect, to, call.ID, platform.Reply{}, platform.ErrThrottled)
+	case draw < s.faults.Throttle+s.faults.Drop:
+		s.Injected["drop"]++
+		s.reply(effect, to, call.ID, platform.Reply{}, platform.ErrUnavailable)
+	case write && draw < s.faults.Throttle+s.faults.Drop+s.faults.Late:
+		s.Injected["late effect"]++
+		s.reply(effect, to, call.ID, platform.Reply{}, platform.ErrUnavailable)
+		late := effect.Add(time.Duration(s.rng.Int63n(int64(s.faults.MaxLate) + 1)))
+		s.queue.add(late, func(at time.Time) { _, _ = s.apply(at, call.Request) })
+	case write && draw < s.faults.Throttle+s.faults.Drop+s.faults.Late+s.faults.LoseReply:
+		s.Injected["lost reply"]++
+		s.queue.add(effect, func(at time.Time) {
+			_, _ = s.apply(at, call.Request)
+			s.reply(at.Add(s.delay()), to, call.ID, platform.Reply{}, platform.ErrUnavailable)
+		})
+	default:
+		s.queue.add(effect, func(at time.Time) { s.answer(at, to, call) })
+	}
+}
+
+func (s *Store) answer(at time.Time, to string, call platform.Call) {
+	if s.outage {
+		s.reply(at.Add(s.delay()), to, call.ID, platform.Reply{}, platform.ErrUnavailable)
+		return
+	}
+	if call.Request.Op == platform.OpWatch {
+		w := &watch{to: to, call: call, deadline: at.Add(call.Request.Wait)}
+		if !s.answerWatch(at, w, false) {
+			s.parked = append(s.parked, w)
+		}
+		return
+	}
+	reply, err := s.apply(at, call.Request)
+	s.reply(at.Add(s.delay()), to, call.ID, reply, err)
+}
+
+func (s *Store) apply(at time.Time, request platform.Request) (platform.Reply, error) {
+	if s.outage {
+		return platform.Reply{}, platform.ErrUnavailable
+	}
+	switch request.Op {
+	case platform.OpGet:
+		return s.get(request)
+	case platform.OpList:
+		return s.list(request), nil
+	default:
+		reply, err := s.write(request)
+		if err == nil {
+			s.wakeWatches(at)
+		}
+		return reply, err
+	}
+}
+
+func (s *Store) get(request platform.Request) (platform.Reply, error) {
+	object, ok := s.objects[key(request.Kind, request.Name)]
+	if !ok {
+		return platform.Reply{Version: s.version}, platform.ErrNotFound
+	}
+	return platform.Reply{Object: object, Version: s.version}, nil
+}
+
+func (s *Store) list(request platform.Request) platform.Reply {
+	reply := platform.Reply{Version: s.version}
+	for _, object := range s.Objects(request.Kind, request.Name) {
+		if object.Name <= request.After {
+			continue
+		}
+		if request.Limit > 0 && len(reply.Objects) == request.Limit {
+			reply.Next = reply.Objects[len(reply.Objects)-1].Name
+			break
+		}
+		reply.Objects = append(reply.Objects, object)
+	}
+	return reply
+}
+
+func (s *Store) write(request platform.Request) (platform.Reply, error) {
+	current, exists := s.objects[key(request.Kind, request.Name)]
+	if request.Condition.IfAbsent && exists {
+		return platform.Reply{Object: current, Version: s.version}, platform.ErrConflict
+	}
+	if request.Condition.IfVersion != 0 && current.Version != request.Condition.IfVersion {
+		return platform.Reply{Object: current, Version: s.version}, platform.ErrConflict
+	}
+	if request.Op == platform.OpDelete && !exists {
+		return platform.Reply{Version: s.version}, platform.ErrNotFound
+	}
+	s.version++
+	object := platform.Object{Kind: request.Kind, Name: request.Name, Version: s.version, Value: request.Value}
+	if request.Op == platform.OpDelete {
+		delete(s.objects, key(request.Kind, request.Name))
+	} else {
+		s.objects[key(request.Kind, request.Name)] = object
+	}
+	s.history = append(s.history, platform.WatchEvent{Deleted: request.Op == platform.OpDelete, Object: object})
+	s.versions = append(s.versions, s.version)
+	return platform.Reply{Object: object, Version: s.version}, nil
+}
+
+func (s *Store) wakeWatches(at time.Time) {
+	s.parked = slices.DeleteFunc(s.parked, func(w *watch) bool { return s.answerWatch(at, w, false) })
+}
+
+func (s *Store) expireWatches(now time.Time) {
+	s.parked = slices.DeleteFunc(s.parked, func(w *watch) bool {
+		return !now.Before(w.deadline) && s.answerWatch(now, w, true)
+	})
+}
+
+// answerWatch answers the watch when it has events, is compacted, or has to be answered.
+func (s *Store) answerWatch(at time.Time, w *watch, must bool) bool {
+	if w.call.Request.From < s.floor {
+		s.reply(at.Add(s.delay()), w.to, w.call.ID, platform.Reply{}, platform.ErrCompacted)
+		return true
+	}
+	reply := platform.Reply{Version: s.version}
+	for i, event := range s.history {
+		if s.versions[i] > w.call.Request.From && event.Object.Kind == w.call.Request.Kind {
+			reply.Events = append(reply.Events, event)
+		}
+	}
+	if len(reply.Events) == 0 && !must {
+		return false
+	}
+	s.reply(at.Add(s.delay()), w.to, w.call.ID, reply, nil)
+	return true
+}
+
+func (s *Store) reply(at time.Time, to string, id uint64, reply platform.Reply, err error) {
+	s.queue.add(at, func(at time.Time) {
+		s.due = append(s.due, Delivery{At: at, To: to, Done: platform.Done{ID: id, Reply: reply, Err: err}})
+	})
+}
+
+func (s *Store) delay() time.Duration {
+	spread := s.faults.MaxDelay - s.faults.MinDelay
+	if spread <= 0 {
+		return s.faults.MinDelay
+	}
+	return s.faults.MinDelay + time.Duration(s.rng.Int63n(int64(spread)))
+}
+
+func key(kind platform.Kind, name string) string { return string(kind) + "/" + name }
