claim: claims of idempotency keys in a sharded log on the object API

Cause: a non-idempotent call must run at most once, also with two instances that both believe they own the shard. Slots are deleted oldest first: deleting in any order left a claim without the release that followed it, which the replay check found (rapid).

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,24 @@
+package claim
+
+import (
+	"log/slog"
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/testutil"
+)
+
+func TestMain(m *testing.M) {
+	testutil.Rapid("100")
+	os.Exit(m.Run())
+}
+
+func TestClaim(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "claim")
+}
+
+var discardLog = slog.New(slog.DiscardHandler)
--- /dev/null
+++ b/claim/evaluate.go
@@ -0,0 +1,125 @@
+package claim
+
+import "time"
+
+// evaluate answers an ask from the index, or queues its claim.
+func (s *Shard) evaluate(now time.Time, ask Ask, out *Output) {
+	e, known := s.index[ask.Key]
+	if known && e.pending == nil && e.expired(now, s.cfg.ExpiryMargin) {
+		known = false
+	}
+	switch {
+	case now.After(ask.Deadline):
+		out.answer(ask.Ref, Unavailable, "")
+	case !known:
+		s.claim(now, ask, e, out)
+	case e.state == StateReleased && e.requestID == ask.RequestID:
+		// A request that released its claim never sends its call: this ask was overtaken by the release.
+		out.answer(ask.Ref, Unavailable, "")
+	case e.state == StateReleased:
+		s.claim(now, ask, e, out)
+	case e.body != ask.Body:
+		out.answer(ask.Ref, Mismatch, e.requestID)
+	case e.state == StateDone:
+		s.answerFinished(ask, e, out)
+	case e.requestID != ask.RequestID || ask.From != Home(ask.RequestID):
+		out.answer(ask.Ref, InProgress, e.requestID)
+	case e.closing:
+		out.answer(ask.Ref, Unavailable, "")
+	case !e.durable:
+		e.pending.asks = append(e.pending.asks, ask)
+	default:
+		s.grant(ask, e, nil, out) // the first answer was lost on its way to the home
+	}
+}
+
+// claim queues the claim of a key that nobody holds.
+func (s *Shard) claim(now time.Time, ask Ask, previous *entry, out *Output) {
+	if ask.From != Home(ask.RequestID) {
+		out.answer(ask.Ref, Unavailable, "")
+		return
+	}
+	retention := ask.Retention
+	if retention <= 0 {
+		retention = DefaultRetention
+	}
+	e := &entry{body: ask.Body, requestID: ask.RequestID, state: StateClaimed, retention: retention}
+	if previous != nil {
+		e.expiry = previous.expiry
+	}
+	o := &op{entry: e, previous: previous, asks: []Ask{ask}}
+	o.record = Record{State: StateClaimed, Key: ask.Key, Body: ask.Body, RequestID: ask.RequestID}
+	s.stamp(now, o)
+	e.pending = o
+	s.index[ask.Key] = e
+	s.queue = append(s.queue, o)
+}
+
+// stamp sets the times of the record. A later record of a key never expires before an earlier one, so that the
+// deletion of slots never brings an older state of the key back.
+func (s *Shard) stamp(now time.Time, o *op) {
+	o.record.AtMs = now.UnixMilli()
+	o.record.ExpiryMs = max(now.Add(o.entry.retention).UnixMilli(), o.entry.expiry.UnixMilli())
+	o.entry.expiry = time.UnixMilli(o.record.ExpiryMs)
+}
+
+func (s *Shard) grant(ask Ask, e *entry, o *op, out *Output) {
+	s.checkGrant(ask, e, o)
+	e.granted = ask.RequestID
+	out.answer(ask.Ref, Granted, ask.RequestID)
+}
+
+// end queues the end of a claim, or takes back a claim that was not sent.
+func (s *Shard) end(now time.Time, f Finish, out *Output) {
+	e, known := s.index[f.Key]
+	switch {
+	case !known || e.requestID != f.RequestID || (e.durable && e.state != StateClaimed):
+		out.ack(f.Ref, Stored) // nothing to end here, or it is the repetition of a stored end
+	case e.closing:
+		e.pending.acks = append(e.pending.acks, f.Ref)
+	case !e.durable && !f.Released:
+		out.ack(f.Ref, Refused)
+	case !e.durable && !e.pending.inFlight:
+		s.cancel(e.pending, out)
+		out.ack(f.Ref, Stored)
+	default:
+		s.close(now, e, f, out)
+	}
+}
+
+func (s *Shard) cancel(o *op, out *Output) {
+	for _, ask := range o.asks {
+		out.answer(ask.Ref, Unavailable, "")
+	}
+	o.asks = nil
+	for i, queued := range s.queue {
+		if queued == o {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			break
+		}
+	}
+	s.forget(o)
+}
+
+func (s *Shard) close(now time.Time, e *entry, f Finish, out *Output) {
+	if !e.durable {
+		for _, ask := range e.pending.asks {
+			out.answer(ask.Ref, Unavailable, "")
+		}
+		e.pending.asks = nil
+	}
+	o := &op{entry: e, acks: []uint64{f.Ref}}
+	o.record = Record{State: StateReleased, Key: f.Key, Body: e.body, RequestID: f.RequestID}
+	if !f.Released {
+		o.record.State = StateDone
+		o.record.Status = min(max(f.Status, 0), maxStatus)
+		o.record.Kept = f.Kept && len(f.Answer) <= MaxAnswerBytes && len(f.ContentType) <= MaxContentTypeBytes
+	}
+	if o.record.Kept {
+		o.record.ContentType, o.record.Answer = f.ContentType, f.Answer
+	}
+	s.stamp(now, o)
+	e.closing = true
+	e.pending = o
+	s.queue = append(s.queue, o)
+}
--- /dev/null
+++ b/claim/hash.go
@@ -0,0 +1,31 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+// Hash identifies a key or a body: the first 16 bytes of a SHA-256.
+type Hash [16]byte
+
+// KeyHash returns the hash of an idempotency key. The parts are hashed with
+// their lengths, so that no two different triples hash the same bytes.
+func KeyHash(team, service, key string) Hash {
+	var b []byte
+	for _, part := range []string{team, service, key} {
+		b = binary.AppendUvarint(b, uint64(len(part)))
+		b = append(b, part...)
+	}
+	return BodyHash(b)
+}
+
+// BodyHash returns the hash of what a call would send.
+func BodyHash(body []byte) Hash {
+	sum := sha256.Sum256(body)
+	return Hash(sum[:16])
+}
+
+// ShardOf returns the shard of a key, from 0 to shards-1.
+func ShardOf(key Hash, shards int) int {
+	return int(binary.BigEndian.Uint64(key[:8]) % uint64(shards))
+}
--- /dev/null
+++ b/claim/output.go
@@ -0,0 +1,19 @@
+package claim
+
+import "knapweedhoist/platform"
+
+// Output is what a step of a Shard wants done.
+type Output struct {
+	Calls   []platform.Call
+	Answers []Answer
+	Acks    []Ack
+	Events  []Event
+}
+
+func (o *Output) answer(ref uint64, verdict Verdict, holder string) {
+	o.Answers = append(o.Answers, Answer{Ref: ref, Verdict: verdict, Holder: holder})
+}
+
+func (o *Output) ack(ref uint64, result AckResult) {
+	o.Acks = append(o.Acks, Ack{Ref: ref, Result: result})
+}
--- /dev/null
+++ b/claim/shard_test.go
@@ -0,0 +1,152 @@
+package claim
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"knapweedhoist/platform"
+	"knapweedhoist/testutil"
+)
+
+func drawFaults(t *rapid.T) testutil.Faults {
+	return testutil.Faults{
+		MinDelay: time.Millisecond, MaxDelay: time.Duration(rapid.IntRange(2, 800).Draw(t, "delay_ms")) * time.Millisecond,
+		LoseReply: rapid.Float64Range(0, 0.3).Draw(t, "lose"), Drop: rapid.Float64Range(0, 0.2).Draw(t, "drop"),
+		Late: rapid.Float64Range(0, 0.2).Draw(t, "late"), MaxLate: 20 * time.Second,
+		Throttle: rapid.Float64Range(0, 0.1).Draw(t, "throttle"),
+	}
+}
+
+// Guards against a call that runs twice: owners that are paused or believe that they own the shard at the same
+// time, lost and late writes, restarts of owners and homes, and slots that expire and are deleted.
+func TestAtMostOnce(t *testing.T) {
+	steps, sent, takeovers, ends := 0, 0, 0, 0
+	verdicts, injected, calls := map[Verdict]int{}, map[string]int{}, map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		retention := rapid.SampledFrom([]time.Duration{time.Hour, 15 * time.Second}).Draw(rt, "retention")
+		w := newWorld(rapid.Int64().Draw(rt, "seed"), rapid.IntRange(2, 4).Draw(rt, "instances"), retention, drawFaults(rt), nil)
+		w.run(1500)
+		if len(w.faults) > 0 {
+			rt.Fatalf("%v", w.faults)
+		}
+		w.settle(rt)
+		steps, sent, takeovers, ends = steps+w.steps, sent+w.sent, takeovers+w.takeovers, ends+w.ends
+		add(verdicts, w.verdicts)
+		add(injected, w.Store.Injected)
+		add(calls, w.Store.Calls)
+	})
+	t.Logf("steps %d, sent %d, ended %d, takeovers %d, verdicts %v, faults %v, platform calls %v",
+		steps, sent, ends, takeovers, verdicts, injected, calls)
+}
+
+func add[K comparable](sum, n map[K]int) {
+	for k, v := range n {
+		sum[k] += v
+	}
+}
+
+// settle ends all faults: with one owner, a new key must be granted again.
+func (w *world) settle(t *rapid.T) {
+	w.Store.SetOutage(false)
+	w.Store.SetFaults(testutil.Faults{MinDelay: time.Millisecond, MaxDelay: 5 * time.Millisecond})
+	w.Step(10 * time.Second)
+	for i, name := range w.names {
+		w.own(name, i == 0)
+	}
+	for range 1500 {
+		w.Step(50 * time.Millisecond)
+	}
+	s := w.seats[w.names[0]]
+	if !s.Owned() {
+		t.Fatalf("not owned 75 s after the last fault")
+	}
+	sent := w.sent
+	home := s.cfg.Incarnation
+	c := &call{id: home + "-settle", home: home, state: "waiting", keyName: -1, key: KeyHash("t", "s", "settle"), deadline: w.Now.Add(time.Minute)}
+	for w.sent == sent && c.state == "waiting" && !w.Now.After(c.deadline) {
+		w.ref++
+		w.refs[w.ref] = c
+		ask := Ask{Ref: w.ref, Key: c.key, RequestID: c.id, From: home, Retention: w.retention, Deadline: c.deadline}
+		w.Submit(w.names[0], s.collect(w.Now, s.Ask(w.Now, ask)))
+		w.Step(500 * time.Millisecond)
+	}
+	if c.state != "running" {
+		t.Fatalf("not granted after the last fault")
+	}
+}
+
+// Guards against checks that cannot fail: each planted fault must be found by these seeds.
+func TestPlantedFaults(t *testing.T) {
+	plants := map[string]func(*seat){
+		"grant before the write is durable": plantEarlyCommit,
+		"unknown outcome taken as success":  plantOptimism,
+		"keep appending after a conflict":   plantIgnoreFence,
+		"takeover without seal":             plantNoSeal,
+	}
+	faults := testutil.Faults{MinDelay: time.Millisecond, MaxDelay: 200 * time.Millisecond, LoseReply: 0.1, Drop: 0.05, Late: 0.1, MaxLate: 5 * time.Second}
+	for name, plant := range plants {
+		caught := 0
+		for seed := range int64(20) {
+			w := newWorld(seed, 3, time.Hour, faults, plant)
+			w.run(1500)
+			if len(w.faults) > 0 {
+				caught++
+			}
+		}
+		t.Logf("%s: caught by %d of 20 seeds", name, caught)
+		if caught == 0 {
+			t.Errorf("%s: not caught", name)
+		}
+	}
+}
+
+// plantEarlyCommit settles a batch when it is sent.
+func plantEarlyCommit(s *seat) {
+	s.after = func(now time.Time, out *Output) {
+		for _, o := range s.flight {
+			for _, ask := range o.asks {
+				o.entry.durable = true
+				s.grant(ask, o.entry, o, out)
+			}
+			o.asks = nil
+		}
+	}
+}
+
+// plantOptimism takes an append of unknown outcome as stored.
+func plantOptimism(s *seat) {
+	s.before = func(_ time.Time, d platform.Done) platform.Done {
+		if s.main != nil && s.main.id == d.ID && s.main.stage == stageAppend && errors.Is(d.Err, platform.ErrUnavailable) {
+			d.Err = nil
+			d.Reply.Object.Version = s.tail.version
+		}
+		return d
+	}
+}
+
+// plantIgnoreFence repeats a refused append at the version that refused it.
+func plantIgnoreFence(s *seat) {
+	s.before = func(_ time.Time, d platform.Done) platform.Done {
+		if s.main != nil && s.main.id == d.ID && s.main.stage == stageAppend && errors.Is(d.Err, platform.ErrConflict) {
+			s.main.request.Condition.IfVersion = d.Reply.Object.Version
+			d.Err = platform.ErrUnavailable
+		}
+		return d
+	}
+}
+
+// plantNoSeal goes on without sealing the last slot.
+func plantNoSeal(s *seat) {
+	s.after = func(now time.Time, out *Output) {
+		if s.main == nil || s.main.stage != stageSeal {
+			return
+		}
+		out.Calls = nil
+		version := s.take.last.Version
+		next := s.Shard.Done(now, platform.Done{ID: s.main.id, Reply: platform.Reply{Object: platform.Object{Version: version}}})
+		out.Calls = append(out.Calls, next.Calls...)
+	}
+}
