claim: count the retention of a claim from its deadline

Change: a claim expires its retention after the ask's deadline, until which it can be granted again. Conclusion: a call that was sent keeps its key for the full retention.

--- a/claim/ask.go
+++ b/claim/ask.go
@@ -15,7 +15,8 @@
 	From string
 	// Retention is how long the key stays claimed. Default 24 h.
 	Retention time.Duration
-	// Deadline: an ask that is not durable by then is answered with Unavailable.
+	// Deadline: an ask that is not durable by then is answered with Unavailable, and the request sends nothing
+	// after it. All asks of a request have the same deadline, at most 1 h ahead.
 	Deadline time.Time
 }
 
--- a/claim/config.go
+++ b/claim/config.go
@@ -26,8 +26,10 @@
 	defaultWriteInterval = 250 * time.Millisecond // 4 writes a second
 	defaultExpiryMargin  = 10 * time.Minute
 	defaultMaxPending    = 4096
-	backoffBase          = time.Second
-	backoffMax           = 30 * time.Second
+	// maxDeadline bounds how far an ask's deadline can move the expiry of its claim.
+	maxDeadline = time.Hour
+	backoffBase = time.Second
+	backoffMax  = 30 * time.Second
 	// backoffReset: an ownership that lasted this long ends a series of lost takeovers.
 	backoffReset  = time.Minute
 	sweepInterval = time.Second
--- a/claim/evaluate.go
+++ b/claim/evaluate.go
@@ -49,17 +49,18 @@
 	}
 	o := &op{entry: e, previous: previous, asks: []Ask{ask}}
 	o.record = Record{State: StateClaimed, Key: ask.Key, Body: ask.Body, RequestID: ask.RequestID}
-	s.stamp(now, o)
+	s.stamp(now, later(now, earlier(ask.Deadline, now.Add(maxDeadline))), o)
 	e.pending = o
 	s.index[ask.Key] = e
 	s.queue = append(s.queue, o)
 }
 
-// stamp sets the times of the record. A later record of a key never expires before an earlier one, so that the
+// stamp sets the times of the record. The retention of a claim counts from the ask's deadline: until then the
+// request may be granted the claim again after a lost answer, and send its call. A later record of a key never expires before an earlier one, so that the
 // deletion of slots never brings an older state of the key back.
-func (s *Shard) stamp(now time.Time, o *op) {
+func (s *Shard) stamp(now, from time.Time, o *op) {
 	o.record.AtMs = now.UnixMilli()
-	o.record.ExpiryMs = max(now.Add(o.entry.retention).UnixMilli(), o.entry.expiry.UnixMilli())
+	o.record.ExpiryMs = max(from.Add(o.entry.retention).UnixMilli(), o.entry.expiry.UnixMilli())
 	o.entry.expiry = time.UnixMilli(o.record.ExpiryMs)
 }
 
@@ -118,7 +119,7 @@
 	if o.record.Kept {
 		o.record.ContentType, o.record.Answer = f.ContentType, f.Answer
 	}
-	s.stamp(now, o)
+	s.stamp(now, now, o)
 	e.closing = true
 	e.pending = o
 	s.queue = append(s.queue, o)
--- a/claim/log_test.go
+++ b/claim/log_test.go
@@ -116,6 +116,23 @@
 		Expect(owner.Ask(b.now, again).Answers).To(ConsistOf(Answer{Ref: 3, Verdict: InProgress, Holder: "H-k"}))
 	})
 
+	It("guards against a key that expires while a claim that was granted late still counts", func() {
+		owner := b.shard("F")
+		b.run(owner, owner.SetOwner(b.now, true))
+		start := b.now
+		b.ask(owner, "k", 1) // its deadline is in one minute, its retention one hour
+		b.run(owner, owner.Tick(b.now))
+		b.now = start.Add(time.Minute)
+		other := Ask{Key: KeyHash("t", "s", "k"), RequestID: "H-2", From: "H", Retention: time.Hour}
+		ask := func(at time.Duration) []Answer {
+			b.now = start.Add(at + defaultExpiryMargin + time.Second)
+			other.Deadline = b.now.Add(time.Minute)
+			return owner.Ask(b.now, other).Answers
+		}
+		Expect(ask(time.Hour)).To(ConsistOf(Answer{Verdict: InProgress, Holder: "H-k"}))
+		Expect(ask(time.Hour+time.Minute)).To(BeEmpty(), "the claim is queued")
+	})
+
 	It("guards against one write per claim: at 80 claims a second at most 4 writes a second", func() {
 		owner := b.shard("F")
 		b.run(owner, owner.SetOwner(b.now, true))
--- a/claim/takeover.go
+++ b/claim/takeover.go
@@ -222,3 +222,10 @@
 	}
 	return b
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
