--- /dev/null
+++ b/catalog/snapshot.go
@@ -0,0 +1,119 @@
+package catalog
+
+import (
+	"crypto/subtle"
+	"encoding/binary"
+	"encoding/hex"
+	"slices"
+
+	"github.com/samber/oops"
+)
+
+// Snapshot is a validated document with defaults set and look-ups indexed. It is immutable and safe for concurrent
+// use; what it returns must not be changed.
+type Snapshot struct {
+	revision uint64
+	inForce  *Preset
+	services map[string]*Service
+	models   map[string]*Service
+	teams    map[string]*Team
+	presets  map[string]*Preset
+	// keys holds the key hashes by their first 8 bytes; the whole hash is compared in constant time.
+	keys map[uint64][]teamKey
+}
+
+type teamKey struct {
+	hash KeyHash
+	team *Team
+}
+
+// NewSnapshot validates the document and indexes a copy of its items.
+func NewSnapshot(d *Document) (*Snapshot, error) {
+	if err := d.Validate(); err != nil {
+		return nil, oops.In("catalog").With("step", "snapshot", "revision", d.Revision).Wrap(err)
+	}
+	s := &Snapshot{
+		revision: d.Revision, services: make(map[string]*Service), models: make(map[string]*Service),
+		teams: make(map[string]*Team), presets: make(map[string]*Preset), keys: make(map[uint64][]teamKey),
+	}
+	for _, service := range d.Services {
+		s.addService(service.withDefaults())
+	}
+	for _, team := range d.Teams {
+		s.addTeam(team.withDefaults())
+	}
+	for _, preset := range d.Presets {
+		complete := preset.withDefaults()
+		s.presets[preset.Name] = &complete
+	}
+	s.inForce = s.presets[d.InForce]
+	return s, nil
+}
+
+func (s *Snapshot) addService(service Service) {
+	service.Models = slices.Clone(service.Models)
+	service.Idempotent = slices.Clone(service.Idempotent)
+	s.services[service.Name] = &service
+	for _, model := range service.Models {
+		s.models[model] = &service
+	}
+}
+
+func (s *Snapshot) addTeam(team Team) {
+	team.KeyHashes = slices.Clone(team.KeyHashes)
+	team.Services = slices.Clone(team.Services)
+	s.teams[team.Name] = &team
+	for _, text := range team.KeyHashes {
+		var hash KeyHash
+		if _, err := hex.Decode(hash[:], []byte(text)); err != nil {
+			continue // validated before
+		}
+		bucket := binary.BigEndian.Uint64(hash[:])
+		s.keys[bucket] = append(s.keys[bucket], teamKey{hash: hash, team: &team})
+	}
+}
+
+// Revision returns the document's revision.
+func (s *Snapshot) Revision() uint64 { return s.revision }
+
+// InForce returns the preset in force.
+func (s *Snapshot) InForce() *Preset { return s.inForce }
+
+// Service returns the service with the name.
+func (s *Snapshot) Service(name string) (*Service, bool) {
+	service, ok := s.services[name]
+	return service, ok
+}
+
+// ServiceOfModel returns the service that offers the model.
+func (s *Snapshot) ServiceOfModel(model string) (*Service, bool) {
+	service, ok := s.models[model]
+	return service, ok
+}
+
+// Team returns the team with the name.
+func (s *Snapshot) Team(name string) (*Team, bool) {
+	team, ok := s.teams[name]
+	return team, ok
+}
+
+// TeamOfKey returns the team whose bearer key has the hash.
+func (s *Snapshot) TeamOfKey(hash KeyHash) (*Team, bool) {
+	for _, key := range s.keys[binary.BigEndian.Uint64(hash[:])] {
+		if subtle.ConstantTimeCompare(key.hash[:], hash[:]) == 1 {
+			return key.team, true
+		}
+	}
+	return nil, false
+}
+
+// Preset returns the preset with the name.
+func (s *Snapshot) Preset(name string) (*Preset, bool) {
+	preset, ok := s.presets[name]
+	return preset, ok
+}
+
+// Allowed reports whether the team may call the service.
+func (t *Team) Allowed(service string) bool {
+	return slices.Contains(t.Services, service)
+}
