Add the plain service, cloud, weight store, list and fleet stand-ins

Cause: claims, capacity, membership and trials need the other outside systems. Change: packages cloud, weights and roster with interface, types and HTTP client; their stand-ins, standin.Service, which counts executions per key and body, and standin.Fleet, whose endpoints are instances of its cloud. The engine stand-in read from a hijacked connection whose buffer fasthttp reuses; the race detector saw it in 1 of 6 runs, and it now reads from the connection.

--- /dev/null
+++ b/roster/client.go
@@ -0,0 +1,45 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/internal/httpcall"
+)
+
+// Client is a List over HTTP.
+type Client struct {
+	lg   *slog.Logger
+	http *httpcall.Client
+}
+
+// NewClient returns a Client for the lagging list of cfg.
+func NewClient(lg *slog.Logger, cfg ClientConfig) *Client {
+	return &Client{lg: lg, http: httpcall.New(httpcall.Config{
+		Address: cfg.Address, Token: cfg.Token, Timeout: cfg.Timeout, Dial: cfg.Dial,
+	})}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.http.Close()
+}
+
+// Read implements List.
+func (c *Client) Read(ctx context.Context) (Snapshot, error) {
+	var snapshot Snapshot
+	response, err := c.http.JSON(ctx, fasthttp.MethodGet, "/v1/list", nil, &snapshot)
+	if err == nil && !response.OK() {
+		err = fmt.Errorf("status %d", response.Status)
+	}
+	if err == nil {
+		return snapshot, nil
+	}
+	c.lg.Debug("list call failed", "peer", c.http.Address(), "error", err)
+	wrapped := fmt.Errorf("%w: %w", ErrUnavailable, err)
+	return Snapshot{}, oops.With("step", "roster read", "peer", c.http.Address()).Wrap(wrapped)
+}
--- a/standin/clock.go
+++ b/standin/clock.go
@@ -48,3 +48,17 @@
 		return context.Cause(ctx)
 	}
 }
+
+// runAfter runs a step once d has passed, unless ctx ends before. The timer
+// starts before runAfter returns.
+func runAfter(ctx context.Context, clock Clock, d time.Duration, run func()) {
+	elapsed, stop := clock.After(d)
+	go func() {
+		defer stop()
+		select {
+		case <-elapsed:
+			run()
+		case <-ctx.Done():
+		}
+	}()
+}
--- /dev/null
+++ b/standin/cloud.go
@@ -0,0 +1,271 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"knapweedhoist/cloud"
+)
+
+// Cloud is a stand-in for the cloud API. It implements cloud.Cloud. States
+// follow from the clock; only the functions of its configuration act on what
+// runs on the instances.
+type Cloud struct {
+	*Server
+	// Faults are the faults in force; operations are "offers", "start", "stop",
+	// "instances", "notices" and, for FaultGap, "notice". FaultRefuse of "start"
+	// is the cloud's refusal; Call.Name is then the zone.
+	Faults Faults
+
+	cfg CloudConfig
+
+	mu        sync.Mutex // guards the fields below
+	offers    []cloud.Offer
+	instances map[string]*machine
+	// operations holds the instance that each operation id started.
+	operations map[string]string
+	started    uint64
+	sequence   uint64
+	notices    []stampedNotice
+	fence      uint64
+	spent      float64
+}
+
+// machine is an instance with the times that its state follows from.
+type machine struct {
+	instance cloud.Instance
+	running  time.Time
+	billed   time.Time
+	// ends is zero without a notice.
+	ends time.Time
+}
+
+type stampedNotice struct {
+	at     time.Time
+	notice cloud.Notice
+}
+
+// NewCloud returns a cloud without instances.
+func NewCloud(lg *slog.Logger, cfg CloudConfig) *Cloud {
+	cfg = cfg.withDefaults()
+	c := &Cloud{
+		cfg: cfg, offers: slices.Clone(cfg.Offers),
+		instances: make(map[string]*machine), operations: make(map[string]string),
+	}
+	c.Server = newServer(lg, "cloud", c.serveHTTP)
+	return c
+}
+
+func (c *Cloud) begin(ctx context.Context, call Call, refused error) (effect, error) {
+	e := c.Faults.next(call)
+	return e, e.before(ctx, c.cfg.Clock, cloud.ErrUnavailable, refused)
+}
+
+// throttled is the refusal of calls other than a start.
+var throttled = &cloud.ThrottledError{RetryAfter: time.Second}
+
+// Offers implements cloud.Cloud.
+func (c *Cloud) Offers(ctx context.Context) ([]cloud.Offer, error) {
+	e, err := c.begin(ctx, Call{Op: "offers"}, throttled)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.offers), e.after(ctx, nil, cloud.ErrUnavailable)
+}
+
+// SetPrice changes the price of an offer; instances that run keep theirs.
+func (c *Cloud) SetPrice(zone, class string, reclaimable bool, perHour float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, offer := range c.offers {
+		if offer.Zone == zone && offer.Class == class && offer.Reclaimable == reclaimable {
+			c.offers[i].PricePerHour = perHour
+		}
+	}
+}
+
+// StartInstance implements cloud.Cloud.
+func (c *Cloud) StartInstance(ctx context.Context, order cloud.StartOrder) (cloud.Instance, error) {
+	e, err := c.begin(ctx, Call{Op: "start", Name: order.Zone}, cloud.ErrRefused)
+	if err != nil {
+		return cloud.Instance{}, err
+	}
+	instance, err := c.start(order)
+	return instance, e.after(ctx, err, cloud.ErrUnavailable)
+}
+
+func (c *Cloud) start(order cloud.StartOrder) (cloud.Instance, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire()
+	if order.OperationID == "" {
+		return cloud.Instance{}, fmt.Errorf("%w: no operation id", cloud.ErrInvalid)
+	}
+	if id, ok := c.operations[order.OperationID]; ok {
+		return c.startedBefore(id)
+	}
+	if err := c.checkFence(order.Fence); err != nil {
+		return cloud.Instance{}, err
+	}
+	offer, ok := c.offer(order)
+	if !ok {
+		return cloud.Instance{}, fmt.Errorf("%w: no such offer", cloud.ErrInvalid)
+	}
+	if c.cfg.Capacity > 0 && c.count(order) >= c.cfg.Capacity {
+		return cloud.Instance{}, fmt.Errorf("%w: no capacity", cloud.ErrRefused)
+	}
+	return c.launch(order, offer)
+}
+
+func (c *Cloud) launch(order cloud.StartOrder, offer cloud.Offer) (cloud.Instance, error) {
+	now := c.cfg.Clock.Now()
+	c.started++
+	instance := cloud.Instance{
+		ID: "i-" + strconv.FormatUint(c.started, 10), Zone: offer.Zone, Datacentre: offer.Datacentre,
+		Class: offer.Class, Reclaimable: offer.Reclaimable, PricePerHour: offer.PricePerHour,
+		Service: order.Service, OperationID: order.OperationID, StartedAtMs: now.UnixMilli(),
+	}
+	address, err := c.cfg.Launch(instance)
+	if err != nil {
+		return cloud.Instance{}, fmt.Errorf("%w: %w", cloud.ErrRefused, err)
+	}
+	instance.Address = address
+	m := &machine{instance: instance, running: now.Add(c.cfg.StartTime), billed: now}
+	c.instances[instance.ID] = m
+	c.operations[order.OperationID] = instance.ID
+	return c.show(m), nil
+}
+
+// startedBefore answers an order that was sent again.
+func (c *Cloud) startedBefore(id string) (cloud.Instance, error) {
+	m, ok := c.instances[id]
+	if !ok {
+		return cloud.Instance{}, fmt.Errorf("%w: instance %s has ended", cloud.ErrRefused, id)
+	}
+	return c.show(m), nil
+}
+
+func (c *Cloud) offer(order cloud.StartOrder) (cloud.Offer, bool) {
+	for _, offer := range c.offers {
+		if offer.Zone == order.Zone && offer.Class == order.Class && offer.Reclaimable == order.Reclaimable {
+			return offer, true
+		}
+	}
+	return cloud.Offer{}, false
+}
+
+// count returns the instances of the order's offer.
+func (c *Cloud) count(order cloud.StartOrder) int {
+	n := 0
+	for _, m := range c.instances {
+		i := m.instance
+		if i.Zone == order.Zone && i.Class == order.Class && i.Reclaimable == order.Reclaimable {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Cloud) checkFence(fence uint64) error {
+	if c.cfg.ChecksFence && fence < c.fence {
+		return fmt.Errorf("%w: %d after %d", cloud.ErrStaleFence, fence, c.fence)
+	}
+	c.fence = max(c.fence, fence)
+	return nil
+}
+
+// StopInstance implements cloud.Cloud.
+func (c *Cloud) StopInstance(ctx context.Context, order cloud.StopOrder) error {
+	e, err := c.begin(ctx, Call{Op: "stop", Name: order.ID}, throttled)
+	if err != nil {
+		return err
+	}
+	return e.after(ctx, c.stop(order), cloud.ErrUnavailable)
+}
+
+func (c *Cloud) stop(order cloud.StopOrder) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire()
+	if err := c.checkFence(order.Fence); err != nil {
+		return err
+	}
+	m, ok := c.instances[order.ID]
+	if !ok {
+		return cloud.ErrNotFound
+	}
+	c.drop(m, c.cfg.Clock.Now())
+	c.cfg.Ended(m.instance)
+	return nil
+}
+
+// Instances implements cloud.Cloud.
+func (c *Cloud) Instances(ctx context.Context) ([]cloud.Instance, error) {
+	e, err := c.begin(ctx, Call{Op: "instances"}, throttled)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire()
+	list := make([]cloud.Instance, 0, len(c.instances))
+	for _, m := range c.instances {
+		list = append(list, c.show(m))
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list, e.after(ctx, nil, cloud.ErrUnavailable)
+}
+
+// show returns the instance with its present state.
+func (c *Cloud) show(m *machine) cloud.Instance {
+	instance := m.instance
+	switch {
+	case !m.ends.IsZero():
+		instance.State = cloud.StateLeaving
+	case c.cfg.Clock.Now().Before(m.running):
+		instance.State = cloud.StateStarting
+	default:
+		instance.State = cloud.StateRunning
+	}
+	return instance
+}
+
+// expire drops the instances whose notice is over.
+func (c *Cloud) expire() {
+	now := c.cfg.Clock.Now()
+	for _, m := range c.instances {
+		if !m.ends.IsZero() && !now.Before(m.ends) {
+			c.drop(m, m.ends)
+		}
+	}
+}
+
+func (c *Cloud) drop(m *machine, at time.Time) {
+	c.bill(m, at)
+	delete(c.instances, m.instance.ID)
+}
+
+func (c *Cloud) bill(m *machine, until time.Time) {
+	c.spent += until.Sub(m.billed).Hours() * m.instance.PricePerHour
+	m.billed = until
+}
+
+// Spent returns the price of all instances so far.
+func (c *Cloud) Spent() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire()
+	now := c.cfg.Clock.Now()
+	for _, m := range c.instances {
+		c.bill(m, now)
+	}
+	return c.spent
+}
--- a/standin/conn.go
+++ b/standin/conn.go
@@ -72,9 +72,9 @@
 	return false
 }
 
-// dropConn closes the connection of a call, if it has one.
+// dropConn closes the connection of a call, if it has one. A silent one stays open.
 func dropConn(ctx context.Context) {
-	if c, ok := connOf(ctx); ok {
+	if c, ok := connOf(ctx); ok && !c.silent.Load() {
 		_ = c.kill()
 	}
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -39,6 +39,7 @@
 	fence    uint64
 	models   []string
 	leaving  bool
+	late     lateArrivals
 	ended    bool
 }
 
@@ -85,20 +86,30 @@
 // Leave is a reclaim notice: the engine takes no new work from now on, and ends after notice.
 func (e *Engine) Leave(notice time.Duration) {
 	e.refuseNew()
-	go func() {
-		if sleep(e.life, e.cfg.Clock, notice) == nil {
-			_ = e.Close()
-		}
-	}()
+	runAfter(e.life, e.cfg.Clock, notice, func() { _ = e.Close() })
 }
 
 func (e *Engine) refuseNew() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.leave()
+}
+
+// leave refuses new work from now on. The caller holds e.mu.
+func (e *Engine) leave() {
 	e.leaving = true
+	e.late.begin(e.cfg.Clock.Now())
 	e.sample()
 }
 
+// LateArrivals counts the requests that arrived more than grace after the
+// engine began to leave. They were refused.
+func (e *Engine) LateArrivals(grace time.Duration) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.late.beyond(grace)
+}
+
 // Close ends the engine at once: streams break and connections close.
 func (e *Engine) Close() error {
 	e.mu.Lock()
@@ -206,8 +217,7 @@
 	e.orders = append(e.orders, order)
 	switch order.Kind {
 	case engine.OrderDrain:
-		e.leaving = true
-		e.sample()
+		e.leave()
 	case engine.OrderLoadModel:
 		e.loadModel(order.Name)
 	}
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net/url"
 	"strconv"
 	"strings"
 
@@ -66,11 +65,7 @@
 
 func (e *Engine) serveHolds(ctx context.Context, rc *fasthttp.RequestCtx) {
 	tokens, _ := rc.QueryArgs().GetUint("tokens")
-	id, err := url.PathUnescape(strings.TrimPrefix(string(rc.Path()), "/v1/kv/"))
-	if err != nil {
-		writeProblem(rc, fasthttp.StatusBadRequest, "handle")
-		return
-	}
+	id := strings.TrimPrefix(string(rc.Path()), "/v1/kv/")
 	writeEngine(rc, nil, e.HoldsKV(ctx, engine.KVHandle{ID: id, Tokens: tokens}))
 }
 
--- a/standin/engine_http_stream.go
+++ b/standin/engine_http_stream.go
@@ -65,10 +65,14 @@
 func (e *Engine) writeStream(ctx context.Context, raw net.Conn, s *sequence, fault effect) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		defer cancel()
-		_, _ = io.Copy(io.Discard, raw)
-	}()
+	// The wrapper of a hijacked connection reuses its read buffer after the
+	// handler returns, so the watcher reads from the connection itself.
+	if watched, ok := connOf(ctx); ok {
+		go func() {
+			defer cancel()
+			_, _ = io.Copy(io.Discard, watched)
+		}()
+	}
 	writer := newEventWriter(raw, s.request)
 	if err := writer.head(); err != nil {
 		e.release(s)
--- a/standin/engine_stream.go
+++ b/standin/engine_stream.go
@@ -61,6 +61,7 @@
 	case e.ended:
 		return engine.ErrUnreachable
 	case e.leaving:
+		e.late.add(e.cfg.Clock.Now())
 		return engine.ErrLeaving
 	case duplicate:
 		return &engine.RefusedError{Reason: "attempt is running"}
--- /dev/null
+++ b/standin/fleet.go
@@ -0,0 +1,197 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"knapweedhoist/cloud"
+	"knapweedhoist/roster"
+)
+
+// anyPort is a loopback address on which the machine chooses the port.
+const anyPort = "127.0.0.1:0"
+
+// Fleet is a small deployment of stand-ins on loopback addresses: one of each
+// part of the platform, and engines and plain services over data centres. The
+// endpoints are instances of its cloud, so that a reclaim, a stop and a start
+// there also change the endpoints and the lagging list.
+type Fleet struct {
+	Platform *Platform
+	Cloud    *Cloud
+	Weights  *Weights
+	Roster   *Roster
+
+	lg   *slog.Logger
+	cfg  FleetConfig
+	life context.Context
+	end  context.CancelFunc
+
+	mu      sync.Mutex // guards the fields below
+	members map[string]Member
+	past    []Member
+}
+
+// NewFleet returns a deployment that has not been started.
+func NewFleet(lg *slog.Logger, cfg FleetConfig) *Fleet {
+	cfg = cfg.withDefaults()
+	f := &Fleet{lg: lg, cfg: cfg, members: make(map[string]Member)}
+	f.life, f.end = context.WithCancel(context.Background())
+	f.Platform = NewPlatform(lg, cfg.Platform)
+	f.Weights = NewWeights(lg, cfg.Weights)
+	f.Roster = NewRoster(lg, cfg.Roster)
+	hooked := cfg.Cloud
+	hooked.Launch, hooked.Leaving, hooked.Ended = f.launch, f.leaving, f.ended
+	f.Cloud = NewCloud(lg, hooked)
+	return f
+}
+
+// Start starts all parts and the endpoints; the list shows them at once.
+func (f *Fleet) Start() error {
+	parts := []interface{ Start(string) error }{f.Platform, f.Cloud, f.Weights, f.Roster}
+	for _, part := range parts {
+		if err := part.Start(anyPort); err != nil {
+			return errors.Join(err, f.Close())
+		}
+	}
+	if err := f.populate(); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	for _, member := range f.Members() {
+		f.Roster.Set(member.Entry)
+	}
+	f.Roster.Settle()
+	return nil
+}
+
+func (f *Fleet) populate() error {
+	for i := range f.cfg.Engines {
+		if err := f.startFirst(i, f.cfg.ModelService, ClassAccelerator); err != nil {
+			return err
+		}
+	}
+	for i := range f.cfg.Services {
+		if err := f.startFirst(i, f.cfg.PlainService, ClassGeneral); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startFirst starts the i-th endpoint of a service, in the next data centre in turn.
+func (f *Fleet) startFirst(i int, service, class string) error {
+	_, err := f.Cloud.StartInstance(f.life, cloud.StartOrder{
+		OperationID: fmt.Sprintf("first-%s-%d", service, i), Service: service, Class: class,
+		Zone: f.cfg.Datacentres[i%len(f.cfg.Datacentres)], Reclaimable: true,
+	})
+	return err
+}
+
+// launch starts the endpoint of a new instance.
+func (f *Fleet) launch(instance cloud.Instance) (string, error) {
+	if instance.Service == "" {
+		return f.cfg.Cloud.Launch(instance)
+	}
+	member := Member{Entry: entryOf(instance, ulid.Make().String())}
+	if instance.Service == f.cfg.ModelService {
+		member.Engine = NewEngine(f.lg, f.cfg.Engine)
+	} else {
+		member.Service = NewService(f.lg, f.cfg.Service)
+	}
+	if err := member.endpoint().Start(anyPort); err != nil {
+		return "", err
+	}
+	member.Entry.Address = member.endpoint().Addr()
+	f.mu.Lock()
+	f.members[instance.ID] = member
+	f.mu.Unlock()
+	runAfter(f.life, f.cfg.Clock, f.cfg.Cloud.StartTime, func() { f.announce(instance.ID) })
+	return member.Entry.Address, nil
+}
+
+// announce lists a member, unless it has gone or is leaving by now.
+func (f *Fleet) announce(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if member, ok := f.members[id]; ok && member.Entry.State == roster.StateLive {
+		f.Roster.Set(member.Entry)
+	}
+}
+
+// leaving passes a reclaim notice on to the endpoint.
+func (f *Fleet) leaving(instance cloud.Instance, notice time.Duration) {
+	if instance.Service == "" {
+		f.cfg.Cloud.Leaving(instance, notice)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	member, ok := f.members[instance.ID]
+	if !ok {
+		return
+	}
+	member.Entry.State = roster.StateLeaving
+	f.members[instance.ID] = member
+	f.Roster.Set(member.Entry)
+	member.endpoint().Leave(notice)
+	runAfter(f.life, f.cfg.Clock, notice, func() { f.remove(instance.ID) })
+}
+
+func (f *Fleet) ended(instance cloud.Instance) {
+	if instance.Service == "" {
+		f.cfg.Cloud.Ended(instance)
+		return
+	}
+	f.remove(instance.ID)
+}
+
+// remove ends a member at once and takes it off the list.
+func (f *Fleet) remove(id string) {
+	f.mu.Lock()
+	member, ok := f.members[id]
+	delete(f.members, id)
+	if ok {
+		f.past = append(f.past, member)
+	}
+	f.mu.Unlock()
+	if ok {
+		_ = member.endpoint().Close()
+		f.Roster.Remove(id)
+	}
+}
+
+// Members returns the endpoints that have not ended, in order of their ids.
+func (f *Fleet) Members() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := make([]Member, 0, len(f.members))
+	for _, member := range f.members {
+		members = append(members, member)
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Entry.ID < members[j].Entry.ID })
+	return members
+}
+
+// Past returns the endpoints that have ended, whose records of attempts and
+// executions stay readable.
+func (f *Fleet) Past() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.past)
+}
+
+// Close ends everything at once.
+func (f *Fleet) Close() error {
+	f.end()
+	for _, member := range f.Members() {
+		f.remove(member.Entry.ID)
+	}
+	return errors.Join(f.Cloud.Close(), f.Roster.Close(), f.Weights.Close(), f.Platform.Close())
+}
--- /dev/null
+++ b/standin/fleet_config.go
@@ -0,0 +1,102 @@
+package standin
+
+import (
+	"slices"
+
+	"knapweedhoist/cloud"
+)
+
+// Machine classes of the default offers.
+const (
+	ClassAccelerator = "accelerator"
+	ClassGeneral     = "general"
+)
+
+// FleetConfig describes a small deployment. A zero field takes the default.
+type FleetConfig struct {
+	// Clock is the time of all parts; default WallClock.
+	Clock Clock
+	// Datacentres are the data centres, each with a zone of the same name.
+	// Default kol-a, kol-b, hwh and slg.
+	Datacentres []string
+	// Engines and Services are the numbers of endpoints at the start, spread
+	// over the data centres in turn. Negative means none. Default 10 and 4.
+	Engines  int
+	Services int
+	// ModelService and PlainService name the services of the endpoints. Default
+	// scribe-pool and dispatch-desk. Instances that the cloud starts for
+	// ModelService are engines, and those for any other name plain services.
+	ModelService string
+	PlainService string
+
+	// The configurations of the parts; their clocks are replaced by Clock.
+	Platform PlatformConfig
+	// Cloud has Launch, Leaving and Ended for entry instances; those of
+	// endpoints are the fleet's. Default offers are reclaimable and on-demand
+	// instances of both classes in each zone.
+	Cloud   CloudConfig
+	Weights WeightsConfig
+	Roster  RosterConfig
+	Engine  EngineConfig
+	Service ServiceConfig
+}
+
+func (c FleetConfig) withDefaults() FleetConfig {
+	c.Clock = orWallClock(c.Clock)
+	if len(c.Datacentres) == 0 {
+		c.Datacentres = []string{"kol-a", "kol-b", "hwh", "slg"}
+	}
+	if c.Engines == 0 {
+		c.Engines = 10
+	}
+	if c.Services == 0 {
+		c.Services = 4
+	}
+	if c.ModelService == "" {
+		c.ModelService = "scribe-pool"
+	}
+	if c.PlainService == "" {
+		c.PlainService = "dispatch-desk"
+	}
+	if len(c.Cloud.Offers) == 0 {
+		c.Cloud.Offers = defaultOffers(c.Datacentres)
+	}
+	c.Cloud = c.Cloud.withDefaults()
+	c.Platform.Clock = c.Clock
+	c.Cloud.Clock = c.Clock
+	c.Weights.Clock = c.Clock
+	c.Roster.Clock = c.Clock
+	c.Engine.Clock = c.Clock
+	c.Service.Clock = c.Clock
+	return c
+}
+
+// Prices of the default offers in the first zone; each further zone costs a tenth more.
+const (
+	acceleratorPrice = 4.0
+	generalPrice     = 0.4
+	// reclaimableShare is the price of a reclaimable instance relative to on-demand.
+	reclaimableShare = 0.3
+	zoneStep         = 0.1
+)
+
+func defaultOffers(datacentres []string) []cloud.Offer {
+	var offers []cloud.Offer
+	for i, datacentre := range datacentres {
+		factor := 1 + zoneStep*float64(i)
+		accelerator := cloud.Offer{
+			Zone: datacentre, Datacentre: datacentre, Class: ClassAccelerator, PricePerHour: acceleratorPrice * factor,
+		}
+		general := accelerator
+		general.Class = ClassGeneral
+		general.PricePerHour = generalPrice * factor
+		offers = append(offers, accelerator, reclaimable(accelerator), general, reclaimable(general))
+	}
+	return slices.Clip(offers)
+}
+
+func reclaimable(offer cloud.Offer) cloud.Offer {
+	offer.Reclaimable = true
+	offer.PricePerHour *= reclaimableShare
+	return offer
+}
--- /dev/null
+++ b/standin/fleet_test.go
@@ -0,0 +1,78 @@
+package standin_test
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/cloud"
+	"knapweedhoist/engine"
+	"knapweedhoist/roster"
+	"knapweedhoist/standin"
+)
+
+var _ = Describe("fleet", func() {
+	It("guards against endpoints, cloud and list that disagree after a reclaim", func() {
+		clock := standin.NewManualClock(time.Unix(1000, 0))
+		fleet := standin.NewFleet(lg, standin.FleetConfig{
+			Clock: clock, Service: standin.ServiceConfig{ServiceTime: -1},
+		})
+		Expect(fleet.Start()).To(Succeed())
+		DeferCleanup(fleet.Close)
+		ctx := guarded()
+		list := roster.NewClient(lg, roster.ClientConfig{Address: fleet.Roster.Addr(), Timeout: hangGuard})
+		DeferCleanup(list.Close)
+		listed := func(state roster.State) (n int) {
+			snapshot, err := list.Read(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			for _, entry := range snapshot.Entries {
+				if entry.State == state {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(listed(roster.StateLive)).To(Equal(14))
+		for _, member := range fleet.Members() {
+			if member.Service != nil {
+				Expect(post(ctx, member.Entry.Address, "/dispatches", "k", "b")).To(Equal(http.StatusCreated))
+				break
+			}
+		}
+
+		Expect(fleet.Cloud.Reclaim(standin.InDatacentre("kol-a"))).To(Equal(4))
+		leaving := engineClient(engineIn(fleet, "kol-a").Entry.Address)
+		_, _, err := take(ctx, leaving, prompt("r1", "x"))
+		Expect(err).To(MatchError(engine.ErrLeaving))
+		clock.Advance(2 * time.Second)
+		Expect(listed(roster.StateLeaving)).To(Equal(4))
+		clock.Advance(3 * time.Second)
+		Eventually(fleet.Past, hangGuard).Should(HaveLen(4))
+		_, _, err = take(ctx, leaving, prompt("r1", "x"))
+		Expect(err).To(MatchError(engine.ErrUnreachable))
+
+		instance, err := fleet.Cloud.StartInstance(ctx, cloud.StartOrder{
+			OperationID: "replacement", Zone: "hwh", Class: standin.ClassAccelerator, Service: "scribe-pool",
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fleet.Members()).To(HaveLen(11))
+		Eventually(func() int {
+			clock.Advance(time.Second)
+			return listed(roster.StateLive)
+		}, hangGuard).Should(Equal(11))
+		Expect(fleet.Cloud.StopInstance(ctx, cloud.StopOrder{ID: instance.ID})).To(Succeed())
+		Expect(fleet.Members()).To(HaveLen(10))
+	})
+})
+
+func engineIn(fleet *standin.Fleet, datacentre string) standin.Member {
+	for _, member := range fleet.Members() {
+		if member.Engine != nil && member.Entry.Datacentre == datacentre {
+			return member
+		}
+	}
+	Fail("no engine in " + datacentre)
+	return standin.Member{}
+}
--- /dev/null
+++ b/standin/roster.go
@@ -0,0 +1,126 @@
+package standin
+
+import (
+	"context"
+	"log/slog"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/roster"
+)
+
+// RosterConfig describes a lagging list.
+type RosterConfig struct {
+	// Clock is the time; default WallClock.
+	Clock Clock
+	// Lag is the time until a change shows. Default 2 s; negative means none.
+	Lag time.Duration
+}
+
+// Roster is a stand-in for the lagging list. It implements roster.List.
+type Roster struct {
+	*Server
+	// Faults are the faults in force; the only operation is "read". FaultLag
+	// holds changes back for longer; a change that has shown stays.
+	Faults Faults
+
+	clock Clock
+	lag   time.Duration
+
+	mu      sync.Mutex // guards the fields below
+	entries map[string]roster.Entry
+	pending []rosterChange
+}
+
+// rosterChange sets an entry, or removes it when entry is nil.
+type rosterChange struct {
+	at    time.Time
+	id    string
+	entry *roster.Entry
+}
+
+// NewRoster returns an empty list.
+func NewRoster(lg *slog.Logger, cfg RosterConfig) *Roster {
+	if cfg.Lag == 0 {
+		cfg.Lag = 2 * time.Second
+	}
+	r := &Roster{clock: orWallClock(cfg.Clock), lag: max(0, cfg.Lag), entries: make(map[string]roster.Entry)}
+	r.Server = newServer(lg, "roster", r.serveHTTP)
+	return r
+}
+
+// Set adds or replaces an entry; it shows after the lag.
+func (r *Roster) Set(entry roster.Entry) {
+	r.change(rosterChange{id: entry.ID, entry: &entry})
+}
+
+// Remove removes an entry; it shows after the lag.
+func (r *Roster) Remove(id string) {
+	r.change(rosterChange{id: id})
+}
+
+func (r *Roster) change(change rosterChange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change.at = r.clock.Now()
+	r.pending = append(r.pending, change)
+}
+
+// Settle makes all changes so far show at once.
+func (r *Roster) Settle() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, change := range r.pending {
+		r.apply(change)
+	}
+	r.pending = nil
+}
+
+// Read implements roster.List.
+func (r *Roster) Read(ctx context.Context) (roster.Snapshot, error) {
+	e := r.Faults.next(Call{Op: "read"})
+	if err := e.before(ctx, r.clock, roster.ErrUnavailable, roster.ErrUnavailable); err != nil {
+		return roster.Snapshot{}, err
+	}
+	snapshot := r.at(r.clock.Now().Add(-r.lag - e.lag))
+	return snapshot, e.after(ctx, nil, roster.ErrUnavailable)
+}
+
+func (r *Roster) at(when time.Time) roster.Snapshot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.pending) > 0 && !r.pending[0].at.After(when) {
+		r.apply(r.pending[0])
+		r.pending = r.pending[1:]
+	}
+	snapshot := roster.Snapshot{AtMs: when.UnixMilli()}
+	for _, entry := range r.entries {
+		snapshot.Entries = append(snapshot.Entries, entry)
+	}
+	sort.Slice(snapshot.Entries, func(i, j int) bool { return snapshot.Entries[i].ID < snapshot.Entries[j].ID })
+	return snapshot
+}
+
+func (r *Roster) apply(change rosterChange) {
+	if change.entry == nil {
+		delete(r.entries, change.id)
+		return
+	}
+	r.entries[change.id] = *change.entry
+}
+
+func (r *Roster) serveHTTP(ctx context.Context, rc *fasthttp.RequestCtx) {
+	if string(rc.Path()) != "/v1/list" || !rc.IsGet() {
+		writeProblem(rc, fasthttp.StatusNotFound, "no such call")
+		return
+	}
+	snapshot, err := r.Read(ctx)
+	if err != nil {
+		writeProblem(rc, fasthttp.StatusServiceUnavailable, err.Error())
+		return
+	}
+	writeJSON(rc, fasthttp.StatusOK, snapshot)
+}
--- /dev/null
+++ b/standin/service_call.go
@@ -0,0 +1,46 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// HeaderIdempotencyKey names the header field with the key of a call.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// ServiceCall is a call of a plain service.
+type ServiceCall struct {
+	Method string
+	Path   string
+	// Key is the Idempotency-Key; "" when the call has none.
+	Key  string
+	Body []byte
+}
+
+// ServiceAnswer is the answer to a ServiceCall.
+type ServiceAnswer struct {
+	Status int
+	Body   []byte
+	// RetryAfter is set in a refusal.
+	RetryAfter time.Duration
+}
+
+// Execution is a non-idempotent call that ran.
+type Execution struct {
+	// Number counts the executions of the service, from 1.
+	Number int
+	Path   string
+	Key    string
+	Body   string
+}
+
+// safe reports whether repeating the call is harmless.
+func (c ServiceCall) safe() bool {
+	switch c.Method {
+	case fasthttp.MethodGet, fasthttp.MethodHead, fasthttp.MethodOptions:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/standin/service_http.go
@@ -0,0 +1,34 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/valyala/fasthttp"
+)
+
+// loadPath is the only path that is not a call of the service itself.
+const loadPath = "/v1/load"
+
+func (s *Service) serveHTTP(ctx context.Context, rc *fasthttp.RequestCtx) {
+	if rc.IsGet() && string(rc.Path()) == loadPath {
+		writeJSON(rc, fasthttp.StatusOK, s.Load())
+		return
+	}
+	answer, err := s.Do(ctx, ServiceCall{
+		Method: string(rc.Method()),
+		Path:   string(rc.Path()),
+		Key:    string(rc.Request.Header.Peek(HeaderIdempotencyKey)),
+		Body:   bytes.Clone(rc.PostBody()),
+	})
+	if err != nil {
+		dropConn(ctx)
+		return
+	}
+	rc.SetStatusCode(answer.Status)
+	rc.SetContentType("application/json")
+	rc.SetBody(answer.Body)
+	if answer.RetryAfter > 0 {
+		setRetryAfter(rc, answer.RetryAfter)
+	}
+}
--- /dev/null
+++ b/weights/client_config.go
@@ -0,0 +1,19 @@
+package weights
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// ClientConfig describes the weight store that a Client calls.
+type ClientConfig struct {
+	// Address is the IP address and port of the weight store.
+	Address string
+	// Token is the bearer credential; "" sends none.
+	Token string
+	// Timeout bounds a call. Default 2 s.
+	Timeout time.Duration
+	// Dial opens a connection; the default is TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
