--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -133,7 +133,9 @@
 
 	It("guards against a page that loads files, is malformed, or runs text of an event", func() {
 		var page bytes.Buffer
-		events := append(sample(), timeline.Event{Kind: "new_kind", Instance: "<script>x</script>"})
+		events := sample()
+		other := timeline.Event{Stamp: events[3].Stamp, Kind: "new_kind", Instance: "<script>x</script>"}
+		events = append(events, other)
 		Expect(timeline.WriteHTML(&page, timeline.Page{
 			Title: "t", Events: timeline.Merge(events), Missing: []string{"entry-9"}, Dropped: 3,
 		})).To(Succeed())
