Add hoistctl: the operators' command line

Cause: operators need to read and change presets, services and teams, and to see status, requests and the timeline, without writing HTTP calls. Change: go-flags commands over the operator API; tables or JSON; documented exit statuses; errors with step, peer and next action; changes print their revision and can wait until it is in force everywhere; a conflict shows both sides. `edit` takes fields or a file, since a process starts no editor.

--- /dev/null
+++ b/hoistctl/exit.go
@@ -0,0 +1,14 @@
+package hoistctl
+
+// Exit statuses; see the package comment.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitNotFound    = 3
+	ExitConflict    = 4
+	ExitInvalid     = 5
+	ExitUnavailable = 6
+	ExitCredential  = 7
+	ExitNotInForce  = 8
+)
--- /dev/null
+++ b/hoistctl/list_command.go
@@ -0,0 +1,101 @@
+package hoistctl
+
+import (
+	"fmt"
+	"strings"
+
+	"knapweedhoist/catalog"
+)
+
+// listCommand lists the items of a kind.
+type listCommand struct {
+	app  *app
+	kind catalog.ItemKind
+}
+
+// Execute implements flags.Commander.
+func (c *listCommand) Execute([]string) error {
+	document, err := c.app.document()
+	if err != nil {
+		return err
+	}
+	var items any
+	var rows [][]string
+	switch c.kind {
+	case catalog.ItemPreset:
+		items, rows = document.Presets, presetRows(document)
+	case catalog.ItemService:
+		items, rows = document.Services, serviceRows(document)
+	default:
+		items, rows = document.Teams, teamRows(document)
+	}
+	if c.app.json() {
+		return c.app.printJSON(items)
+	}
+	return c.app.table(rows)
+}
+
+func presetRows(document catalog.Document) [][]string {
+	rows := [][]string{{"PRESET", "IN FORCE", "FIRST TOKEN", "INTER TOKEN", "RECLAIMABLE", "HEADROOM"}}
+	for _, p := range document.Presets {
+		inForce := ""
+		if p.Name == document.InForce {
+			inForce = "yes"
+		}
+		rows = append(rows, []string{
+			p.Name, inForce, number(p.FirstTokenTargetMs, " ms"), number(p.InterTokenTargetMs, " ms"),
+			optional(p.ReclaimableShare, "%"), optional(p.HeadroomPercent, "%"),
+		})
+	}
+	return rows
+}
+
+func serviceRows(document catalog.Document) [][]string {
+	rows := [][]string{{"SERVICE", "KIND", "MODELS", "CHECKS FENCE", "DEDUPLICATES"}}
+	for _, s := range document.Services {
+		rows = append(rows, []string{
+			s.Name, string(s.Kind), strings.Join(s.Models, ","), yesNo(s.ChecksFence), yesNo(s.Deduplicates),
+		})
+	}
+	return rows
+}
+
+func teamRows(document catalog.Document) [][]string {
+	rows := [][]string{{"TEAM", "WEIGHT", "REQUESTS/S", "TOKENS/S", "KEYS", "SERVICES"}}
+	for _, t := range document.Teams {
+		rows = append(rows, []string{
+			t.Name, number(t.Weight, ""), limit(t.RequestsPerSecond), limit(t.TokensPerSecond),
+			fmt.Sprint(len(t.KeyHashes)), strings.Join(t.Services, ","),
+		})
+	}
+	return rows
+}
+
+// number shows 0 as the default that the document leaves out.
+func number(value int, unit string) string {
+	if value == 0 {
+		return "default"
+	}
+	return fmt.Sprint(value) + unit
+}
+
+func optional(value *int, unit string) string {
+	if value == nil {
+		return "default"
+	}
+	return fmt.Sprint(*value) + unit
+}
+
+func limit(value float64) string {
+	if value == 0 {
+		return "none"
+	}
+	return fmt.Sprint(value)
+}
+
+func yesNo(value bool) string {
+	if value {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/hoistctl/timeline_command.go
@@ -0,0 +1,108 @@
+package hoistctl
+
+import (
+	"fmt"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"knapweedhoist/operator"
+	"knapweedhoist/timeline"
+)
+
+// timelineCommand shows the merged timeline.
+type timelineCommand struct {
+	app      *app
+	Request  string        `long:"request" description:"only events of this request"`
+	Preset   string        `long:"preset" description:"only events of this preset"`
+	Endpoint string        `long:"endpoint" description:"only events of this endpoint"`
+	Team     string        `long:"team" description:"only events of this team"`
+	Kind     string        `long:"kind" description:"only events of this kind"`
+	Instance string        `long:"instance" description:"only events of this entry instance"`
+	Since    time.Duration `long:"since" description:"only events of this last time, for example 10m"`
+	Limit    int           `long:"limit" description:"the newest events; default 2000, at most 20000"`
+	HTML     string        `long:"html" description:"write a self-contained page to this file"`
+}
+
+// Execute implements flags.Commander.
+func (c *timelineCommand) Execute([]string) error {
+	client, err := newClient(c.app.options)
+	if err != nil {
+		return err
+	}
+	var collected operator.Collected
+	if err := client.call("GET", "/operator/v1/timeline?"+c.query(time.Now()), nil, &collected); err != nil {
+		return err
+	}
+	if c.HTML != "" {
+		return c.writePage(collected)
+	}
+	if c.app.json() {
+		return c.app.printJSON(collected)
+	}
+	if err := timeline.WriteTable(c.app.out, collected.Events); err != nil {
+		return err
+	}
+	c.warn(collected)
+	return nil
+}
+
+func (c *timelineCommand) query(now time.Time) string {
+	query := url.Values{}
+	for name, value := range map[string]string{
+		"request": c.Request, "preset": c.Preset, "endpoint": c.Endpoint,
+		"team": c.Team, "kind": c.Kind, "instance": c.Instance,
+	} {
+		if value != "" {
+			query.Set(name, value)
+		}
+	}
+	if c.Since > 0 {
+		query.Set("since_ms", fmt.Sprint(now.Add(-c.Since).UnixMilli()))
+	}
+	if c.Limit > 0 {
+		query.Set("limit", fmt.Sprint(c.Limit))
+	}
+	return query.Encode()
+}
+
+// warn tells what the table does not show.
+func (c *timelineCommand) warn(collected operator.Collected) {
+	if len(collected.Missing) > 0 {
+		_, _ = fmt.Fprintf(c.app.err, "not answered, so not shown: %s\n", strings.Join(collected.Missing, ", "))
+	}
+	if collected.Dropped > 0 {
+		_, _ = fmt.Fprintf(c.app.err, "%d older events were overwritten\n", collected.Dropped)
+	}
+}
+
+func (c *timelineCommand) writePage(collected operator.Collected) error {
+	file, err := os.Create(c.HTML)
+	if err == nil {
+		err = timeline.WriteHTML(file, timeline.Page{
+			Title: c.title(), Events: collected.Events, Missing: collected.Missing, Dropped: collected.Dropped,
+		})
+		if closeErr := file.Close(); err == nil {
+			err = closeErr
+		}
+	}
+	if err != nil {
+		return fail(Failure{
+			Step: "hoistctl/html", Peer: c.HTML, Detail: err.Error(), Next: "check the path given to --html", Exit: ExitFailed,
+		})
+	}
+	c.app.printf("%d events written to %s\n", len(collected.Events), c.HTML)
+	c.warn(collected)
+	return nil
+}
+
+func (c *timelineCommand) title() string {
+	title := "Timeline"
+	for _, part := range []string{c.Request, c.Preset, c.Endpoint, c.Team, c.Kind, c.Instance} {
+		if part != "" {
+			title += " · " + part
+		}
+	}
+	return title
+}
