--- a/backend/claim.go
+++ b/backend/claim.go
@@ -156,7 +156,7 @@
 		return
 	}
 	report := ClaimEnd{Claim: r.claimOf(), At: time.Now(), Released: finish.Outcome == request.OutcomeNotRun}
-	if !report.Released {
+	if !report.Released && !finish.Failed() {
 		report.Answer = &StoredAnswer{Status: finish.Status, ContentType: finish.ContentType(), Body: finish.Body}
 	}
 	r.runner.deps.Claimer.Finish(report)
--- a/backend/claimer.go
+++ b/backend/claimer.go
@@ -67,7 +67,7 @@
 	Claim Claim
 	// Released: the call did not run, and the key may be claimed again.
 	Released bool
-	// Answer is the answer of a call that ran.
+	// Answer is the answer of a call that ran, nil when it exceeded its limit.
 	Answer *StoredAnswer
 	At     time.Time
 }
--- a/backend/fail.go
+++ b/backend/fail.go
@@ -25,6 +25,9 @@
 	}
 	if finish.Outcome != request.OutcomeNotRun {
 		finish.RetryAfter = 0
+	} else if finish.Status == http.StatusBadGateway {
+		// Nothing ran, so that the caller may simply try again.
+		finish.Status = http.StatusServiceUnavailable
 	}
 	if r.entry.Finish(time.Now(), finish) != nil {
 		return
--- /dev/null
+++ b/backend/http_caller_test.go
@@ -0,0 +1,93 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/request"
+)
+
+func outgoing(call *request.Call) Outgoing {
+	return Outgoing{RequestID: "id-1", Attempt: 2, Call: call, MaxAnswerBytes: 100}
+}
+
+// Guards against a call that changes on its way, and against headers of the
+// connection that are passed on.
+func TestCallPassesThrough(t *testing.T) {
+	RegisterTestingT(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Seen", r.Method+" "+r.RequestURI+" "+r.Header.Get("X-Custom")+" "+string(body))
+		w.Header().Set("X-Ids", r.Header.Get("X-Request-Id")+" "+r.Header.Get("X-Attempt"))
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.Header().Add("Set-Cookie", "a=1")
+		w.Header().Add("Set-Cookie", "b=2")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = w.Write([]byte("tea"))
+	}))
+	defer server.Close()
+	answer, err := NewHTTPCaller().Call(context.Background(), server.Listener.Addr().String(), outgoing(&request.Call{
+		Method: "PATCH", Path: "/a%2Fb/../c", Query: "x=1&y=%20", Body: []byte("body"),
+		Header: []request.Field{{Name: "X-Custom", Value: "v"}},
+	}))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(answer.Status).To(Equal(http.StatusTeapot))
+	Expect(string(answer.Body)).To(Equal("tea"))
+	Expect(answer.Header).To(ContainElements(
+		request.Field{Name: "X-Seen", Value: "PATCH /a%2Fb/../c?x=1&y=%20 v body"},
+		request.Field{Name: "X-Ids", Value: "id-1 2"},
+		request.Field{Name: "Set-Cookie", Value: "a=1"}, request.Field{Name: "Set-Cookie", Value: "b=2"},
+	))
+	Expect(answer.Header).NotTo(ContainElement(HaveField("Name", "Keep-Alive")))
+}
+
+// Guards against a wrong proof of what reached the endpoint, and against a
+// repetition inside the HTTP client.
+func TestCallErrorsTellWhatIsProved(t *testing.T) {
+	RegisterTestingT(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(closed.Close()).To(Succeed())
+	get := &request.Call{Method: "GET", Path: "/"}
+	_, err = NewHTTPCaller().Call(context.Background(), closed.Addr().String(), outgoing(get))
+	Expect(err).To(MatchError(ErrUnsent))
+
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		switch r.URL.Path {
+		case "/cut":
+			panic(http.ErrAbortHandler)
+		case "/long":
+			_, _ = w.Write(make([]byte, 101))
+		case "/refuse":
+			w.Header().Set("Content-Type", "application/problem+json")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = w.Write([]byte(`{"outcome":"not_run"}`))
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer server.Close()
+	for _, repeatable := range []bool{false, true} {
+		for path, want := range map[string]error{"/cut": ErrBroken, "/long": ErrAnswerTooLarge, "/refuse": ErrRefused, "/busy": nil} {
+			before := calls.Load()
+			call := outgoing(&request.Call{Method: "GET", Path: path})
+			call.Repeatable = repeatable
+			_, err := NewHTTPCaller().Call(context.Background(), server.Listener.Addr().String(), call)
+			if want == nil {
+				Expect(err).NotTo(HaveOccurred())
+			} else {
+				Expect(err).To(MatchError(want))
+			}
+			Expect(calls.Load()).To(Equal(before + 1))
+		}
+	}
+}
