Add retry and quota

Measured: rapid properties pass with -race: attempts <= 1.1 x requests, shares never over the limit with lost grants and acknowledgements, add up to the limit once acknowledged, budgets never negative.

--- /dev/null
+++ b/quota/limiter.go
@@ -0,0 +1,140 @@
+package quota
+
+import (
+	"sync"
+	"time"
+)
+
+// Limiter enforces one instance's grants. It is safe for concurrent use: each
+// team has its own lock.
+//
+// State: about 200 bytes for each team.
+type Limiter struct {
+	mu    sync.RWMutex // guards the map
+	teams map[string]*teamLimit
+}
+
+// teamLimit is the state of one team.
+type teamLimit struct {
+	mu       sync.Mutex // guards the fields below
+	tokens   bucket
+	requests bucket
+	// tokenGrant and requestGrant are nil when the rate has no limit.
+	tokenGrant   *Grant
+	requestGrant *Grant
+	demand       meter
+}
+
+// NewLimiter returns a Limiter without limits.
+func NewLimiter() *Limiter { return &Limiter{teams: make(map[string]*teamLimit)} }
+
+func (l *Limiter) team(name string) *teamLimit {
+	l.mu.RLock()
+	t := l.teams[name]
+	l.mu.RUnlock()
+	if t != nil {
+		return t
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.teams[name] == nil {
+		l.teams[name] = &teamLimit{}
+	}
+	return l.teams[name]
+}
+
+// SetGrants replaces a team's grants; nil removes the limit.
+func (l *Limiter) SetGrants(now time.Time, team string, tokens, requests *Grant) {
+	t := l.team(team)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refill(now)
+	t.tokenGrant, t.requestGrant = tokens, requests
+}
+
+// Remove forgets a team that was deleted from the configuration.
+func (l *Limiter) Remove(team string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.teams, team)
+}
+
+// Allow takes one request with the expected tokens, or returns when to come back.
+func (l *Limiter) Allow(now time.Time, team string, tokens int) (bool, time.Duration) {
+	t := l.team(team)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.demand.add(now, float64(tokens))
+	t.refill(now)
+	n := float64(tokens)
+	tokenRate, requestRate := t.tokenGrant.rate(now), t.requestGrant.rate(now)
+	if t.tokenGrant != nil && !t.tokens.fits(n, tokenRate*burstSeconds) {
+		return false, t.tokens.wait(n, tokenRate, tokenRate*burstSeconds)
+	}
+	requestBurst := max(1, requestRate*burstSeconds)
+	if t.requestGrant != nil && !t.requests.fits(1, requestBurst) {
+		return false, t.requests.wait(1, requestRate, requestBurst)
+	}
+	t.tokens.takeIf(t.tokenGrant, n)
+	t.requests.takeIf(t.requestGrant, 1)
+	return true, 0
+}
+
+// Settle corrects the charge of a finished request by the tokens that it really used.
+func (l *Limiter) Settle(now time.Time, team string, expected, used int) {
+	t := l.team(team)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.tokenGrant == nil {
+		return
+	}
+	t.refill(now)
+	if used > expected {
+		t.tokens.take(float64(used - expected))
+		return
+	}
+	t.tokens.give(float64(expected-used), t.tokenGrant.rate(now)*burstSeconds)
+}
+
+// Demand returns the team's recent demand at this instance in tokens per second, shed work included.
+func (l *Limiter) Demand(now time.Time, team string) float64 {
+	t := l.team(team)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.demand.rate(now)
+}
+
+// Budget returns the team's token budget and debt; both are never negative.
+func (l *Limiter) Budget(team string) (budget, owed float64) {
+	t := l.team(team)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tokens.budget, t.tokens.owed
+}
+
+// burstSeconds of a rate can be saved up.
+const burstSeconds = 1.0
+
+func (t *teamLimit) refill(now time.Time) {
+	tokenRate, requestRate := t.tokenGrant.rate(now), t.requestGrant.rate(now)
+	t.tokens.refill(now, tokenRate, tokenRate*burstSeconds)
+	t.requests.refill(now, requestRate, max(1, requestRate*burstSeconds))
+}
+
+func (b *bucket) takeIf(g *Grant, n float64) {
+	if g != nil {
+		b.take(n)
+	}
+}
+
+// rate is the granted rate, or the floor once the grant has expired.
+func (g *Grant) rate(now time.Time) float64 {
+	switch {
+	case g == nil:
+		return 0
+	case now.Before(g.Until):
+		return g.Rate
+	default:
+		return g.Floor
+	}
+}
--- /dev/null
+++ b/quota/owner.go
@@ -0,0 +1,134 @@
+// Package quota divides the teams' limits over all entry instances and data
+// centres by grants that expire, and enforces them at each instance.
+//
+// The holder of the lease "quota" divides each limit over the data centres; an
+// owner in each data centre divides that share over its instances, with the
+// same Divider. Grants of the second level end with the grant of the first.
+package quota
+
+import (
+	"sort"
+	"time"
+)
+
+// Owner plans the grants of all teams over one set of members. It is owned by
+// one goroutine.
+//
+// State: two Dividers for each team with a limit in force.
+type Owner struct {
+	cfg      Config
+	tokens   map[string]*Divider
+	requests map[string]*Divider
+}
+
+// TeamDemand is what the Owner knows of one team.
+type TeamDemand struct {
+	Team   string
+	Weight float64
+	// TokenLimit and RequestLimit are per second over all members; 0 means no limit.
+	TokenLimit   float64
+	RequestLimit float64
+	// Tokens is the demand of each member in tokens per second. All members are listed.
+	Tokens []Demand
+}
+
+// TeamGrants are the grants of one team; an empty list means no limit.
+type TeamGrants struct {
+	Team     string
+	Tokens   []Grant
+	Requests []Grant
+}
+
+// NewOwner returns an Owner without grants.
+func NewOwner(cfg Config) *Owner {
+	return &Owner{cfg: cfg, tokens: make(map[string]*Divider), requests: make(map[string]*Divider)}
+}
+
+// Plan divides the limits. When the teams together demand more than the
+// capacity (tokens per second; 0 for unknown), each is also limited to its
+// weighted fair share.
+func (o *Owner) Plan(now time.Time, capacity float64, teams []TeamDemand) []TeamGrants {
+	teams = append([]TeamDemand(nil), teams...)
+	sort.Slice(teams, func(i, j int) bool { return teams[i].Team < teams[j].Team })
+	limits := EffectiveLimits(capacity, teams)
+	plan := make([]TeamGrants, len(teams))
+	for i, t := range teams {
+		plan[i] = TeamGrants{Team: t.Team}
+		if limits[i] > 0 {
+			plan[i].Tokens = divider(o.tokens, t.Team, o.cfg).Divide(now, limits[i], time.Time{}, t.Tokens)
+		}
+		if t.RequestLimit > 0 {
+			plan[i].Requests = divider(o.requests, t.Team, o.cfg).Divide(now, t.RequestLimit, time.Time{}, t.Tokens)
+		}
+	}
+	o.forget(teams)
+	return plan
+}
+
+// Ack records that a member uses its grants of a team.
+func (o *Owner) Ack(team, member string, tokens, requests uint64) {
+	if d := o.tokens[team]; d != nil {
+		d.Ack(member, tokens)
+	}
+	if d := o.requests[team]; d != nil {
+		d.Ack(member, requests)
+	}
+}
+
+func divider(m map[string]*Divider, team string, cfg Config) *Divider {
+	d := m[team]
+	if d == nil {
+		d = NewDivider(cfg)
+		m[team] = d
+	}
+	return d
+}
+
+// forget drops the state of teams that were deleted.
+func (o *Owner) forget(teams []TeamDemand) {
+	listed := make(map[string]bool, len(teams))
+	for _, t := range teams {
+		listed[t.Team] = true
+	}
+	for _, m := range []map[string]*Divider{o.tokens, o.requests} {
+		for team := range m {
+			if !listed[team] {
+				delete(m, team)
+			}
+		}
+	}
+}
+
+// EffectiveLimits returns each team's limit in tokens per second, 0 for none:
+// the configured one, and under contention the weighted fair share.
+func EffectiveLimits(capacity float64, teams []TeamDemand) []float64 {
+	limits := make([]float64, len(teams))
+	claims := make([]Claim, len(teams))
+	total := 0.0
+	for i, t := range teams {
+		limits[i] = t.TokenLimit
+		claims[i] = Claim{Weight: max(1, t.Weight), Demand: t.demand()}
+		total += claims[i].Demand
+	}
+	if capacity <= 0 || total <= capacity {
+		return limits
+	}
+	for i, share := range FairShares(capacity, claims) {
+		if share < claims[i].Demand {
+			limits[i] = share
+		}
+	}
+	return limits
+}
+
+// demand is the team's demand over all members, up to its limit.
+func (t *TeamDemand) demand() float64 {
+	sum := 0.0
+	for _, d := range t.Tokens {
+		sum += d.Rate
+	}
+	if t.TokenLimit > 0 {
+		return min(sum, t.TokenLimit)
+	}
+	return sum
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,171 @@
+package quota_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"knapweedhoist/quota"
+)
+
+func TestQuota(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quota")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// usage is what the members can be using, from the grants that reached them.
+type usage map[string]quota.Grant
+
+func (u usage) sum(now time.Time, members int, cfg quota.Config, limit float64) float64 {
+	sum := 0.0
+	for i := range members {
+		rate := cfg.Floor(limit)
+		if g, ok := u[member(i)]; ok && now.Before(g.Until) {
+			rate = g.Rate
+		}
+		sum += rate
+	}
+	return sum
+}
+
+func member(i int) string { return fmt.Sprintf("m%d", i) }
+
+var _ = Describe("Divider", func() {
+	It("guards against shares over the limit with lost grants and lost acknowledgements", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			members := rapid.IntRange(1, 6).Draw(t, "members")
+			cfg := quota.DefaultConfig(members)
+			d := quota.NewDivider(cfg)
+			now, limit, using := start, 1000.0, usage{}
+			for range 40 {
+				now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+				var demands []quota.Demand
+				for i := range members {
+					demands = append(demands, quota.Demand{Member: member(i), Rate: float64(rapid.IntRange(0, 3000).Draw(t, "rate"))})
+				}
+				for _, g := range d.Divide(now, limit, time.Time{}, demands) {
+					if rapid.Bool().Draw(t, "arrives") {
+						using[g.Member] = g
+						if rapid.Bool().Draw(t, "acknowledged") {
+							d.Ack(g.Member, g.Sequence)
+						}
+					}
+				}
+				if sum := using.sum(now, members, cfg, limit); sum > limit*(1+1e-9) {
+					t.Fatalf("members use %.3f of %.0f", sum, limit)
+				}
+			}
+		})
+	})
+
+	It("guards against shares that do not add up to the limit once grants arrive", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			members := rapid.IntRange(1, 6).Draw(t, "members")
+			cfg := quota.DefaultConfig(members)
+			d := quota.NewDivider(cfg)
+			var demands []quota.Demand
+			for i := range members {
+				demands = append(demands, quota.Demand{Member: member(i), Rate: float64(rapid.IntRange(0, 3000).Draw(t, "rate"))})
+			}
+			sum := 0.0
+			for round := range 3 {
+				sum = 0
+				for _, g := range d.Divide(start.Add(time.Duration(round)*time.Second), 1000, time.Time{}, demands) {
+					d.Ack(g.Member, g.Sequence)
+					sum += g.Rate
+				}
+			}
+			if math.Abs(sum-1000) > 1e-6 {
+				t.Fatalf("shares add up to %f", sum)
+			}
+		})
+	})
+
+	It("guards against a new owner that grants on top of its predecessor's grants", func() {
+		cfg := quota.DefaultConfig(2)
+		d := quota.NewDivider(cfg)
+		d.Resume(start)
+		demands := []quota.Demand{{Member: "m0", Rate: 900}, {Member: "m1", Rate: 900}}
+		for _, g := range d.Divide(start.Add(cfg.TTL-1), 1000, time.Time{}, demands) {
+			Expect(g.Rate).To(Equal(cfg.Floor(1000)))
+		}
+	})
+})
+
+var _ = Describe("FairShares", func() {
+	It("guards against shares over the amount or the demand, and against capacity left idle", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var claims []quota.Claim
+			demand := 0.0
+			for range rapid.IntRange(1, 8).Draw(t, "n") {
+				c := quota.Claim{Weight: float64(rapid.IntRange(1, 9).Draw(t, "weight")), Demand: float64(rapid.IntRange(0, 500).Draw(t, "demand"))}
+				claims = append(claims, c)
+				demand += c.Demand
+			}
+			sum := 0.0
+			shares := quota.FairShares(1000, claims)
+			for i, s := range shares {
+				sum += s
+				if s > claims[i].Demand+1e-6 {
+					t.Fatalf("share %f over demand %f", s, claims[i].Demand)
+				}
+				for j, other := range shares {
+					if s < claims[i].Demand-1e-6 && s/claims[i].Weight < other/claims[j].Weight-1e-6 {
+						t.Fatalf("unmet claim %d gets less by weight than claim %d", i, j)
+					}
+				}
+			}
+			if math.Abs(sum-min(1000, demand)) > 1e-6 {
+				t.Fatalf("%f of %f given", sum, min(1000, demand))
+			}
+		})
+	})
+})
+
+var _ = Describe("Limiter", func() {
+	It("guards against a negative budget and against more than rate and burst", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			l := quota.NewLimiter()
+			now, taken := start, 0.0
+			g := &quota.Grant{Rate: 100, Floor: 10, Until: start.Add(time.Hour)}
+			l.SetGrants(now, "t", g, nil)
+			for range 60 {
+				now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+				expected, used := rapid.IntRange(1, 150).Draw(t, "expected"), rapid.IntRange(1, 150).Draw(t, "used")
+				if ok, after := l.Allow(now, "t", expected); ok {
+					l.Settle(now, "t", expected, used)
+					taken += float64(used)
+				} else if after <= 0 {
+					t.Fatalf("refused without a time to come back")
+				}
+				if budget, owed := l.Budget("t"); budget < 0 || owed < 0 {
+					t.Fatalf("budget %f, owed %f", budget, owed)
+				}
+				// One call larger than the budget can be owed.
+				if most := 100*(now.Sub(start).Seconds()+1) + 150; taken > most+1e-6 {
+					t.Fatalf("took %f of %f", taken, most)
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("Gate", func() {
+	It("guards against a repeated or reordered message that opens the gate early", func() {
+		g := quota.NewGate()
+		late := g.Refused(start, "weights", 10*time.Second)
+		g.Merge(start, "weights", start.Add(5*time.Second))
+		until, closed := g.Closed(start.Add(9*time.Second), "weights")
+		Expect(closed).To(BeTrue())
+		Expect(until).To(Equal(late))
+		_, closed = g.Closed(start.Add(10*time.Second), "weights")
+		Expect(closed).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,67 @@
+package retry_test
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"knapweedhoist/retry"
+)
+
+func TestRetry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retry")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var _ = Describe("Policy", func() {
+	It("guards against amplification over 1.1 in any mix of successes and failures", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			p := retry.NewPolicy(retry.DefaultConfig(), rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed"))))
+			requests, attempts, hedges := 0, 0, 0
+			for range rapid.IntRange(1, 400).Draw(t, "requests") {
+				requests++
+				attempts++
+				a := retry.Attempt{
+					Service: "s", Number: 1, Repeatable: true, Idempotent: true, Short: true, Deadline: start.Add(time.Minute),
+				}
+				if rapid.IntRange(0, 3).Draw(t, "slow") == 0 && p.Hedge(a) {
+					attempts++
+					hedges++
+				}
+				for rapid.Bool().Draw(t, "fails") {
+					if _, err := p.Next(start, a); err != nil {
+						break
+					}
+					attempts++
+					a.Number++
+				}
+				if rapid.Bool().Draw(t, "succeeds") {
+					p.Success("s")
+				}
+				if float64(attempts) > 1.1*float64(requests) || float64(hedges) > 0.05*float64(requests) {
+					t.Fatalf("%d attempts and %d hedges for %d requests", attempts, hedges, requests)
+				}
+			}
+		})
+	})
+
+	It("guards against repeating or hedging a call that must not be repeated, and against a retry past the deadline", func() {
+		p := retry.NewPolicy(retry.DefaultConfig(), rand.New(rand.NewSource(1)))
+		for range 200 {
+			p.Success("s")
+		}
+		_, err := p.Next(start, retry.Attempt{Service: "s", Number: 1, Announced: true, Deadline: start.Add(time.Minute)})
+		Expect(err).To(MatchError(retry.ErrNotRepeatable))
+		Expect(p.Hedge(retry.Attempt{Service: "s", Number: 1, Short: true})).To(BeFalse())
+		_, err = p.Next(start, retry.Attempt{
+			Service: "s", Number: 1, Repeatable: true, RetryAfter: time.Second, Deadline: start.Add(time.Second / 2),
+		})
+		Expect(err).To(MatchError(retry.ErrDeadline))
+	})
+})
