distribution: editor, follower and choice of watchers

Cause: an accepted change must be in force everywhere within 6 s and never revert, with operators racing and replies lost. Change: Editor (one change at a time, operation ids, conflicts that carry the other change, rebase), Follower (watch, compaction, relay of changes instead of documents, fetch after a heartbeat, cut-off since when), Watchers.

--- a/catalog/apply.go
+++ b/catalog/apply.go
@@ -129,3 +129,27 @@
 func serviceName(s *Service) string { return s.Name }
 func teamName(t *Team) string       { return t.Name }
 func presetName(p *Preset) string   { return p.Name }
+
+// CanonicalItem decodes an item strictly and encodes it again: equal items have equal bytes. A nil item stays nil.
+func CanonicalItem(kind ItemKind, item json.RawMessage) (json.RawMessage, error) {
+	if item == nil {
+		return nil, nil
+	}
+	var into any
+	switch kind {
+	case ItemService:
+		into = &Service{}
+	case ItemTeam:
+		into = &Team{}
+	case ItemPreset:
+		into = &Preset{}
+	case ItemInForce:
+		into = new(string)
+	default:
+		return nil, fmt.Errorf("%w: kind %q: must be one of service, team, preset, in_force", ErrInvalid, kind)
+	}
+	if err := decodeStrict(item, into); err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrInvalid, kind, err)
+	}
+	return encodeItem(into), nil
+}
--- /dev/null
+++ b/distribution/editor_test.go
@@ -0,0 +1,91 @@
+package distribution
+
+import (
+	"encoding/json"
+	"math/rand"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/catalog"
+	"knapweedhoist/testutil"
+)
+
+// site is one editor over a store that answers at once.
+type site struct {
+	store  *testutil.Store
+	editor *Editor
+	now    time.Time
+	ref    uint64
+}
+
+func newSite() *site {
+	store := testutil.NewStore(rand.New(rand.NewSource(1)), testutil.Faults{})
+	return &site{store: store, editor: NewEditor(discardLog, EditorConfig{}), now: time.UnixMilli(1_800_000_000_000)}
+}
+
+func (s *site) edit(id string, base uint64, kind catalog.ItemKind, name, item string) Result {
+	s.ref++
+	edit := Edit{Ref: s.ref, OperationID: id, BaseRevision: base, Kind: kind, Name: name, Deadline: s.now.Add(time.Second)}
+	if item != "" {
+		edit.Item = json.RawMessage(item)
+	}
+	out := s.editor.Submit(s.now, edit)
+	for len(out.Results) == 0 {
+		s.store.Submit(s.now, "x", out.Calls...)
+		for _, delivery := range s.store.Advance(s.now) {
+			out = s.editor.Done(s.now, delivery.Done)
+		}
+	}
+	Expect(out.Results[0].Ref).To(Equal(s.ref))
+	return out.Results[0]
+}
+
+var _ = Describe("the editor", func() {
+	var s *site
+	BeforeEach(func() {
+		s = newSite()
+		Expect(s.edit("op-1", 0, catalog.ItemPreset, "peak", `{"name":"peak"}`)).To(Equal(Result{Ref: 1, Outcome: Accepted, Revision: 1}))
+	})
+
+	It("guards against a change that overwrites another operator's change of the same item", func() {
+		s.edit("op-2", 1, catalog.ItemPreset, "peak", `{"name":"peak","short_tokens":7}`)
+		result := s.edit("op-3", 1, catalog.ItemPreset, "peak", `{"name":"peak","short_tokens":8}`)
+		Expect(result.Outcome).To(Equal(Conflict))
+		Expect(result.Other.OperationID).To(Equal("op-2"))
+		Expect(result.Current).To(MatchJSON(`{"name":"peak","short_tokens":7}`))
+	})
+
+	It("guards against a conflict between changes of different items", func() {
+		Expect(s.edit("op-2", 0, catalog.ItemPreset, "maintenance", `{"name":"maintenance"}`).Revision).To(Equal(uint64(2)))
+	})
+
+	It("guards against an operation that is applied again, and an id that is used for another change", func() {
+		Expect(s.edit("op-1", 0, catalog.ItemPreset, "peak", `{"name": "peak"}`)).To(Equal(Result{Ref: 2, Outcome: Accepted, Revision: 1}))
+		Expect(s.edit("op-1", 1, catalog.ItemPreset, "peak", "").Err).To(MatchError(ErrOperationReused))
+	})
+
+	It("guards against the loss of the preset in force and of a service that a team uses", func() {
+		Expect(s.edit("op-2", 1, catalog.ItemInForce, "", `"peak"`).Outcome).To(Equal(Accepted))
+		Expect(s.edit("op-3", 2, catalog.ItemPreset, "peak", "").Err).To(MatchError(catalog.ErrInvalid))
+		Expect(s.edit("op-4", 2, catalog.ItemInForce, "", "").Err).To(MatchError(catalog.ErrInvalid))
+		Expect(s.edit("op-5", 2, catalog.ItemService, "reservas", `{"name":"reservas","kind":"plain"}`).Outcome).To(Equal(Accepted))
+		hash := catalog.HashKey("k")
+		team, err := json.Marshal(catalog.Team{Name: "t", KeyHashes: []string{hexOf(hash)}, Services: []string{"reservas"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.edit("op-6", 3, catalog.ItemTeam, "t", string(team)).Outcome).To(Equal(Accepted))
+		gone := s.edit("op-7", 4, catalog.ItemService, "reservas", "")
+		Expect(gone.Outcome).To(Equal(Invalid))
+		Expect(gone.Err).To(MatchError(ContainSubstring(`team "t": services[0]: must name a service`)))
+	})
+
+	It("guards against a late change on a base that is older than the kept changes", func() {
+		for i := range uint64(catalog.MaxChanges + 1) {
+			s.edit("fill-"+string(rune('A'+i)), 1+i, catalog.ItemPreset, "peak", `{"name":"peak"}`)
+		}
+		result := s.edit("op-1", 0, catalog.ItemPreset, "other", `{"name":"other"}`)
+		Expect(result.Outcome).To(Equal(Conflict))
+		Expect(result.Other).To(BeNil())
+	})
+})
--- /dev/null
+++ b/distribution/follower_output.go
@@ -0,0 +1,15 @@
+package distribution
+
+import (
+	"knapweedhoist/catalog"
+	"knapweedhoist/platform"
+)
+
+// FollowerOutput is what a step of the Follower wants done.
+type FollowerOutput struct {
+	Calls []platform.Call
+	// Applied is the snapshot to publish, when the revision in force changed.
+	Applied *catalog.Snapshot
+	Relays  []Relay
+	Fetches []Fetch
+}
--- /dev/null
+++ b/distribution/follower_test.go
@@ -0,0 +1,96 @@
+package distribution
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/catalog"
+	"knapweedhoist/platform"
+)
+
+func hexOf(hash catalog.KeyHash) string { return hex.EncodeToString(hash[:]) }
+
+// revisions returns the documents of revisions 1 to n.
+func revisions(n int) []Stored {
+	document := catalog.Initial()
+	var all []Stored
+	for i := range n {
+		item := json.RawMessage(fmt.Sprintf(`{"name":"p%d"}`, i))
+		next, err := document.WithChange(catalog.Change{Revision: document.Revision + 1, Kind: catalog.ItemPreset, Name: fmt.Sprintf("p%d", i), After: item})
+		Expect(err).NotTo(HaveOccurred())
+		value, err := next.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		all = append(all, Stored{Revision: next.Revision, Version: platform.Version(10 * next.Revision), Value: value})
+		document = next
+	}
+	return all
+}
+
+var _ = Describe("the follower", func() {
+	now := time.UnixMilli(1_800_000_000_000)
+	follower := func() *Follower {
+		return NewFollower(discardLog, FollowerConfig{Rand: rand.New(rand.NewSource(1))})
+	}
+	object := func(s Stored) platform.Object {
+		return platform.Object{Kind: platform.KindConfig, Name: ObjectName, Version: s.Version, Value: s.Value}
+	}
+
+	It("guards against a watcher that misses changes after a compaction", func() {
+		all := revisions(3)
+		w := follower()
+		get := w.SetView(now, true, []string{"b", "c"}).Calls[0]
+		out := w.Done(now, platform.Done{ID: get.ID, Reply: platform.Reply{Object: object(all[0]), Version: 15}})
+		Expect(out.Applied.Revision()).To(Equal(uint64(1)))
+		Expect(out.Calls[0].Request.From).To(Equal(platform.Version(15)))
+		out = w.Done(now, platform.Done{ID: out.Calls[0].ID, Err: platform.ErrCompacted})
+		Expect(out.Calls[0].Request.Op).To(Equal(platform.OpGet))
+		out = w.Done(now, platform.Done{ID: out.Calls[0].ID, Reply: platform.Reply{Object: object(all[2]), Version: 40}})
+		Expect(out.Relays).To(HaveLen(2))
+		Expect(out.Relays[0].Changes).To(HaveLen(2))
+
+		behind := follower()
+		behind.Stored(now, all[0])
+		Expect(behind.Relayed(now, "a", out.Relays[0]).Applied.Revision()).To(Equal(uint64(3)))
+		Expect(behind.Relayed(now, "a", out.Relays[0]).Applied).To(BeNil())
+		empty := follower()
+		Expect(empty.Relayed(now, "a", out.Relays[0]).Fetches).To(ConsistOf(Fetch{To: "a"}))
+		stored, ok := behind.Serve(Fetch{})
+		Expect(ok).To(BeTrue())
+		Expect(empty.Fetched(now, "a", stored, true).Applied.Revision()).To(Equal(uint64(3)))
+	})
+
+	It("guards against a fetch for every heartbeat that is faster than its relay", func() {
+		all := revisions(2)
+		f := follower()
+		f.Stored(now, all[0])
+		Expect(f.Heartbeat(now, "b", 2).Fetches).To(BeEmpty())
+		Expect(f.Heartbeat(now.Add(fetchDelay), "c", 2).Fetches).To(HaveLen(1))
+		Expect(f.Heartbeat(now.Add(fetchDelay), "d", 2).Fetches).To(BeEmpty())
+	})
+
+	It("guards against a cut off instance that loses its configuration or does not tell since when", func() {
+		all := revisions(2)
+		f := follower()
+		get := f.Tick(now).Calls[0]
+		f.Done(now, platform.Done{ID: get.ID, Reply: platform.Reply{Object: object(all[1])}})
+		later := now.Add(time.Hour)
+		get = f.Tick(later).Calls[0]
+		f.Done(later, platform.Done{ID: get.ID, Err: platform.ErrUnavailable})
+		Expect(f.Status()).To(And(HaveField("CutOff", true), HaveField("Since", now), HaveField("Revision", uint64(2))))
+		Expect(f.Stored(later, all[0]).Applied).To(BeNil())
+		Expect(f.Snapshot().Revision()).To(Equal(uint64(2)))
+	})
+
+	It("guards against a document of another build that is half understood", func() {
+		f := follower()
+		f.Stored(now, Stored{Value: []byte(`{"revision":1,"in_force":"a","presets":[{"name":"a"}],"new_field":1}`)})
+		Expect(f.Snapshot()).To(BeNil())
+		Expect(f.Status().Refused).To(Equal(1))
+	})
+})
