Wire the decision packages into the entry instance, and add the demonstration

Cause: leases, claims, distribution, membership, routing, handover and the operators' API existed as packages that nothing joined.

--- a/cmd/hoistctl/main.go
+++ b/cmd/hoistctl/main.go
@@ -1,6 +1,12 @@
-// Command hoistctl.
+// Command hoistctl is the operators' command line.
 package main
 
-import _ "net" // with cgo, links the program to the C library
+import (
+	"os"
 
-func main() {}
+	"knapweedhoist/hoistctl"
+)
+
+func main() {
+	os.Exit(hoistctl.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,26 @@
+package knapweedhoist_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"knapweedhoist"
+	"knapweedhoist/settings"
+)
+
+// A program embeds an entry instance in a few lines.
+func Example() {
+	cfg, err := settings.Load("hoist.yaml")
+	if err != nil {
+		fmt.Println("settings cannot be read")
+		return
+	}
+	instance, err := knapweedhoist.New(cfg.Log.Logger(os.Stderr), cfg)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	_ = instance.Run(context.Background())
+	// Output: settings cannot be read
+}
--- /dev/null
+++ b/feedback.go
@@ -0,0 +1,63 @@
+package knapweedhoist
+
+import (
+	"context"
+	"time"
+
+	"knapweedhoist/backend"
+	"knapweedhoist/engine"
+	"knapweedhoist/membership"
+	"knapweedhoist/routing"
+)
+
+// feedback passes the progress of one attempt to the routing.
+type feedback struct {
+	policy *policy
+	choice routing.Choice
+	work   routing.Work
+	team   string
+	flight routing.Flight
+	sent   bool
+}
+
+// Sent implements backend.Feedback.
+func (f *feedback) Sent(now time.Time) {
+	f.flight = f.policy.table.Sent(now, f.choice, f.work)
+	f.sent = true
+}
+
+// FirstToken implements backend.Feedback.
+func (f *feedback) FirstToken(now time.Time) {
+	f.policy.table.FirstToken(now, &f.flight)
+}
+
+// Token implements backend.Feedback.
+func (f *feedback) Token(now time.Time) {
+	f.policy.table.Token(now, &f.flight)
+}
+
+// Finished implements backend.Feedback.
+func (f *feedback) Finished(now time.Time, _ backend.Report) {
+	if f.sent {
+		f.policy.table.Finished(now, &f.flight)
+	}
+}
+
+// readCacheEvents passes the new cache events of an endpoint to the routing.
+func (p *policy) readCacheEvents(ctx context.Context, e *membership.Endpoint, client *engine.Client) {
+	key := endpointKey(e)
+	p.mu.Lock()
+	from := p.cursors[key]
+	p.mu.Unlock()
+	events, err := client.CacheEvents(ctx, from)
+	if err != nil {
+		return
+	}
+	for _, event := range events {
+		from = max(from, event.Sequence)
+		p.table.CacheEvent(key, event)
+	}
+	p.mu.Lock()
+	p.cursors[key] = from
+	p.mu.Unlock()
+}
--- /dev/null
+++ b/hub.go
@@ -0,0 +1,110 @@
+package knapweedhoist
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"knapweedhoist/claim"
+	"knapweedhoist/control"
+	"knapweedhoist/distribution"
+	"knapweedhoist/platform"
+	"knapweedhoist/wire"
+)
+
+// eventQueue bounds the control events that wait; senders block when it is full.
+const eventQueue = 1024
+
+// hub runs the control goroutine: it passes events to the Core one at a time
+// and carries out the effects. No effect blocks it.
+type hub struct {
+	instance *Instance
+	core     *control.Core
+	events   chan control.Event
+	// calls count the platform calls in flight.
+	calls sync.WaitGroup
+
+	claims    waiters[claim.Answer]
+	acks      waiters[claim.Ack]
+	edits     waiters[distribution.Result]
+	documents waiters[*wire.ConfigDocument]
+	// permits are checks of a lease that run between two events.
+	permits chan func(now time.Time, core *control.Core)
+}
+
+func newHub(instance *Instance, core *control.Core) *hub {
+	return &hub{
+		instance: instance, core: core, events: make(chan control.Event, eventQueue),
+		claims: newWaiters[claim.Answer](), acks: newWaiters[claim.Ack](), edits: newWaiters[distribution.Result](),
+		documents: newWaiters[*wire.ConfigDocument](),
+		permits:   make(chan func(time.Time, *control.Core)),
+	}
+}
+
+// post gives an event to the control goroutine unless ctx ends first.
+func (h *hub) post(ctx context.Context, event control.Event) {
+	select {
+	case h.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// run is the control goroutine.
+func (h *hub) run(ctx context.Context) {
+	ticker := time.NewTicker(control.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case event := <-h.events:
+			h.step(ctx, event)
+		case <-ticker.C:
+			h.step(ctx, control.Ticked{Stamp: h.instance.clock.Now(), Usage: h.instance.policy.usage()})
+		case check := <-h.permits:
+			check(time.Now(), h.core)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *hub) step(ctx context.Context, event control.Event) {
+	for _, effect := range h.core.Step(time.Now(), event) {
+		h.perform(ctx, effect)
+	}
+}
+
+func (h *hub) perform(ctx context.Context, effect control.Effect) {
+	i := h.instance
+	switch e := effect.(type) {
+	case control.PlatformCall:
+		h.calls.Go(func() { h.callPlatform(ctx, e) })
+	case control.SendHeartbeat:
+		_ = i.beats.Send(e.Outgoing.To, e.Outgoing.Beat)
+	case control.SendLeaves:
+		go i.broadcast(ctx, leavesCall(e.Notice))
+	case control.RelayConfig:
+		go i.tell(ctx, e.To, &wire.Call{Body: &wire.Call_ConfigRelay{ConfigRelay: e.Relay}})
+	case control.FetchConfig:
+		go i.fetchConfig(ctx, e)
+	case control.Publish:
+		i.publish(e.View)
+	case control.ClaimAnswered:
+		h.claims.answer(e.Answer.Ref, e.Answer)
+	case control.ClaimAcked:
+		h.acks.answer(e.Ack.Ref, e.Ack)
+	case control.ConfigServed:
+		h.documents.answer(e.Ref, e.Document)
+	case control.EditDone:
+		h.edits.answer(e.Result.Ref, e.Result)
+	default:
+		i.fleetChanged(effect)
+	}
+}
+
+// callPlatform makes a call; a call that the end of ctx abandons is reported as unavailable.
+func (h *hub) callPlatform(ctx context.Context, call control.PlatformCall) {
+	reply, err := h.instance.store.Do(ctx, call.Call.Request)
+	h.post(ctx, control.PlatformDone{
+		Component: call.Component, Done: platform.Done{ID: call.Call.ID, Reply: reply, Err: err},
+	})
+}
--- a/instance.go
+++ b/instance.go
@@ -4,21 +4,25 @@
 package knapweedhoist
 
 import (
-	"context"
+	"encoding/hex"
 	"log/slog"
-	"net"
+	"math/rand"
 	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
-	"github.com/samber/oops"
-	"golang.org/x/sync/errgroup"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"knapweedhoist/backend"
-	"knapweedhoist/catalog"
-	"knapweedhoist/engine"
+	"knapweedhoist/cloud"
+	"knapweedhoist/control"
 	"knapweedhoist/gateway"
+	"knapweedhoist/handover"
+	"knapweedhoist/heartbeat"
 	"knapweedhoist/invariant"
+	"knapweedhoist/membership"
+	"knapweedhoist/operator"
+	"knapweedhoist/peer"
 	"knapweedhoist/platform"
 	"knapweedhoist/request"
 	"knapweedhoist/roster"
@@ -31,34 +35,84 @@
 	lg          *slog.Logger
 	cfg         settings.Settings
 	incarnation string
-	recorder    timeline.Recorder
+	clock       *timeline.Clock
+	ring        *timeline.Ring
 	checker     *invariant.Reporter
+	metrics     metrics.Registry
 
-	store    platform.Store
-	list     roster.List
-	view     atomic.Pointer[view]
-	control  *control
+	store platform.Store
+	list  roster.List
+	cloud cloud.Cloud
+
+	hub      *hub
+	view     atomic.Pointer[control.View]
 	registry *request.Registry
 	runner   *backend.Runner
 	gateway  *gateway.Server
+	policy   *policy
+	home     *handover.Home
+	host     *handover.Host
+
+	beats      *heartbeat.Loop
+	peers      *peer.Client
+	peerServer *peer.Server
+	operators  *operator.Server
+
+	drain drain
 }
 
 // New returns an instance that is not running yet.
-func New(lg *slog.Logger, cfg settings.Settings) *Instance {
-	i := &Instance{lg: lg.With("instance", cfg.Instance, "datacentre", cfg.Datacentre), cfg: cfg}
-	i.incarnation = ulid.Make().String()
-	i.recorder = timeline.Discard
-	i.checker = invariant.NewReporter(i.lg, i.recorder)
+func New(lg *slog.Logger, cfg settings.Settings) (*Instance, error) {
+	i := &Instance{cfg: cfg, incarnation: ulid.Make().String(), metrics: metrics.NewRegistry(), drain: newDrain()}
+	i.lg = lg.With("instance", cfg.Instance, "datacentre", cfg.Datacentre)
+	i.clock = timeline.NewClock(time.Now)
+	i.ring = timeline.NewRing(i.clock, cfg.Instance, cfg.Datacentre, cfg.Limits.TimelineEvents)
+	i.checker = invariant.NewReporter(i.lg, i.ring)
+	i.wireOutside()
+	core := control.New(i.controlConfig(), time.Now())
+	i.view.Store(core.View())
+	i.hub = newHub(i, core)
+	i.wireTraffic()
+	if err := i.wirePeers(); err != nil {
+		return nil, err
+	}
+	return i, nil
+}
+
+// Incarnation returns the ULID of this start of the instance.
+func (i *Instance) Incarnation() string {
+	return i.incarnation
+}
+
+// Violations counts the violated invariants by name.
+func (i *Instance) Violations() map[string]int64 {
+	return i.checker.Counts()
+}
+
+func (i *Instance) wireOutside() {
 	i.store = platform.NewClient(i.lg, platform.ClientConfig{
-		Address: cfg.Platform.Address, Token: string(cfg.Platform.Credential), Timeout: cfg.Platform.CallTimeout(),
+		Address: i.cfg.Platform.Address, Token: string(i.cfg.Platform.Credential), Timeout: i.cfg.Platform.CallTimeout(),
 	})
 	i.list = roster.NewClient(i.lg, roster.ClientConfig{
-		Address: cfg.List.Address, Token: string(cfg.List.Credential), Timeout: cfg.List.CallTimeout(),
+		Address: i.cfg.List.Address, Token: string(i.cfg.List.Credential), Timeout: i.cfg.List.CallTimeout(),
 	})
-	i.view.Store(&view{document: &catalog.Document{}})
-	i.control = newControl(i)
-	i.wireTraffic()
-	return i
+	if i.cfg.Cloud.Address != "" {
+		i.cloud = cloud.NewClient(i.lg, cloud.ClientConfig{
+			Address: i.cfg.Cloud.Address, Token: string(i.cfg.Cloud.Credential), Timeout: i.cfg.Cloud.Remote().CallTimeout(),
+		})
+	}
+}
+
+func (i *Instance) controlConfig() control.Config {
+	return control.Config{
+		Member: membership.Config{
+			ID: i.cfg.Instance, Incarnation: i.incarnation, Datacentre: i.cfg.Datacentre,
+			PeerAddress: i.cfg.Listen.Peers, DatagramAddress: i.cfg.Listen.Heartbeats,
+			OperatorAddress: i.cfg.Listen.Operators,
+		},
+		Rand:   rand.New(rand.NewSource(time.Now().UnixNano())),
+		Logger: i.lg, Recorder: i.ring, Checker: i.checker,
+	}
 }
 
 func (i *Instance) wireTraffic() {
@@ -66,51 +120,42 @@
 	i.registry = request.NewRegistry(i.incarnation, i.checker, request.Config{
 		MaxInProgress: limits.MaxRequests, Keep: time.Duration(limits.FinishedKept),
 	})
+	i.policy = newPolicy(i)
+	answers := &attacher{instance: i}
 	i.runner = backend.NewRunner(i.lg, backend.Config{}, backend.Deps{
-		Chooser: &chooser{instance: i, outstanding: make(map[string]int), engines: make(map[string]*engine.Client)},
-		Retrier: policy{}, Claimer: policy{}, Caller: backend.NewHTTPCaller(), Answers: i.registry, Recorder: i.recorder,
+		Chooser: i.policy, Retrier: i.policy, Claimer: &claimer{instance: i}, Caller: backend.NewHTTPCaller(),
+		Answers: answers, Recorder: i.ring,
 	})
 	i.gateway = gateway.NewServer(i.lg, gateway.Config{
 		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
 		ReadTimeout: time.Duration(limits.ReadTimeout), Deadline: time.Duration(limits.DefaultDeadline),
 		MaxDeadline: time.Duration(limits.MaxDeadline),
 	}, gateway.Deps{
-		Directory: i, Admitter: policy{}, Registry: i.registry, Remote: policy{}, Starter: i.runner, Recorder: i.recorder,
+		Directory: directory{view: &i.view}, Admitter: i.policy, Registry: i.registry, Remote: answers,
+		Starter: i.runner, Recorder: i.ring,
 	})
+	i.home = handover.NewHome(i.incarnation, i.registry, &handoverTransport{instance: i}, i.checker)
+	i.host = handover.NewHost(i.incarnation, handover.ReceiverConfig{}, i.registry, i.runner, i.checker)
 }
 
-// Run serves until ctx ends, then stops gracefully.
-func (i *Instance) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", i.cfg.Listen.Callers)
+func (i *Instance) wirePeers() error {
+	key, err := hex.DecodeString(string(i.cfg.FleetKey))
 	if err != nil {
-		return oops.With("step", "listen", "peer", i.cfg.Listen.Callers).Wrap(err)
+		return stepError("configure", "", err)
 	}
-	i.lg.Info("instance started", "incarnation", i.incarnation, "callers", listener.Addr().String())
-	group, background := errgroup.WithContext(context.WithoutCancel(ctx))
-	work, cancel := context.WithCancel(background)
-	defer cancel()
-	group.Go(func() error { i.control.run(work); return nil })
-	group.Go(func() error { i.control.readRoster(work, i.list); return nil })
-	group.Go(func() error {
-		i.followConfiguration(work, func(document *catalog.Document) { send(work, i.control.documents, document) })
-		return nil
-	})
-	group.Go(func() error { return i.gateway.Serve(listener) })
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-work.Done():
-		}
-		defer cancel()
-		return i.stop()
-	})
-	return group.Wait()
-}
-
-// stop lets requests in progress finish within the drain timeout.
-func (i *Instance) stop() error {
-	i.gateway.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i.cfg.Shutdown.DrainTimeout))
-	defer cancel()
-	return i.gateway.Shutdown(ctx)
+	i.beats, err = heartbeat.NewLoop(i.lg, heartbeat.Config{
+		Key: key, Address: i.cfg.Listen.Heartbeats, Metrics: i.metrics,
+	}, i.receiveHeartbeat)
+	if err != nil {
+		return stepError("configure", "", err)
+	}
+	cfg := peer.Config{Key: key, Incarnation: i.incarnation, Clock: i.clock, Recorder: i.ring, Metrics: i.metrics}
+	if i.peers, err = peer.NewClient(i.lg, cfg); err != nil {
+		return stepError("configure", "", err)
+	}
+	if i.peerServer, err = peer.NewServer(i.lg, cfg, &peerHandler{instance: i}); err != nil {
+		return stepError("configure", "", err)
+	}
+	i.operators, err = i.newOperatorServer()
+	return stepError("configure", "", err)
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -44,7 +44,21 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return knapweedhoist.New(cfg.Log.Logger(c.stderr), cfg).Run(ctx)
+	instance, err := knapweedhoist.New(cfg.Log.Logger(c.stderr), cfg)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	go stopOnSignals(instance, signals)
+	return instance.Run(context.Background())
+}
+
+// stopOnSignals starts a planned stop at the first signal and ends the drain at the second.
+func stopOnSignals(instance *knapweedhoist.Instance, signals <-chan os.Signal) {
+	<-signals
+	instance.Stop()
+	<-signals
+	instance.Abort()
 }
--- /dev/null
+++ b/internal/devtool/demo.go
@@ -0,0 +1,129 @@
+package devtool
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"sync"
+	"time"
+)
+
+// demoTimeout bounds a demonstration.
+const demoTimeout = 55 * time.Second
+
+// demoCommand shows the main job on a sample deployment and checks its outcomes.
+type demoCommand struct {
+	Timeline string `long:"timeline" description:"Write the timeline as an HTML page" value-name:"FILE"`
+	Verbose  bool   `long:"verbose" description:"Show the logs of all instances"`
+
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
+	defer cancel()
+	lg := slog.New(slog.DiscardHandler)
+	if c.Verbose {
+		lg = slog.New(slog.NewTextHandler(c.stderr, nil))
+	}
+	start := time.Now()
+	s, err := startSite(ctx, lg, sampleEntries)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	if err := s.waitReady(ctx); err != nil {
+		return err
+	}
+	d := &demo{site: s, out: &lockedWriter{w: c.stdout}}
+	d.printf("%d data centres, %d entry instances, %d engines and %d plain services ready after %.1f s\n",
+		len(sampleDatacentres), len(s.entries), sampleEngines, sampleServices, time.Since(start).Seconds())
+	d.run(ctx)
+	if err := d.writeTimeline(ctx, c.Timeline); err != nil {
+		return err
+	}
+	return d.verdict(time.Since(start))
+}
+
+// demo is one demonstration. Its checks are counted, so that it fails when any promise broke.
+type demo struct {
+	*site
+	out    io.Writer
+	checks checks
+}
+
+// run plays the scenes; the first ones overlap, as they would in a working day.
+func (d *demo) run(ctx context.Context) {
+	var scenes sync.WaitGroup
+	for _, scene := range []func(context.Context){
+		d.reclaimedEngine, d.reclaimedEntry, d.shortQuestions, d.bookingTwice, d.bookingLost,
+	} {
+		scenes.Go(func() { scene(ctx) })
+	}
+	scenes.Wait()
+	d.switchPreset(ctx)
+}
+
+func (d *demo) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.out, format, args...)
+}
+
+// verdict fails when a check failed.
+func (d *demo) verdict(took time.Duration) error {
+	passed, failed := d.checks.counts()
+	for _, e := range d.entries {
+		for name, n := range e.Violations() {
+			failed = append(failed, fmt.Sprintf("%s: invariant %s was violated %d times", e.cfg.Instance, name, n))
+		}
+	}
+	d.printf("\n%d checks passed, %d failed, in %.1f s\n", passed, len(failed), took.Seconds())
+	if len(failed) > 0 {
+		return fmt.Errorf("the demonstration failed: %v", failed)
+	}
+	return nil
+}
+
+// lockedWriter is an io.Writer for several goroutines.
+type lockedWriter struct {
+	mu sync.Mutex // guards w
+	w  io.Writer
+}
+
+// Write implements io.Writer.
+func (l *lockedWriter) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(p)
+}
+
+// checks counts what was verified.
+type checks struct {
+	mu     sync.Mutex // guards the fields below
+	passed int
+	failed []string
+}
+
+func (c *checks) expect(ok bool, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ok {
+		c.passed++
+		return
+	}
+	c.failed = append(c.failed, fmt.Sprintf(format, args...))
+}
+
+func (c *checks) counts() (passed int, failed []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.passed, append([]string(nil), c.failed...)
+}
+
+// createFile opens a file for writing.
+func createFile(path string) (*os.File, error) {
+	return os.Create(path)
+}
--- a/internal/devtool/entry_settings.go
+++ b/internal/devtool/entry_settings.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"strings"
+	"time"
 
 	"go.yaml.in/yaml/v3"
 
@@ -22,8 +23,15 @@
 	cfg.Region = sampleRegion
 	cfg.FleetKey = settings.Secret(fleetKey)
 	cfg.Operators = []settings.Operator{{Name: "operator", KeyHash: hashKey(operatorKey)}}
-	cfg.Platform.Address = d.platform.Addr()
-	cfg.List.Address = d.roster.Addr()
+	cfg.Platform.Address = d.Platform.Addr()
+	cfg.List.Address = d.Roster.Addr()
+	cfg.Cloud.Address = d.Cloud.Addr()
+	cfg.Weights.Address = d.Weights.Addr()
+	cfg.Distances = make(map[string]settings.Duration)
+	for _, datacentre := range sampleDatacentres {
+		cfg.Distances[datacentre] = settings.Duration(time.Millisecond)
+	}
+	delete(cfg.Distances, cfg.Datacentre)
 	cfg.Log.Format = "text"
 	for _, field := range []*string{&cfg.Listen.Callers, &cfg.Listen.Operators, &cfg.Listen.Peers, &cfg.Listen.Heartbeats} {
 		address, err := freeAddress()
@@ -50,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	d.listEntry(cfg.Instance, cfg.Datacentre, cfg.Listen.Heartbeats)
 	content, err := yaml.Marshal(cfg)
 	if err != nil {
 		return err
--- a/internal/devtool/standins.go
+++ b/internal/devtool/standins.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	defer deployment.close()
+	defer func() { _ = deployment.Close() }()
 	for n := range c.Entries {
 		path := filepath.Join(c.Dir, fmt.Sprintf("entry-%d.yaml", n+1))
 		if err := deployment.writeSettings(path, n); err != nil {
--- /dev/null
+++ b/operators.go
@@ -0,0 +1,273 @@
+package knapweedhoist
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"knapweedhoist/catalog"
+	"knapweedhoist/control"
+	"knapweedhoist/distribution"
+	"knapweedhoist/membership"
+	"knapweedhoist/operator"
+	"knapweedhoist/request"
+	"knapweedhoist/wire"
+)
+
+// operators is the instance as the operators' HTTP API sees it.
+type operators struct {
+	instance *Instance
+}
+
+func (i *Instance) newOperatorServer() (*operator.Server, error) {
+	cfg := operator.Config{Metrics: i.metrics}
+	for _, o := range i.cfg.Operators {
+		cfg.Credentials = append(cfg.Credentials, operator.Credential{Operator: o.Name, KeyHash: o.KeyHash})
+	}
+	side := &operators{instance: i}
+	collector := operator.NewCollector(i.lg, i.ring, i.peers, func() *membership.View { return i.view.Load().Fleet })
+	return operator.NewServer(i.lg, cfg, side, side, collector)
+}
+
+// Status implements operator.Fleet.
+func (o *operators) Status() operator.Status {
+	view := o.instance.view.Load()
+	self := view.Fleet.Self
+	status := operator.Status{
+		Instance: self.ID, Incarnation: self.Incarnation, Datacentre: self.Datacentre,
+		RevisionSince: self.RevisionSince, Violations: o.instance.checker.Counts(),
+	}
+	if view.Catalog != nil {
+		status.Preset, status.Revision = view.Catalog.InForce().Name, view.Catalog.Revision()
+	}
+	datacentres := make(map[string]*operator.DatacentreStatus)
+	for _, m := range view.Fleet.Members {
+		status.Instances = append(status.Instances, instanceStatus(m))
+		countMember(datacentreOf(datacentres, m.Datacentre), m)
+	}
+	for _, e := range view.Fleet.Endpoints {
+		countEndpoint(datacentreOf(datacentres, e.Datacentre), e)
+	}
+	for _, name := range sortedKeys(datacentres) {
+		status.Datacentres = append(status.Datacentres, *datacentres[name])
+	}
+	return status
+}
+
+func instanceStatus(m *membership.Member) operator.InstanceStatus {
+	return operator.InstanceStatus{
+		ID: m.ID, Incarnation: m.Incarnation, Datacentre: m.Datacentre, State: m.State.String(), Revision: m.Revision,
+		RevisionSince: m.RevisionSince, LastHeard: m.LastHeard, OperatorAddress: m.OperatorAddress, Successor: m.Successor,
+	}
+}
+
+func datacentreOf(all map[string]*operator.DatacentreStatus, name string) *operator.DatacentreStatus {
+	if all[name] == nil {
+		all[name] = &operator.DatacentreStatus{Name: name}
+	}
+	return all[name]
+}
+
+func countMember(status *operator.DatacentreStatus, m *membership.Member) {
+	switch m.State {
+	case membership.Live:
+		status.Live++
+	case membership.Suspect:
+		status.Suspect++
+	case membership.Dead:
+		status.Dead++
+	case membership.Leaving:
+		status.Leaving++
+	case membership.Listed:
+	}
+	if m.LastHeard.After(status.LastHeard) {
+		status.LastHeard = m.LastHeard
+	}
+}
+
+func countEndpoint(status *operator.DatacentreStatus, e *membership.Endpoint) {
+	if e.Leaving {
+		status.EndpointsLeaving++
+		return
+	}
+	status.Endpoints++
+}
+
+// Endpoints implements operator.Fleet.
+func (o *operators) Endpoints() []operator.EndpointStatus {
+	now := time.Now()
+	var all []operator.EndpointStatus
+	for _, e := range o.instance.view.Load().Fleet.Endpoints {
+		state := "live"
+		if e.Leaving {
+			state = "leaving"
+		}
+		status := operator.EndpointStatus{
+			ID: e.ID, Service: e.Service, Datacentre: e.Datacentre, Zone: e.Zone, Class: e.Class, Address: e.Address,
+			Reclaimable: e.Reclaimable, State: state, Running: e.Load.Running, Queued: e.Load.Queued,
+			PrefillTokens: e.Load.PrefillTokens, DecodeTokens: e.Load.DecodeTokens, LoadAgeMs: -1,
+		}
+		if age, known := e.LoadAge(now); known {
+			status.LoadAgeMs = age.Milliseconds()
+		}
+		all = append(all, status)
+	}
+	return all
+}
+
+// Request implements operator.Fleet.
+func (o *operators) Request(ctx context.Context, text string) (operator.RequestStatus, error) {
+	id, err := request.ParseID(text)
+	if err != nil {
+		return operator.RequestStatus{}, operator.ErrNotFound
+	}
+	owner := id.Incarnation
+	finder := &attacher{instance: o.instance}
+	for range maxSuccessors {
+		if status, err := o.requestAt(ctx, owner, id); err == nil {
+			return status, nil
+		}
+		next, found := finder.successor(ctx, owner)
+		if !found {
+			break
+		}
+		owner = next
+	}
+	return operator.RequestStatus{}, operator.ErrNotFound
+}
+
+func (o *operators) requestAt(ctx context.Context, owner string, id request.ID) (operator.RequestStatus, error) {
+	if owner == o.instance.incarnation {
+		return o.instance.requestStatus(id)
+	}
+	call := &wire.Call{Body: &wire.Call_RequestStatus{RequestStatus: &wire.RequestQuery{Id: id.String()}}}
+	answer, err := o.instance.callPeer(ctx, owner, call)
+	if err != nil {
+		return operator.RequestStatus{}, err
+	}
+	var status operator.RequestStatus
+	err = json.Unmarshal(answer.GetRequestStatus(), &status)
+	return status, err
+}
+
+// requestStatus describes a request of this instance.
+func (i *Instance) requestStatus(id request.ID) (operator.RequestStatus, error) {
+	entry, found := i.registry.Lookup(id)
+	if !found {
+		return operator.RequestStatus{}, operator.ErrNotFound
+	}
+	spec := entry.Spec()
+	events, _ := entry.Position()
+	status := operator.RequestStatus{
+		ID: id.String(), Home: i.cfg.Instance, Team: spec.Team, Service: spec.Service, State: entry.State().String(),
+		Attempt: entry.Attempts(), Idempotent: spec.Repeatable(), Sent: entry.Unfinished() != request.OutcomeNotRun,
+		Events: events, AgeMs: time.Since(spec.Received).Milliseconds(),
+	}
+	if finish := entry.Result(); finish != nil {
+		status.Outcome = string(finish.Outcome)
+	}
+	return status, nil
+}
+
+// Drain implements operator.Fleet.
+func (o *operators) Drain(name string) error {
+	o.instance.lg.Info("planned stop was asked for", "step", "drain", "operator", name)
+	o.instance.Stop()
+	return nil
+}
+
+// Ready implements operator.Fleet.
+func (o *operators) Ready() error {
+	view := o.instance.view.Load()
+	switch {
+	case view.Catalog == nil:
+		return errors.New("no configuration has been read")
+	case len(view.Fleet.Endpoints) == 0:
+		return errors.New("no endpoint is known")
+	case o.instance.drain.leaving():
+		return errors.New("the instance is leaving")
+	default:
+		return nil
+	}
+}
+
+// Document implements operator.Configuration.
+func (o *operators) Document() catalog.Document {
+	ctx, cancel := context.WithTimeout(context.Background(), broadcastTimeout)
+	defer cancel()
+	hub := o.instance.hub
+	ref, answer := hub.documents.open()
+	hub.post(ctx, control.ConfigAsked{Ref: ref})
+	stored, err := hub.documents.wait(ctx, ref, answer)
+	if err != nil || stored == nil {
+		return catalog.Document{}
+	}
+	document, err := catalog.Decode(stored.GetDocument())
+	if err != nil {
+		o.instance.lg.Error("document cannot be decoded", "step", "operator", "error", err.Error())
+		return catalog.Document{}
+	}
+	return *document
+}
+
+// Change implements operator.Configuration.
+func (o *operators) Change(ctx context.Context, change operator.Change) (operator.ChangeResult, error) {
+	hub := o.instance.hub
+	ref, answer := hub.edits.open()
+	hub.post(ctx, control.EditAsked{Edit: editOf(ctx, ref, change)})
+	result, err := hub.edits.wait(ctx, ref, answer)
+	if err != nil {
+		return operator.ChangeResult{}, errors.Join(operator.ErrUnavailable, err)
+	}
+	switch result.Outcome {
+	case distribution.Accepted:
+		return operator.ChangeResult{Revision: result.Revision}, nil
+	case distribution.Conflict:
+		return operator.ChangeResult{}, conflictOf(change, result)
+	case distribution.Invalid:
+		return operator.ChangeResult{}, errors.Join(operator.ErrInvalid, result.Err)
+	case distribution.Unavailable, distribution.Unknown:
+		return operator.ChangeResult{}, errors.Join(operator.ErrUnavailable, result.Err)
+	default:
+		return operator.ChangeResult{}, operator.ErrUnavailable
+	}
+}
+
+// changeMargin is kept of the operator's deadline for the answer.
+const changeMargin = 200 * time.Millisecond
+
+func editOf(ctx context.Context, ref uint64, change operator.Change) distribution.Edit {
+	edit := distribution.Edit{
+		Ref: ref, OperationID: change.OperationID, Operator: change.Operator, Kind: change.Kind, Name: change.Name,
+		BaseRevision: change.BaseRevision, Item: change.Item, Deadline: time.Now().Add(platformPatience),
+	}
+	if deadline, set := ctx.Deadline(); set {
+		edit.Deadline = deadline.Add(-changeMargin)
+	}
+	if change.Kind == catalog.ItemInForce {
+		// The preset in force is one item; its value is the preset's name.
+		edit.Item, _ = json.Marshal(change.Name)
+		edit.Name = ""
+	}
+	return edit
+}
+
+// platformPatience bounds a change whose operator gave no deadline.
+const platformPatience = 5 * time.Second
+
+func conflictOf(change operator.Change, result distribution.Result) error {
+	conflict := &operator.ConflictError{Current: result.Revision, Theirs: catalog.Change{
+		Kind: change.Kind, Name: change.Name, After: result.Current,
+	}}
+	if result.Other != nil {
+		conflict.Theirs = *result.Other
+	}
+	return conflict
+}
+
+func sortedKeys[T any](values map[string]T) []string {
+	return slices.Sorted(maps.Keys(values))
+}
--- /dev/null
+++ b/peer_handler.go
@@ -0,0 +1,147 @@
+package knapweedhoist
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"knapweedhoist/claim"
+	"knapweedhoist/control"
+	"knapweedhoist/peer"
+	"knapweedhoist/request"
+	"knapweedhoist/timeline"
+	"knapweedhoist/wire"
+)
+
+// peerHandler answers the calls of other entry instances.
+type peerHandler struct {
+	instance *Instance
+}
+
+// Call implements peer.Handler.
+func (h *peerHandler) Call(ctx context.Context, call *wire.Call) (*wire.Answer, error) {
+	switch body := call.GetBody().(type) {
+	case *wire.Call_Claim:
+		return h.claim(ctx, call.GetFrom(), body.Claim)
+	case *wire.Call_ClaimFinish:
+		return h.claimFinish(ctx, call.GetFrom(), body.ClaimFinish)
+	case *wire.Call_ConfigRelay:
+		h.instance.hub.post(ctx, control.ConfigRelayed{From: call.GetFrom(), Relay: body.ConfigRelay})
+		return ackAnswer(), nil
+	case *wire.Call_ConfigFetch:
+		return h.config(ctx, body.ConfigFetch)
+	case *wire.Call_Leaves:
+		h.instance.hub.post(ctx, control.LeavesReceived{Leaves: body.Leaves.GetLeaves()})
+		return ackAnswer(), nil
+	case *wire.Call_Timeline:
+		return h.timeline(body.Timeline)
+	case *wire.Call_RequestStatus:
+		return h.requestStatus(body.RequestStatus)
+	default:
+		if answer := h.instance.host.Handle(time.Now(), call.GetFrom(), call); answer != nil {
+			return answer, nil
+		}
+		return nil, &peer.RemoteError{Code: peer.CodeInvalid, Step: "peer call", Message: "unknown call"}
+	}
+}
+
+func ackAnswer() *wire.Answer {
+	return &wire.Answer{Body: &wire.Answer_Ack{Ack: &wire.Ack{}}}
+}
+
+func (h *peerHandler) claim(ctx context.Context, from string, asked *wire.ClaimRequest) (*wire.Answer, error) {
+	if int(asked.GetShard()) >= claim.DefaultShards {
+		return nil, &peer.RemoteError{Code: peer.CodeInvalid, Step: "claim", Message: "no such shard"}
+	}
+	answer, err := h.instance.askShard(ctx, int(asked.GetShard()), askFromMessage(from, asked))
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Answer{Body: &wire.Answer_Claim{Claim: claimReply(answer)}}, nil
+}
+
+func (h *peerHandler) claimFinish(ctx context.Context, from string, ended *wire.ClaimFinish) (*wire.Answer, error) {
+	if int(ended.GetShard()) >= claim.DefaultShards {
+		return nil, &peer.RemoteError{Code: peer.CodeInvalid, Step: "claim_finish", Message: "no such shard"}
+	}
+	ack, err := h.instance.finishAtShard(ctx, int(ended.GetShard()), finishFromMessage(from, ended))
+	if err != nil {
+		return nil, err
+	}
+	if ack.Result == claim.Retry {
+		return nil, &peer.RemoteError{Code: peer.CodeNotOwner, Step: "claim_finish", Message: "the shard changed hands"}
+	}
+	return ackAnswer(), nil
+}
+
+func (h *peerHandler) config(ctx context.Context, fetch *wire.ConfigFetch) (*wire.Answer, error) {
+	hub := h.instance.hub
+	ref, document := hub.documents.open()
+	hub.post(ctx, control.ConfigAsked{Ref: ref, Revision: fetch.GetRevision()})
+	newer, err := hub.documents.wait(ctx, ref, document)
+	if err != nil || newer == nil {
+		return ackAnswer(), err
+	}
+	return &wire.Answer{Body: &wire.Answer_Config{Config: newer}}, nil
+}
+
+// maxTimelineEvents bounds the events of one answer, which must fit a frame.
+const maxTimelineEvents = 10000
+
+func (h *peerHandler) timeline(query *wire.TimelineQuery) (*wire.Answer, error) {
+	limit := int(query.GetLimit())
+	if limit == 0 || limit > maxTimelineEvents {
+		limit = maxTimelineEvents
+	}
+	events := timeline.Newest(h.instance.ring.Select(timeline.Filter{
+		Request: query.GetRequest(), Preset: query.GetPreset(), Endpoint: query.GetEndpoint(),
+	}), limit)
+	encoded, err := timeline.Encode(events)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Answer{Body: &wire.Answer_Timeline{Timeline: &wire.TimelineEvents{
+		Events: encoded, Dropped: h.instance.ring.Dropped(),
+	}}}, nil
+}
+
+func (h *peerHandler) requestStatus(query *wire.RequestQuery) (*wire.Answer, error) {
+	id, err := request.ParseID(query.GetId())
+	if err != nil {
+		return nil, &peer.RemoteError{Code: peer.CodeInvalid, Step: "request_status", Message: err.Error()}
+	}
+	status, err := h.instance.requestStatus(id)
+	if err != nil {
+		return nil, &peer.RemoteError{Code: peer.CodeNotFound, Step: "request_status", Message: err.Error()}
+	}
+	encoded, err := json.Marshal(status)
+	return &wire.Answer{Body: &wire.Answer_RequestStatus{RequestStatus: encoded}}, err
+}
+
+// Stream implements peer.Handler: it serves the events of a request.
+func (h *peerHandler) Stream(ctx context.Context, call *wire.Call, send func(*wire.Answer) error) error {
+	attach := call.GetAttach()
+	if attach == nil {
+		return &peer.RemoteError{Code: peer.CodeInvalid, Step: "peer stream", Message: "unknown call"}
+	}
+	id, err := request.ParseID(attach.GetId())
+	if err != nil {
+		return &peer.RemoteError{Code: peer.CodeInvalid, Step: "attach", Message: err.Error()}
+	}
+	err = h.instance.attachHere(ctx, id, attach.GetTeam(), attach.GetAfter(), func(event request.Event) error {
+		return send(&wire.Answer{Body: &wire.Answer_AttachEvent{AttachEvent: event.Message()}})
+	})
+	return attachFailure(err)
+}
+
+func attachFailure(err error) error {
+	switch {
+	case errors.Is(err, request.ErrNotFound), errors.Is(err, request.ErrMoved):
+		return &peer.RemoteError{Code: peer.CodeNotFound, Step: "attach", Message: err.Error()}
+	case errors.Is(err, request.ErrForbidden):
+		return &peer.RemoteError{Code: peer.CodeForbidden, Step: "attach", Message: err.Error()}
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/pollers.go
@@ -0,0 +1,134 @@
+package knapweedhoist
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"knapweedhoist/catalog"
+	"knapweedhoist/control"
+	"knapweedhoist/membership"
+	"knapweedhoist/roster"
+)
+
+// Times between two reads of the outside systems.
+const (
+	rosterInterval = 5 * time.Second
+	// rosterRetry applies until the list was read once.
+	rosterRetry    = 200 * time.Millisecond
+	loadInterval   = time.Second
+	noticeInterval = time.Second
+	loadTimeout    = 2 * time.Second
+)
+
+func (i *Instance) startPollers(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { i.pollRoster(ctx); return nil })
+	group.Go(func() error { i.pollLoads(ctx); return nil })
+	if i.cloud != nil {
+		group.Go(func() error { i.pollNotices(ctx); return nil })
+	}
+}
+
+// pollRoster reads the lagging list.
+func (i *Instance) pollRoster(ctx context.Context) {
+	interval := rosterRetry
+	for ctx.Err() == nil {
+		snapshot, err := i.list.Read(ctx)
+		if err != nil {
+			i.lg.Warn("lagging list cannot be read; keeping the last state", "step", "roster", "error", err.Error())
+		} else {
+			i.hub.post(ctx, control.RosterRead{Entries: memberEntries(snapshot)})
+			interval = rosterInterval
+		}
+		pause(ctx, interval)
+	}
+}
+
+func memberEntries(snapshot roster.Snapshot) []membership.Entry {
+	entries := make([]membership.Entry, 0, len(snapshot.Entries))
+	for _, e := range snapshot.Entries {
+		entries = append(entries, membership.Entry{
+			ID: e.ID, Incarnation: e.Incarnation, Kind: membership.Kind(e.Kind), Service: e.Service,
+			Datacentre: e.Datacentre, Zone: e.Zone, Class: e.Class, Address: e.Address,
+			Reclaimable: e.Reclaimable, Leaving: e.State == roster.StateLeaving,
+		})
+	}
+	return entries
+}
+
+// pollLoads reads the load reports of the endpoints that this instance watches.
+func (i *Instance) pollLoads(ctx context.Context) {
+	for ctx.Err() == nil {
+		view := i.view.Load()
+		for _, endpoint := range view.Fleet.Watched() {
+			if view.Catalog == nil || endpoint.Leaving {
+				continue
+			}
+			if service, found := view.Catalog.Service(endpoint.Service); found && service.Kind == catalog.KindModel {
+				go i.readLoad(ctx, endpoint)
+			}
+		}
+		pause(ctx, loadInterval)
+	}
+}
+
+func (i *Instance) readLoad(ctx context.Context, endpoint *membership.Endpoint) {
+	bounded, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	client := i.policy.engine(endpoint)
+	report, err := client.Load(bounded)
+	if err != nil {
+		i.lg.Debug("load report was not read", "step", "load", "peer", endpoint.ID, "error", err.Error())
+		return
+	}
+	i.hub.post(ctx, control.LoadRead{Endpoint: endpoint.ID, Report: report})
+	i.policy.readCacheEvents(bounded, endpoint, client)
+}
+
+// pollNotices reads the cloud's reclaim notices. Two instances of each data
+// centre read them, and tell the others.
+func (i *Instance) pollNotices(ctx context.Context) {
+	var from uint64
+	for ctx.Err() == nil {
+		if view := i.view.Load().Fleet; view.WatchesConfig() || view.Self.State == membership.Leaving {
+			from = i.readNotices(ctx, from)
+		}
+		pause(ctx, noticeInterval)
+	}
+}
+
+func (i *Instance) readNotices(ctx context.Context, from uint64) uint64 {
+	notices, err := i.cloud.Notices(ctx, from)
+	if err != nil {
+		i.lg.Debug("reclaim notices were not read", "step", "notices", "error", err.Error())
+		return from
+	}
+	for _, notice := range notices {
+		from = max(from, notice.Sequence)
+		left := time.Until(time.UnixMilli(notice.DeadlineMs))
+		i.noticed(ctx, notice.InstanceID, max(left, time.Millisecond))
+	}
+	return from
+}
+
+// noticed passes a notice on for whatever runs on the cloud's instance.
+func (i *Instance) noticed(ctx context.Context, id string, left time.Duration) {
+	view := i.view.Load().Fleet
+	if endpoint := view.Endpoint(id); endpoint != nil && !endpoint.Leaving {
+		i.hub.post(ctx, control.NoticeReceived{Notice: membership.Notice{
+			ID: id, Incarnation: endpoint.Incarnation, Left: left,
+		}})
+	}
+	if id == i.cfg.Instance {
+		i.Reclaim(left)
+		return
+	}
+	for _, m := range view.Live() {
+		if m.ID == id {
+			i.hub.post(ctx, control.NoticeReceived{Notice: membership.Notice{
+				ID: id, Incarnation: m.Incarnation, Left: left,
+			}})
+		}
+	}
+}
--- a/request/state.go
+++ b/request/state.go
@@ -13,3 +13,19 @@
 	// StateMoved: a peer owns the request; this instance neither sends nor answers.
 	StateMoved
 )
+
+// String returns the state's name for logs and tables.
+func (s State) String() string {
+	switch s {
+	case StateReceived:
+		return "received"
+	case StateAdmitted:
+		return "admitted"
+	case StateFinished:
+		return "finished"
+	case StateMoved:
+		return "moved"
+	default:
+		return "unknown"
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,9 @@
 	Datacentre string `yaml:"datacentre" validate:"required,name"`
 	// Region is the region of the data centre. Required.
 	Region string `yaml:"region" validate:"required,name"`
+	// Distances are the one-way latencies from this data centre to others, by data centre.
+	// A data centre that is not named counts as DefaultDistance. Default: none.
+	Distances map[string]Duration `yaml:"distances" validate:"max=64,dive,min=0s,max=10s"`
 	// Listen are the addresses that the process listens on.
 	Listen Listen `yaml:"listen"`
 	// Platform is the platform's object API.
