--- a/bench/call.go
+++ b/bench/call.go
@@ -30,3 +30,13 @@
 	ended  bool
 	hedge  bool
 }
+
+// running reports whether another attempt of the call is in flight.
+func (c *call) running() bool {
+	for _, at := range c.attempts {
+		if !at.ended {
+			return true
+		}
+	}
+	return false
+}
--- a/bench/entry.go
+++ b/bench/entry.go
@@ -1,11 +1,14 @@
 package bench
 
 import (
+	"fmt"
 	"math/rand"
 	"time"
 
 	"knapweedhoist/admission"
 	"knapweedhoist/engine"
+	"knapweedhoist/quota"
+	"knapweedhoist/retry"
 	"knapweedhoist/routing"
 )
 
@@ -16,6 +19,9 @@
 	router     router
 	estimator  *admission.Estimator
 	controller *admission.Controller
+	retries    *retry.Policy
+	limiter    *quota.Limiter
+	name       string
 }
 
 func newEntry(w *world, datacentre string, index int) *entry {
@@ -24,6 +30,8 @@
 	return &entry{
 		w: w, datacentre: datacentre, router: w.variant.router(datacentre, rng),
 		estimator: admission.NewEstimator(cfg), controller: admission.NewController(cfg),
+		retries: retry.NewPolicy(retry.DefaultConfig(), rng), limiter: quota.NewLimiter(),
+		name: fmt.Sprintf("entry-%d", index),
 	}
 }
 
@@ -36,6 +44,12 @@
 // try admits the call and sends its first attempt.
 func (e *entry) try(c *call) {
 	c.estimate = e.estimator.Estimate(c.target().Service, c.team, c.prompt, c.limit)
+	if e.w.variant.quota && c.kind != kindPlain {
+		if ok, after := e.limiter.Allow(e.w.now, c.team, c.estimate.Tokens()); !ok {
+			e.shed(c, after)
+			return
+		}
+	}
 	choice, err := e.router.choose(e.w.now, e.work(c, ""))
 	if err != nil {
 		e.w.result.failed++
@@ -45,7 +59,10 @@
 		return
 	}
 	e.w.result.accept(c)
-	e.send(c, choice, false)
+	at := e.send(c, choice, false)
+	if e.w.variant.hedges {
+		e.watchHedge(at)
+	}
 }
 
 // admitted sheds a call that cannot meet its deadline; the caller then tries once more at the Retry-After.
@@ -154,12 +171,37 @@
 	})
 }
 
+// watchHedge sends a second attempt when the first token is late and the budget allows it.
+func (e *entry) watchHedge(at *attempt) {
+	a := retry.Attempt{
+		Service: at.call.target().Service, Number: 1, Repeatable: true,
+		Idempotent: at.call.kind != kindPlain, Short: at.call.estimate.Class == admission.ClassShort,
+	}
+	delay, ok := e.retries.HedgeDelay(a)
+	if !ok {
+		return
+	}
+	e.w.after(delay, func() {
+		c := at.call
+		if at.ended || !c.firstAt.IsZero() || !e.retries.Hedge(a) {
+			return
+		}
+		choice, err := e.router.choose(e.w.now, e.work(c, at.server.endpoint.ID))
+		if err == nil {
+			e.send(c, choice, true)
+		}
+	})
+}
+
 func (e *entry) token(at *attempt, first bool) {
 	c := at.call
 	if at.ended || c.finished {
 		return
 	}
 	if first {
+		if c.firstAt.IsZero() && c.estimate.Class == admission.ClassShort {
+			e.retries.FirstToken(c.target().Service, e.w.now.Sub(c.at))
+		}
 		e.router.firstToken(e.w.now, at.flight)
 		e.win(at)
 	} else {
@@ -199,6 +241,8 @@
 		e.w.computed[p.Hash] = true
 	}
 	e.estimator.Observe(c.target().Service, c.team, c.prompt, c.decode)
+	e.retries.Success(c.target().Service)
+	e.limiter.Settle(e.w.now, c.team, c.estimate.Tokens(), c.prompt+c.decode)
 	e.w.result.finish(c, e.w.now)
 }
 
@@ -209,7 +253,7 @@
 	}
 	e.end(at)
 	c := at.call
-	if c.finished {
+	if c.finished || c.running() {
 		return
 	}
 	choice, err := e.router.choose(e.w.now, e.work(c, at.server.endpoint.ID))
--- a/bench/result.go
+++ b/bench/result.go
@@ -27,8 +27,10 @@
 
 	// goodTokens are generated tokens of calls that ended in time and before the last arrival.
 	goodTokens int64
-	teamTokens map[string]int64
+	// offeredBy and admittedBy are tokens of model calls by team until the last arrival.
 	offeredBy  map[string]int64
+	admittedBy map[string]int64
+	limits     map[string]float64
 
 	retriesAsked    int
 	retriesAdmitted int
@@ -51,7 +53,8 @@
 )
 
 func newResult(s scenario, v variant) *result {
-	r := &result{scenario: s.name, variant: v.name, length: s.length, teamTokens: map[string]int64{}, offeredBy: map[string]int64{}}
+	r := &result{scenario: s.name, variant: v.name, length: s.length, limits: s.limits,
+		offeredBy: map[string]int64{}, admittedBy: map[string]int64{}}
 	for k := range r.first {
 		r.first[k] = hdrhistogram.New(lowestMicros, highestMicros, digits)
 	}
@@ -61,10 +64,17 @@
 
 func (r *result) offer(a *arrival) {
 	r.offered++
-	r.offeredBy[a.team] += int64(a.prompt + a.decode)
+	if a.kind != kindPlain {
+		r.offeredBy[a.team] += int64(a.prompt + a.decode)
+	}
 }
 
-func (r *result) accept(*call) { r.accepted++ }
+func (r *result) accept(c *call) {
+	r.accepted++
+	if c.kind != kindPlain && c.at.Sub(epoch) <= r.length {
+		r.admittedBy[c.team] += int64(c.prompt + c.decode)
+	}
+}
 
 func (r *result) shed(*call) { r.shedding++ }
 
@@ -85,7 +95,6 @@
 
 func (r *result) finish(c *call, now time.Time) {
 	r.completed++
-	r.teamTokens[c.team] += int64(c.prompt + c.decode)
 	if now.Sub(c.at) <= c.kind.deadline() {
 		r.good++
 	}
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -10,6 +10,8 @@
 	reportLag time.Duration
 	workload  workload
 	faults    []fault
+	// limits are the teams' limits in tokens per second.
+	limits map[string]float64
 }
 
 // usualLag is the age of a load report when it reaches the entry instances.
@@ -31,6 +33,12 @@
 			length: 4 * time.Minute, workload: ordinary, faults: reclaim("quito-norte", time.Minute, time.Minute)},
 		{name: "overload", about: "twice the capacity", length: 2 * time.Minute,
 			workload: workload{streams: ordinaryStreams(3.7), shares: ordinaryShares}},
+		{name: "team_tenfold", about: "team north at ten times its share, limited to 36,000 tokens/s", length: 3 * time.Minute,
+			workload: workload{streams: ordinaryStreams(4.15), shares: tenfoldShares},
+			limits:   map[string]float64{"north": 36_000}},
+		{name: "uneven", about: "teams bound to instances; every team limited to 80% of its mean demand", length: 3 * time.Minute,
+			workload: workload{streams: ordinaryStreams(1), shares: ordinaryShares, teamEntries: true, entryWeights: unevenEntries},
+			limits:   unevenLimits()},
 	}
 	for i := range list {
 		if list[i].reportLag == 0 {
@@ -58,3 +66,20 @@
 	}
 	return list
 }
+
+// tenfoldShares are the ordinary shares with ten times as much of team north.
+var tenfoldShares = []teamShare{{"north", 3.5}, {"south", 0.30}, {"east", 0.15}, {"west", 0.12}, {"hill", 0.08}}
+
+// unevenEntries sends half of the work to two of the eight instances.
+var unevenEntries = []float64{0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05}
+
+// ordinaryTokens is the mean demand of the ordinary day in prompt and generated tokens per second.
+const ordinaryTokens = 71_000
+
+func unevenLimits() map[string]float64 {
+	limits := make(map[string]float64, len(ordinaryShares))
+	for _, s := range ordinaryShares {
+		limits[s.name] = 0.8 * s.share * ordinaryTokens
+	}
+	return limits
+}
--- a/bench/table.go
+++ b/bench/table.go
@@ -30,8 +30,9 @@
 		{"in_time_pct", func(r *result) float64 { return percent(r.good, r.offered) }},
 		{"shed_pct", func(r *result) float64 { return percent(r.shedding, r.offered) }},
 		{"retry_ok_pct", func(r *result) float64 { return percent(r.retriesAdmitted, r.retriesAsked) }},
-		{"attempts_ratio", func(r *result) float64 { return float64(r.attempts) / float64(max(1, r.accepted)) }},
+		{"extra_pct", func(r *result) float64 { return percent(r.attempts-r.accepted-r.resumed, r.accepted) }},
 		{"recomputed_ktok", func(r *result) float64 { return float64(r.recomputed) / 1000 }},
+		{"team_err_pct", (*result).teamError},
 		{"lost", func(r *result) float64 { return float64(r.failed + r.unfinished) }},
 	}
 }
--- a/bench/world.go
+++ b/bench/world.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"knapweedhoist/quota"
 	"knapweedhoist/routing"
 )
 
@@ -71,8 +72,13 @@
 		w.after(f.at, func() { f.what(w) })
 	}
 	w.play(arrivals)
+	w.startAtFloor()
+	owner := quota.NewOwner(quota.DefaultConfig(entries))
 	w.every(time.Second, func() bool {
 		w.publishReports()
+		if w.variant.quota {
+			w.quotaRound(owner)
+		}
 		return w.since() < w.scenario.length
 	})
 	w.loop.run(epoch.Add(w.scenario.length + drainTime))
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -8,6 +8,8 @@
 	budget float64
 	owed   float64
 	at     time.Time
+	// promised is kept for refused work that was told when to come back.
+	promised promises
 }
 
 // refill adds what the rate gave since the last call.
@@ -27,11 +29,23 @@
 	b.budget = min(max(burst, 0), b.budget+gain-paid)
 }
 
-// fits reports whether n can be taken; work larger than the whole burst fits a full bucket.
-func (b *bucket) fits(n, burst float64) bool {
-	return b.owed == 0 && (b.budget >= n || b.budget >= burst && burst > 0)
+// fits reports whether n can be taken. Large work fits once fitShare of the burst is there and is owed for the rest:
+// if it had to wait for a full bucket, small work would keep it out at instances with a small grant.
+func (b *bucket) fits(now time.Time, n, rate, burst float64) bool {
+	b.promised.expire(now)
+	free := b.budget - b.promised.due(now, rate)
+	if b.budget >= fullShare*burst {
+		free = b.budget // A bucket that is nearly full would lose what it keeps.
+	}
+	return b.owed == 0 && burst > 0 && free >= min(n, fitShare*burst)
 }
 
+// fitShare is the part of the burst that large work waits for.
+const fitShare = 0.25
+
+// fullShare is the part of the burst from which promises no longer keep work out.
+const fullShare = 0.6
+
 // take takes n; what the budget does not cover is owed.
 func (b *bucket) take(n float64) {
 	paid := min(b.budget, n)
@@ -46,13 +60,19 @@
 	b.budget = min(burst, b.budget+n-paid)
 }
 
-// wait is the time until n fits.
-func (b *bucket) wait(n, rate, burst float64) time.Duration {
-	missing := b.owed + max(0, min(n, burst)-b.budget)
+// wait is the time until n fits after everything that was promised before, and promises it.
+func (b *bucket) wait(now time.Time, n, rate, burst float64) time.Duration {
 	if rate <= 0 {
 		return maxWait
 	}
-	return min(maxWait, time.Duration(missing/rate*float64(time.Second))+time.Millisecond)
+	missing := b.owed + b.promised.reserved + min(n, burst) - b.budget
+	seconds := max(0, missing) / rate
+	if seconds > maxWait.Seconds() {
+		return maxWait
+	}
+	after := time.Duration(seconds*float64(time.Second)) + time.Millisecond
+	b.promised.add(now, now.Add(after), n)
+	return after
 }
 
 // maxWait bounds a Retry-After.
--- a/quota/divider.go
+++ b/quota/divider.go
@@ -17,18 +17,15 @@
 // owner must wait one TTL before its first grant (see Resume).
 type Divider struct {
 	cfg      Config
-	holdings map[string][]Grant
+	holdings map[string]*holding
 	sequence uint64
 	// notBefore is when grants of a former owner have expired.
 	notBefore time.Time
 }
 
-// maxGrants bounds the unexpired grants remembered for a member: one a second for the default TTL.
-const maxGrants = 12
-
 // NewDivider returns a Divider without grants.
 func NewDivider(cfg Config) *Divider {
-	return &Divider{cfg: cfg, holdings: make(map[string][]Grant)}
+	return &Divider{cfg: cfg, holdings: make(map[string]*holding)}
 }
 
 // Resume is called by a new owner: until the former owner's grants have expired, only floors are granted.
@@ -36,12 +33,8 @@
 
 // Ack records that the member uses the grant with this sequence number, so that older ones no longer count.
 func (d *Divider) Ack(member string, sequence uint64) {
-	list := d.holdings[member]
-	for i, g := range list {
-		if g.Sequence == sequence {
-			d.holdings[member] = list[i:]
-			return
-		}
+	if h := d.holdings[member]; h != nil {
+		h.ack(sequence)
 	}
 }
 
@@ -62,11 +55,15 @@
 	return grants
 }
 
+// idleShare is the part of its floor that a reachable member without demand keeps; it lends the rest.
+const idleShare = 0.2
+
 // targets are the shares that the members should have; they add up to the limit.
 func (d *Divider) targets(limit float64, demands []Demand) []float64 {
 	claims := make([]Claim, len(demands))
 	for i, demand := range demands {
-		claims[i] = Claim{Weight: 1, Demand: demand.Rate, Floor: d.cfg.Floor(limit)}
+		// An idle member gets a little, so that its first requests need not wait for a grant.
+		claims[i] = Claim{Weight: 1, Demand: math.Max(demand.Rate, idleShare*d.cfg.Floor(limit))}
 	}
 	shares := FairShares(limit, claims)
 	left := limit
@@ -110,50 +107,55 @@
 	return names
 }
 
-// held is the most that the member can be using.
+// held is the most that the member can be using. A member that has acknowledged a grant keeps to it until it expires,
+// also when it is below the floor; the rest of the floor is lent.
 func (d *Divider) held(member string, limit float64) float64 {
-	held := d.cfg.Floor(limit)
-	for _, g := range d.holdings[member] {
-		held = math.Max(held, g.Rate)
+	h := d.holdings[member]
+	if h == nil {
+		return d.cfg.Floor(limit)
 	}
-	return held
+	return h.most(d.cfg.Floor(limit))
 }
 
 func (d *Divider) expire(now time.Time) {
-	for member, list := range d.holdings {
-		for len(list) > 0 && !now.Before(list[0].Until) {
-			list = list[1:]
-		}
-		if len(list) == 0 {
+	for member, h := range d.holdings {
+		h.expire(now)
+		if len(h.grants) == 0 {
 			delete(d.holdings, member)
-			continue
 		}
-		d.holdings[member] = list
 	}
 }
 
 func (d *Divider) grant(now time.Time, member string, rate, limit float64, until time.Time) Grant {
+	h := d.holdings[member]
+	if h == nil {
+		h = &holding{}
+		d.holdings[member] = h
+	}
+	if h.full() {
+		return h.grants[len(h.grants)-1]
+	}
+	floor := d.cfg.Floor(limit)
 	expiry := now.Add(d.cfg.TTL)
 	if !until.IsZero() && until.Before(expiry) {
 		expiry = until
 	}
-	d.sequence++
-	g := Grant{Member: member, Sequence: d.sequence, Rate: rate, Floor: d.cfg.Floor(limit), Until: expiry}
-	list := append(d.holdings[member], g)
-	if len(list) > maxGrants {
-		list = mergeOldest(list)
+	if rate > floor {
+		expiry = d.beforeReturn(expiry, floor)
 	}
-	d.holdings[member] = list
+	d.sequence++
+	g := Grant{Member: member, Sequence: d.sequence, Rate: rate, Floor: floor, Until: expiry}
+	h.grants = append(h.grants, g)
 	return g
 }
 
-// mergeOldest joins the two oldest grants into one that counts at least as much for at least as long.
-func mergeOldest(list []Grant) []Grant {
-	merged := list[1]
-	merged.Rate = max(list[0].Rate, list[1].Rate)
-	if list[0].Until.After(merged.Until) {
-		merged.Until = list[0].Until
-	}
-	list[1] = merged
-	return list[1:]
+// beforeReturn ends a grant before any lender can return to its floor: a lender that is cut off does so when its
+// acknowledged grant expires.
+func (d *Divider) beforeReturn(expiry time.Time, floor float64) time.Time {
+	for _, h := range d.holdings {
+		if at, lends := h.returns(floor); lends && at.Before(expiry) {
+			expiry = at
+		}
+	}
+	return expiry
 }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -8,7 +8,7 @@
 // Limiter enforces one instance's grants. It is safe for concurrent use: each
 // team has its own lock.
 //
-// State: about 200 bytes for each team.
+// State: about 300 bytes for each team, and 32 for each promise (at most 256 for each rate).
 type Limiter struct {
 	mu    sync.RWMutex // guards the map
 	teams map[string]*teamLimit
@@ -68,12 +68,12 @@
 	t.refill(now)
 	n := float64(tokens)
 	tokenRate, requestRate := t.tokenGrant.rate(now), t.requestGrant.rate(now)
-	if t.tokenGrant != nil && !t.tokens.fits(n, tokenRate*burstSeconds) {
-		return false, t.tokens.wait(n, tokenRate, tokenRate*burstSeconds)
+	if t.tokenGrant != nil && !t.tokens.fits(now, n, tokenRate, tokenRate*burstSeconds) {
+		return false, t.tokens.wait(now, n, tokenRate, tokenRate*burstSeconds)
 	}
 	requestBurst := max(1, requestRate*burstSeconds)
-	if t.requestGrant != nil && !t.requests.fits(1, requestBurst) {
-		return false, t.requests.wait(1, requestRate, requestBurst)
+	if t.requestGrant != nil && !t.requests.fits(now, 1, requestRate, requestBurst) {
+		return false, t.requests.wait(now, 1, requestRate, requestBurst)
 	}
 	t.tokens.takeIf(t.tokenGrant, n)
 	t.requests.takeIf(t.requestGrant, 1)
@@ -113,7 +113,7 @@
 }
 
 // burstSeconds of a rate can be saved up.
-const burstSeconds = 1.0
+const burstSeconds = 3.0
 
 func (t *teamLimit) refill(now time.Time) {
 	tokenRate, requestRate := t.tokenGrant.rate(now), t.requestGrant.rate(now)
--- a/quota/meter.go
+++ b/quota/meter.go
@@ -12,7 +12,7 @@
 }
 
 // meterTau is the time constant of the estimate.
-const meterTau = 4 * time.Second
+const meterTau = 10 * time.Second
 
 func (m *meter) add(now time.Time, n float64) {
 	m.sum = m.decayed(now) + n
--- a/routing/feedback.go
+++ b/routing/feedback.go
@@ -117,6 +117,15 @@
 	f.usual.gap.add(now, gap)
 }
 
+// observeUnanswered takes an attempt that ended without a first token, for example because its hedge answered first, as
+// a sign that the endpoint takes at least this long.
+func (s *state) observeUnanswered(now time.Time, f *Flight) {
+	ratio := float64(now.Sub(f.sentAt)) / float64(max(f.expected, minExpected))
+	if ratio > max(1, s.delay.read(now)) {
+		s.delay.add(now, ratio)
+	}
+}
+
 // Finished records the end of the attempt, whatever its outcome. Further calls have no effect.
 func (t *Table) Finished(now time.Time, f *Flight) {
 	if f.finished {
@@ -124,6 +133,9 @@
 	}
 	f.finished = true
 	s := f.state
+	if !f.started {
+		s.observeUnanswered(now, f)
+	}
 	s.history.note(now, &s.own)
 	s.answered(f)
 	s.prefilled(f)
