Sharpen tests that let planted faults pass

Cause: on a scratch copy, 3 of 15 planted faults passed the tests: a server that does not check the client's proof, a relayed leave that replaces a newer successor, and splitting without room for long sequence numbers. Change: tests for these three, for the server's limit of calls, and for the configuration watchers. A fourth survivor is no fault: a left incarnation that is heard again is kept as leaving either way. Conclusion: none open.

--- a/heartbeat/heartbeat_test.go
+++ b/heartbeat/heartbeat_test.go
@@ -90,6 +90,8 @@
 
 	It("guards against a datagram above 1,200 bytes and against items lost or doubled by splitting", func() {
 		s, o := pair()
+		// The longest encoding of a sequence number.
+		s.sequence = 1 << 63
 		beat := beatOf(120)
 		for i := range 90 {
 			beat.Alive = append(beat.Alive, uint64(i)<<40)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -194,6 +194,18 @@
 					owners[key] = owner
 				}
 			}
+			for i := range datacentres {
+				datacentre, watching := fmt.Sprintf("dc%d", i), 0
+				for _, address := range s.addresses() {
+					view := s.tables[address].View()
+					if view.Self.Datacentre == datacentre && view.WatchesConfig() {
+						watching++
+					}
+				}
+				if watching != min(2, each) {
+					t.Fatalf("%s has %d configuration watchers", datacentre, watching)
+				}
+			}
 			for id, n := range watches {
 				if n != min(2, each) {
 					t.Fatalf("endpoint %s has %d watchers", id, n)
@@ -265,6 +277,19 @@
 		Expect(last).To(Equal("01Je05"))
 	})
 
+	It("guards against a relayed leave that replaces a successor chosen since", func() {
+		s := newSite(strict{GinkgoT()}, 1, 2)
+		table := s.tables["e00:7"]
+		beat := func(successor string) *wire.Heartbeat {
+			return &wire.Heartbeat{Instance: "e01", Incarnation: "01Je01", Datacentre: "dc0", Leaving: true, Successor: successor}
+		}
+		table.Heartbeat(s.now, beat("01Jfirst"))
+		table.Heartbeat(s.now, beat("01Jsecond"))
+		table.Leaves(s.now, []*wire.Leave{{Id: "e01", Incarnation: "01Je01", Successor: "01Jfirst"}})
+		last, _ := table.View().Successor("01Je01")
+		Expect(last).To(Equal("01Jsecond"))
+	})
+
 	It("guards against a newer load report that an older one replaces", func() {
 		s := newSite(strict{GinkgoT()}, 1, 1)
 		table := s.tables["e00:7"]
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"knapweedhoist/wire"
 )
@@ -183,7 +184,7 @@
 		var dog watchdog
 		dog.progress()
 		ticks := 0
-		for !dog.tick() {
+		for !dog.tick() && ticks < 100 {
 			ticks++
 		}
 		// Progress happened up to one tick before the first one.
@@ -208,11 +209,15 @@
 
 	It("guards against a peer without the fleet's key, on either side", func() {
 		handler := newEcho()
-		address := startServer(cfg, handler)
+		counted := cfg
+		counted.Metrics = metrics.NewRegistry()
+		refused := metrics.GetOrRegisterCounter("peer_sessions_refused_total", counted.Metrics)
+		address := startServer(counted, handler)
 		other := Config{Key: []byte("another key of enough length....")}
 		_, err := startClient(other).Call(guarded(), address, ping)
 		Expect(err).To(MatchError(ErrAuthentication))
 		Expect(err).To(MatchError(ErrNotSent))
+		Eventually(refused.Count, hangGuard).Should(Equal(int64(1)))
 
 		// A client that skips the check of the server's proof is refused by the server.
 		conn, err := net.Dial("tcp", address)
@@ -224,6 +229,7 @@
 		_, _ = conn.Write(proof(other.Key, labelClient, hello))
 		_, err = conn.Read(make([]byte, 1))
 		Expect(err).To(HaveOccurred())
+		Expect(refused.Count()).To(Equal(int64(2)))
 		Expect(handler.calls.Load()).To(BeZero())
 	})
 
@@ -265,6 +271,28 @@
 		}
 	})
 
+	It("guards against more calls at the same time than the server allows, and against their being run", func() {
+		handler := newEcho()
+		one := cfg
+		one.MaxStreams = 1
+		address := startServer(one, handler)
+		client := startClient(cfg)
+		ctx, cancel := context.WithCancel(guarded())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := client.Call(ctx, address, held)
+			ended <- err
+		}()
+		Eventually(handler.started, hangGuard).Should(Receive())
+		_, err := client.Call(guarded(), address, ping)
+		var remote *RemoteError
+		Expect(errors.As(err, &remote)).To(BeTrue())
+		Expect(remote.Code).To(Equal(CodeUnavailable))
+		Expect(handler.calls.Load()).To(Equal(int64(1)))
+		cancel()
+		Eventually(ended, hangGuard).Should(Receive(MatchError(ErrUncertain)))
+	})
+
 	It("guards against a call to an unreachable peer that is reported as possibly run", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
