Relay the lagging list within a data centre, and count control traffic

Cause: each entry instance read the whole list every 5 s; at the design size that is 360 instances times 1,000 entries of about 200 bytes, 40 KB/s for each against a control budget of 17 KB/s (worked out, not measured). Change: the two watchers of a data centre read the list every max(5 s, 15 ms an entry) and relay what changed; the others read it every 5 min. Calls of the object API, list, notices and load reports are counted in the metrics. Conclusion: the list no longer grows with the fleet on each node.

--- a/control/core.go
+++ b/control/core.go
@@ -23,6 +23,7 @@
 	keepers map[string]*lease.Keeper
 	config  *configuration
 	seen    seen
+	listed  listed
 
 	nextBeat time.Time
 	// usage is the teams' use since the last heartbeat.
@@ -40,7 +41,7 @@
 	cfg = cfg.withDefaults()
 	c := &Core{
 		cfg: cfg, members: membership.NewTable(cfg.Member, cfg.Checker, cfg.Recorder, now),
-		owned: make([]bool, cfg.Shards), keepers: make(map[string]*lease.Keeper), seen: newSeen(),
+		owned: make([]bool, cfg.Shards), keepers: make(map[string]*lease.Keeper), seen: newSeen(), listed: newListed(),
 		usage: make(map[string]*wire.TeamUsage),
 	}
 	for n := range cfg.Shards {
@@ -71,7 +72,9 @@
 	case HeartbeatReceived:
 		effects = c.heartbeat(now, e.Beat)
 	case RosterRead:
-		c.members.List(now, e.Entries)
+		effects = c.rosterRead(now, e.Entries)
+	case RosterRelayed:
+		c.rosterRelayed(now, e.Relay)
 	case NoticeReceived:
 		effects = c.notice(now, e.Notice)
 	case LeavesReceived:
--- a/control/effect.go
+++ b/control/effect.go
@@ -45,6 +45,11 @@
 	Relay *wire.ConfigRelay
 }
 
+// RelayRoster sends changes of the lagging list to the peers of the data centre.
+type RelayRoster struct {
+	Relay *wire.RosterRelay
+}
+
 // FetchConfig asks a peer for its document, which is newer than Revision.
 type FetchConfig struct {
 	From     string
@@ -106,6 +111,7 @@
 func (SendLeaves) effect()      {}
 func (Publish) effect()         {}
 func (RelayConfig) effect()     {}
+func (RelayRoster) effect()     {}
 func (FetchConfig) effect()     {}
 func (ConfigServed) effect()    {}
 func (EditDone) effect()        {}
--- a/control/event.go
+++ b/control/event.go
@@ -38,6 +38,11 @@
 	Entries []membership.Entry
 }
 
+// RosterRelayed are changes of the lagging list from a peer.
+type RosterRelayed struct {
+	Relay *wire.RosterRelay
+}
+
 // NoticeReceived tells that an instance or endpoint is leaving for good.
 type NoticeReceived struct {
 	Notice membership.Notice
@@ -101,6 +106,7 @@
 func (Ticked) event()            {}
 func (HeartbeatReceived) event() {}
 func (RosterRead) event()        {}
+func (RosterRelayed) event()     {}
 func (NoticeReceived) event()    {}
 func (LeavesReceived) event()    {}
 func (LoadRead) event()          {}
--- a/control/seen.go
+++ b/control/seen.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"knapweedhoist/membership"
@@ -85,3 +87,7 @@
 	s.leaving, s.dead = leaving, dead
 	return effects
 }
+
+func sortedIDs[T any](values map[string]T) []string {
+	return slices.Sorted(maps.Keys(values))
+}
--- a/hub.go
+++ b/hub.go
@@ -84,6 +84,8 @@
 		go i.broadcast(ctx, leavesCall(e.Notice))
 	case control.RelayConfig:
 		go i.tell(ctx, e.To, &wire.Call{Body: &wire.Call_ConfigRelay{ConfigRelay: e.Relay}})
+	case control.RelayRoster:
+		go i.broadcast(ctx, &wire.Call{Body: &wire.Call_RosterRelay{RosterRelay: e.Relay}})
 	case control.FetchConfig:
 		go i.fetchConfig(ctx, e)
 	case control.Publish:
--- a/instance.go
+++ b/instance.go
@@ -90,16 +90,16 @@
 }
 
 func (i *Instance) wireOutside() {
-	i.store = platform.NewClient(i.lg, platform.ClientConfig{
+	i.store = &meteredStore{registry: i.metrics, Store: platform.NewClient(i.lg, platform.ClientConfig{
 		Address: i.cfg.Platform.Address, Token: string(i.cfg.Platform.Credential), Timeout: i.cfg.Platform.CallTimeout(),
-	})
-	i.list = roster.NewClient(i.lg, roster.ClientConfig{
+	})}
+	i.list = &meteredList{registry: i.metrics, List: roster.NewClient(i.lg, roster.ClientConfig{
 		Address: i.cfg.List.Address, Token: string(i.cfg.List.Credential), Timeout: i.cfg.List.CallTimeout(),
-	})
+	})}
 	if i.cfg.Cloud.Address != "" {
-		i.cloud = cloud.NewClient(i.lg, cloud.ClientConfig{
+		i.cloud = &meteredCloud{registry: i.metrics, Cloud: cloud.NewClient(i.lg, cloud.ClientConfig{
 			Address: i.cfg.Cloud.Address, Token: string(i.cfg.Cloud.Credential), Timeout: i.cfg.Cloud.Remote().CallTimeout(),
-		})
+		})}
 	}
 }
 
--- a/membership/list.go
+++ b/membership/list.go
@@ -43,7 +43,8 @@
 
 func (t *Table) listMember(e Entry) {
 	incarnation := e.incarnation()
-	if incarnation == t.cfg.Incarnation {
+	if incarnation == t.cfg.Incarnation || e.ID == t.cfg.ID && !e.Leaving {
+		// The list may name this instance under the platform's own incarnation.
 		return
 	}
 	t.listLeaving(e)
--- a/peer_handler.go
+++ b/peer_handler.go
@@ -34,6 +34,9 @@
 	case *wire.Call_Leaves:
 		h.instance.hub.post(ctx, control.LeavesReceived{Leaves: body.Leaves.GetLeaves()})
 		return ackAnswer(), nil
+	case *wire.Call_RosterRelay:
+		h.instance.hub.post(ctx, control.RosterRelayed{Relay: body.RosterRelay})
+		return ackAnswer(), nil
 	case *wire.Call_Timeline:
 		return h.timeline(body.Timeline)
 	case *wire.Call_RequestStatus:
--- a/pollers.go
+++ b/pollers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"knapweedhoist/catalog"
@@ -14,7 +15,12 @@
 
 // Times between two reads of the outside systems.
 const (
+	// rosterInterval is between two reads of the list by the instances that watch for their data
+	// centre; rosterPerEntry lengthens it for long lists, which bounds the bytes a second.
 	rosterInterval = 5 * time.Second
+	rosterPerEntry = 15 * time.Millisecond
+	// rosterBackstop is between two reads by the others, which get the changes from the watchers.
+	rosterBackstop = 5 * time.Minute
 	// rosterRetry applies until the list was read once.
 	rosterRetry    = 200 * time.Millisecond
 	loadInterval   = time.Second
@@ -32,16 +38,31 @@
 
 // pollRoster reads the lagging list.
 func (i *Instance) pollRoster(ctx context.Context) {
-	interval := rosterRetry
+	entries := 0
+	var readAt time.Time
 	for ctx.Err() == nil {
-		snapshot, err := i.list.Read(ctx)
-		if err != nil {
-			i.lg.Warn("lagging list cannot be read; keeping the last state", "step", "roster", "error", err.Error())
-		} else {
-			i.hub.post(ctx, control.RosterRead{Entries: memberEntries(snapshot)})
-			interval = rosterInterval
+		if i.rosterDue(time.Since(readAt), entries) {
+			snapshot, err := i.list.Read(ctx)
+			if err != nil {
+				i.lg.Warn("lagging list cannot be read; keeping the last state", "step", "roster", "error", err.Error())
+			} else {
+				i.hub.post(ctx, control.RosterRead{Entries: memberEntries(snapshot)})
+				entries, readAt = len(snapshot.Entries), time.Now()
+			}
 		}
-		pause(ctx, interval)
+		pause(ctx, rosterRetry)
+	}
+}
+
+// rosterDue reports whether the list is to be read again; entries is its last known length.
+func (i *Instance) rosterDue(since time.Duration, entries int) bool {
+	switch {
+	case entries == 0:
+		return true
+	case i.view.Load().Fleet.WatchesConfig():
+		return since >= max(rosterInterval, time.Duration(entries)*rosterPerEntry)
+	default:
+		return since >= rosterBackstop
 	}
 }
 
@@ -74,6 +95,7 @@
 }
 
 func (i *Instance) readLoad(ctx context.Context, endpoint *membership.Endpoint) {
+	metrics.GetOrRegisterCounter("endpoint_load_reads_total", i.metrics).Inc(1)
 	bounded, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	client := i.policy.engine(endpoint)
