--- a/internal/devtool/demo.go
+++ b/internal/devtool/demo.go
@@ -41,7 +41,7 @@
 	}
 	d := &demo{site: s, out: &lockedWriter{w: c.stdout}}
 	d.printf("%d data centres, %d entry instances, %d engines and %d plain services ready after %.1f s\n",
-		len(sampleDatacentres), len(s.entries), sampleEngines, sampleServices, time.Since(start).Seconds())
+		len(s.topology.datacentres), len(s.entries), s.topology.engines, s.topology.services, time.Since(start).Seconds())
 	d.run(ctx)
 	if err := d.writeTimeline(ctx, c.Timeline); err != nil {
 		return err
--- a/internal/devtool/deployment.go
+++ b/internal/devtool/deployment.go
@@ -13,23 +13,30 @@
 	"knapweedhoist/standin"
 )
 
-// Sizes of the sample deployment.
-const (
-	sampleEngines  = 10
-	sampleServices = 4
-	// sampleNotice is the time from a reclaim notice to the end of an instance.
-	sampleNotice = 8 * time.Second
-)
+// sampleNotice is the time from a reclaim notice to the end of an instance.
+const sampleNotice = 8 * time.Second
+
+// topology is the size of a deployment.
+type topology struct {
+	datacentres       []string
+	engines, services int
+}
+
+// sampleTopology is the size of the users' deployments of today.
+func sampleTopology() topology {
+	return topology{datacentres: sampleDatacentres, engines: 10, services: 4}
+}
 
-// deployment is the sample deployment's stand-ins on loopback addresses.
+// deployment is a deployment's stand-ins on loopback addresses.
 type deployment struct {
 	*standin.Fleet
+	topology topology
 }
 
 // startDeployment starts the stand-ins and stores the sample configuration.
-func startDeployment(ctx context.Context, lg *slog.Logger) (*deployment, error) {
-	d := &deployment{Fleet: standin.NewFleet(lg, standin.FleetConfig{
-		Datacentres: sampleDatacentres, Engines: sampleEngines, Services: sampleServices,
+func startDeployment(ctx context.Context, lg *slog.Logger, size topology) (*deployment, error) {
+	d := &deployment{topology: size, Fleet: standin.NewFleet(lg, standin.FleetConfig{
+		Datacentres: size.datacentres, Engines: size.engines, Services: size.services,
 		ModelService: sampleModelService, PlainService: samplePlainService,
 		Engine: standin.EngineConfig{ChecksFence: true},
 		Cloud:  standin.CloudConfig{Notice: sampleNotice, ChecksFence: true},
--- a/internal/devtool/entry_settings.go
+++ b/internal/devtool/entry_settings.go
@@ -1,10 +1,12 @@
 package devtool
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -19,7 +21,7 @@
 func (d *deployment) entrySettings(n int) (settings.Settings, error) {
 	cfg := settings.Default()
 	cfg.Instance = fmt.Sprintf("entry-%d", n+1)
-	cfg.Datacentre = sampleDatacentres[n%len(sampleDatacentres)]
+	cfg.Datacentre = d.topology.datacentres[n%len(d.topology.datacentres)]
 	cfg.Region = sampleRegion
 	cfg.FleetKey = settings.Secret(fleetKey)
 	cfg.Operators = []settings.Operator{{Name: "operator", KeyHash: hashKey(operatorKey)}}
@@ -28,7 +30,7 @@
 	cfg.Cloud.Address = d.Cloud.Addr()
 	cfg.Weights.Address = d.Weights.Addr()
 	cfg.Distances = make(map[string]settings.Duration)
-	for _, datacentre := range sampleDatacentres {
+	for _, datacentre := range d.topology.datacentres {
 		cfg.Distances[datacentre] = settings.Duration(time.Millisecond)
 	}
 	delete(cfg.Distances, cfg.Datacentre)
@@ -43,14 +45,29 @@
 	return cfg, nil
 }
 
-// freeAddress returns a loopback address whose port is free for TCP.
+// firstPort starts the ports of entry instances, below the range from which
+// Linux takes the ports of outgoing connections.
+const firstPort = 21000
+
+var nextPort atomic.Int32
+
+// freeAddress returns a loopback address whose port is free for TCP and UDP.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		packets, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		return address, nil
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", errors.New("no free port for an entry instance")
 }
 
 func (d *deployment) writeSettings(path string, n int) error {
--- a/internal/devtool/site.go
+++ b/internal/devtool/site.go
@@ -30,7 +30,7 @@
 const sampleEntries = 8
 
 func startSite(ctx context.Context, lg *slog.Logger, entries int) (*site, error) {
-	deployment, err := startDeployment(ctx, lg)
+	deployment, err := startDeployment(ctx, lg, sampleTopology())
 	if err != nil {
 		return nil, err
 	}
--- a/pollers.go
+++ b/pollers.go
@@ -86,15 +86,15 @@
 			if view.Catalog == nil || endpoint.Leaving {
 				continue
 			}
-			if service, found := view.Catalog.Service(endpoint.Service); found && service.Kind == catalog.KindModel {
-				go i.readLoad(ctx, endpoint)
+			if service, found := view.Catalog.Service(endpoint.Service); found {
+				go i.readLoad(ctx, endpoint, service.Kind)
 			}
 		}
 		pause(ctx, loadInterval)
 	}
 }
 
-func (i *Instance) readLoad(ctx context.Context, endpoint *membership.Endpoint) {
+func (i *Instance) readLoad(ctx context.Context, endpoint *membership.Endpoint, kind catalog.ServiceKind) {
 	metrics.GetOrRegisterCounter("endpoint_load_reads_total", i.metrics).Inc(1)
 	bounded, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
@@ -105,7 +105,9 @@
 		return
 	}
 	i.hub.post(ctx, control.LoadRead{Endpoint: endpoint.ID, Report: report})
-	i.policy.readCacheEvents(bounded, endpoint, client)
+	if kind == catalog.KindModel {
+		i.policy.readCacheEvents(bounded, endpoint, client)
+	}
 }
 
 // pollNotices reads the cloud's reclaim notices. Two instances of each data
