--- a/claim/evaluate.go
+++ b/claim/evaluate.go
@@ -43,9 +43,9 @@
 	if retention <= 0 {
 		retention = DefaultRetention
 	}
-	e := &entry{body: ask.Body, requestID: ask.RequestID, state: StateClaimed, retention: retention}
+	e := &entry{body: ask.Body, requestID: ask.RequestID, state: StateClaimed, retentionMs: retention.Milliseconds()}
 	if previous != nil {
-		e.expiry = previous.expiry
+		e.expiryMs = previous.expiryMs
 	}
 	o := &op{entry: e, previous: previous, asks: []Ask{ask}}
 	o.record = Record{State: StateClaimed, Key: ask.Key, Body: ask.Body, RequestID: ask.RequestID}
@@ -60,8 +60,8 @@
 // deletion of slots never brings an older state of the key back.
 func (s *Shard) stamp(now, from time.Time, o *op) {
 	o.record.AtMs = now.UnixMilli()
-	o.record.ExpiryMs = max(from.Add(o.entry.retention).UnixMilli(), o.entry.expiry.UnixMilli())
-	o.entry.expiry = time.UnixMilli(o.record.ExpiryMs)
+	o.record.ExpiryMs = max(from.UnixMilli()+o.entry.retentionMs, o.entry.expiryMs)
+	o.entry.expiryMs = o.record.ExpiryMs
 }
 
 func (s *Shard) grant(ask Ask, e *entry, o *op, out *Output) {
@@ -74,8 +74,10 @@
 func (s *Shard) end(now time.Time, f Finish, out *Output) {
 	e, known := s.index[f.Key]
 	switch {
-	case !known || e.requestID != f.RequestID || (e.durable && e.state != StateClaimed):
-		out.ack(f.Ref, Stored) // nothing to end here, or it is the repetition of a stored end
+	case !known || e.requestID != f.RequestID:
+		out.ack(f.Ref, NoClaim)
+	case e.durable && e.state != StateClaimed:
+		out.ack(f.Ref, Stored) // the repetition of a stored end
 	case e.closing:
 		e.pending.acks = append(e.pending.acks, f.Ref)
 	case !e.durable && !f.Released:
