Measure the platform outage, the refusing weight store and resumed work

Change: scenarios platform_down and weight_store_refusing; hedge delay from 100 ms instead of 50 ms; first-token predictions count from 20 ms.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -31,7 +32,8 @@
 	if s := os.Getenv("BENCH_VARIANTS"); s != "" {
 		variants = strings.Split(s, ",")
 	}
-	if err := bench.Run(os.Stdout, bench.Options{Scenarios: names, Variants: variants, Directory: out}); err != nil {
+	seed, _ := strconv.ParseInt(os.Getenv("BENCH_SEED"), 10, 64)
+	if err := bench.Run(os.Stdout, bench.Options{Seed: seed, Scenarios: names, Variants: variants, Directory: out}); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/bench/entry.go
+++ b/bench/entry.go
@@ -264,5 +264,6 @@
 	}
 	next := e.send(c, choice, false)
 	next.job.imported = at.job.imported
+	next.job.resumed = true
 	e.w.result.resumed++
 }
--- a/bench/fault.go
+++ b/bench/fault.go
@@ -27,3 +27,13 @@
 		{at: at + reclaimNotice + refused, what: func(w *world) { w.replace(datacentre) }},
 	}
 }
+
+// outage takes the platform down and reclaims a data centre during the outage; replacements come when it is back.
+func outage(datacentre string, at, length time.Duration) []fault {
+	reclaimed := at + length/3
+	list := reclaim(datacentre, reclaimed, at+length-reclaimed)
+	return append(list,
+		fault{at: at, what: func(w *world) { w.platformDown = true }},
+		fault{at: at + length, what: func(w *world) { w.platformDown = false }},
+	)
+}
--- a/bench/job.go
+++ b/bench/job.go
@@ -17,6 +17,8 @@
 	prompt   int
 	decode   int
 	imported int
+	// resumed: an earlier attempt was cut.
+	resumed bool
 
 	arrived     time.Time
 	prefillLeft int
--- a/bench/result.go
+++ b/bench/result.go
@@ -37,6 +37,7 @@
 
 	generated  int64
 	recomputed int64
+	rerun      int64
 	prefilled  int64
 	busy       time.Duration
 	worstLong  time.Duration
@@ -108,6 +109,7 @@
 	for _, s := range w.servers {
 		r.generated += s.generated
 		r.recomputed += s.recomputed
+		r.rerun += s.rerun
 		r.prefilled += s.prefilled
 		r.busy += s.busyTime
 	}
--- a/bench/run.go
+++ b/bench/run.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand"
+	"path/filepath"
 )
 
 // Run measures the selected scenarios and writes one table for each to w.
@@ -22,9 +23,27 @@
 			return err
 		}
 	}
+	for _, extra := range extras() {
+		if !selected(opts.Scenarios, extra.name) {
+			continue
+		}
+		if err := extra.measure(opts.Seed).write(w, opts.Directory); err != nil {
+			return fmt.Errorf("report %s: %w", extra.name, err)
+		}
+	}
 	return nil
 }
 
+// extra is a scenario that needs none of the fake endpoints.
+type extra struct {
+	name    string
+	measure func(seed int64) *report
+}
+
+func extras() []extra {
+	return []extra{{name: "weight_store_refusing", measure: measureGate}}
+}
+
 func runScenario(w io.Writer, s scenario, opts Options) error {
 	arrivals := s.workload.generate(rand.New(rand.NewSource(opts.Seed)), s.length)
 	var results []*result
@@ -33,11 +52,11 @@
 			results = append(results, newWorld(s, v, opts.Seed).run(arrivals))
 		}
 	}
-	if err := writeText(w, s, opts.Seed, results); err != nil {
-		return fmt.Errorf("write table of %s: %w", s.name, err)
+	if err := policyReport(s, opts.Seed, results).write(w, opts.Directory); err != nil {
+		return fmt.Errorf("report %s: %w", s.name, err)
 	}
 	if opts.Directory == "" {
 		return nil
 	}
-	return writeFiles(opts.Directory, s, results)
+	return writeHistograms(filepath.Join(opts.Directory, s.name+".hdr.txt"), results)
 }
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -33,6 +33,8 @@
 			length: 4 * time.Minute, workload: ordinary, faults: reclaim("quito-norte", time.Minute, time.Minute)},
 		{name: "overload", about: "twice the capacity", length: 2 * time.Minute,
 			workload: workload{streams: ordinaryStreams(3.7), shares: ordinaryShares}},
+		{name: "platform_down", about: "platform down for 30 minutes, a data centre's engines reclaimed meanwhile",
+			length: 33 * time.Minute, workload: ordinary, faults: outage("quito-sur", time.Minute, 30*time.Minute)},
 		{name: "team_tenfold", about: "team north at ten times its share, limited to 36,000 tokens/s", length: 3 * time.Minute,
 			workload: workload{streams: ordinaryStreams(4.15), shares: tenfoldShares},
 			limits:   map[string]float64{"north": 36_000}},
--- a/bench/server.go
+++ b/bench/server.go
@@ -31,7 +31,9 @@
 	prefilled  int64
 	generated  int64
 	recomputed int64
-	busyTime   time.Duration
+	// rerun is the part of recomputed that belongs to resumed attempts.
+	rerun    int64
+	busyTime time.Duration
 }
 
 // Limits of the fake servers.
@@ -103,7 +105,11 @@
 	j.prefillLeft = max(0, j.prompt-cached)
 	j.decodeLeft = j.decode
 	s.prefilled += int64(j.prefillLeft)
-	s.recomputed += int64(max(0, min(j.known, j.prompt)-cached))
+	again := int64(max(0, min(j.known, j.prompt)-cached))
+	s.recomputed += again
+	if j.resumed {
+		s.rerun += again
+	}
 	s.kvUsed += j.kv()
 	s.running = append(s.running, j)
 }
--- a/bench/table.go
+++ b/bench/table.go
@@ -2,12 +2,8 @@
 
 import (
 	"bytes"
-	"encoding/csv"
 	"fmt"
-	"io"
 	"os"
-	"path/filepath"
-	"text/tabwriter"
 )
 
 // column is one figure of a table.
@@ -21,6 +17,7 @@
 	return []column{
 		{"short_p50_ms", func(r *result) float64 { return quantile(r.first[kindShort], 50) }},
 		{"short_p99_ms", func(r *result) float64 { return quantile(r.first[kindShort], 99) }},
+		{"short_p999_ms", func(r *result) float64 { return quantile(r.first[kindShort], 99.9) }},
 		{"summary_p95_ms", func(r *result) float64 { return quantile(r.first[kindSummary], 95) }},
 		{"long_p95_ms", func(r *result) float64 { return quantile(r.first[kindLong], 95) }},
 		{"long_max_ms", func(r *result) float64 { return float64(r.worstLong.Milliseconds()) }},
@@ -32,6 +29,7 @@
 		{"retry_ok_pct", func(r *result) float64 { return percent(r.retriesAdmitted, r.retriesAsked) }},
 		{"extra_pct", func(r *result) float64 { return percent(r.attempts-r.accepted-r.resumed, r.accepted) }},
 		{"recomputed_ktok", func(r *result) float64 { return float64(r.recomputed) / 1000 }},
+		{"rerun_ktok", func(r *result) float64 { return float64(r.rerun) / 1000 }},
 		{"team_err_pct", (*result).teamError},
 		{"lost", func(r *result) float64 { return float64(r.failed + r.unfinished) }},
 	}
@@ -44,64 +42,20 @@
 	return 100 * float64(part) / float64(whole)
 }
 
-// writeText writes the table for people.
-func writeText(w io.Writer, s scenario, seed int64, results []*result) error {
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "\n%s: %s (seed %d, %s virtual)\n", s.name, s.about, seed, s.length)
-	b.WriteString("variant\t")
+// policyReport is the table of one scenario.
+func policyReport(s scenario, seed int64, results []*result) *report {
+	r := &report{name: s.name, about: fmt.Sprintf("%s (seed %d, %s virtual)", s.about, seed, s.length)}
 	for _, c := range columns() {
-		b.WriteString(c.name + "\t")
-	}
-	b.WriteString("\n")
-	for _, r := range results {
-		b.WriteString(r.variant + "\t")
-		for _, c := range columns() {
-			fmt.Fprintf(&b, "%.6g\t", round(c.value(r)))
-		}
-		b.WriteString("\n")
+		r.columns = append(r.columns, c.name)
 	}
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	if _, err := t.Write(b.Bytes()); err != nil {
-		return err
-	}
-	return t.Flush()
-}
-
-// round keeps two decimals, which is more than the runs resolve.
-func round(v float64) float64 { return float64(int64(v*100+0.5)) / 100 }
-
-// writeFiles writes the table as CSV and the histograms of the first-token times.
-func writeFiles(directory string, s scenario, results []*result) error {
-	f, err := os.Create(filepath.Join(directory, s.name+".csv"))
-	if err != nil {
-		return fmt.Errorf("create table: %w", err)
-	}
-	if err := writeCSV(f, results); err != nil {
-		_ = f.Close()
-		return err
-	}
-	if err := f.Close(); err != nil {
-		return fmt.Errorf("close table: %w", err)
-	}
-	return writeHistograms(filepath.Join(directory, s.name+".hdr.txt"), results)
-}
-
-func writeCSV(w io.Writer, results []*result) error {
-	out := csv.NewWriter(w)
-	header := []string{"variant"}
-	for _, c := range columns() {
-		header = append(header, c.name)
-	}
-	_ = out.Write(header)
-	for _, r := range results {
-		row := []string{r.variant}
+	for _, measured := range results {
+		row := reportRow{variant: measured.variant}
 		for _, c := range columns() {
-			row = append(row, fmt.Sprintf("%.2f", c.value(r)))
+			row.values = append(row.values, c.value(measured))
 		}
-		_ = out.Write(row)
+		r.rows = append(r.rows, row)
 	}
-	out.Flush()
-	return out.Error()
+	return r
 }
 
 // writeHistograms writes the percentile distributions of the short and long first-token times in ms.
--- a/bench/world.go
+++ b/bench/world.go
@@ -22,6 +22,8 @@
 	// computed are the prefixes that some engine has computed before.
 	computed    map[uint64]bool
 	incarnation int
+	// platformDown stops changes of the list of endpoints; notices still come by heartbeat.
+	platformDown bool
 }
 
 // cacheEventLoss is the share of cache events that never arrive.
@@ -53,6 +55,9 @@
 
 // publish gives all entry instances the list of endpoints.
 func (w *world) publish() {
+	if w.platformDown {
+		return
+	}
 	var list []routing.Endpoint
 	for _, s := range w.servers {
 		if !s.down {
--- a/retry/config.go
+++ b/retry/config.go
@@ -17,7 +17,7 @@
 	MaxDelay  time.Duration
 	// HedgeFactor multiplies the usual 95th percentile of first-token times to give the hedge delay. Default 1.5.
 	HedgeFactor float64
-	// MinHedgeDelay is the shortest hedge delay. Default 50 ms.
+	// MinHedgeDelay is the shortest hedge delay. Default 100 ms.
 	MinHedgeDelay time.Duration
 }
 
@@ -26,6 +26,6 @@
 	return Config{
 		BudgetShare: 0.1, HedgeShare: 0.05, Burst: 10, MaxAttempts: 4,
 		BaseDelay: 50 * time.Millisecond, MaxDelay: 2 * time.Second,
-		HedgeFactor: 1.5, MinHedgeDelay: 50 * time.Millisecond,
+		HedgeFactor: 1.5, MinHedgeDelay: 100 * time.Millisecond,
 	}
 }
--- a/routing/feedback.go
+++ b/routing/feedback.go
@@ -41,7 +41,7 @@
 }
 
 // minExpected is the smallest first-token prediction used as a reference: below it, scheduling noise dominates.
-const minExpected = 100 * time.Millisecond
+const minExpected = 20 * time.Millisecond
 
 // FirstToken records the attempt's first token.
 func (t *Table) FirstToken(now time.Time, f *Flight) {
