--- a/gateway/bad_input.go
+++ b/gateway/bad_input.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"net/http"
 
 	"github.com/valyala/fasthttp"
@@ -24,13 +23,13 @@
 
 func (s *Server) readProblem(ctx *fasthttp.RequestCtx, err error) *problem {
 	var small *fasthttp.ErrSmallBuffer
-	var netErr net.Error
+	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.As(err, &small):
 		return notRun(http.StatusRequestHeaderFieldsTooLarge, "read", "the header is too large")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return s.bodyTooLarge(ctx)
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case errors.As(err, &timeout) && timeout.Timeout():
 		return notRun(http.StatusRequestTimeout, "read", "the request did not arrive in time")
 	default:
 		return notRun(http.StatusBadRequest, "read", "the request is malformed or incomplete")
--- a/gateway/event_stream.go
+++ b/gateway/event_stream.go
@@ -78,7 +78,13 @@
 	}
 }
 
+// maxIdleBuffer is the largest buffer, in bytes, that a waiting stream keeps.
+const maxIdleBuffer = 1024
+
 func (s *eventStream) wait() {
+	if cap(s.out) > maxIdleBuffer {
+		s.out = nil
+	}
 	s.keepAlive.Reset(s.interval)
 	select {
 	case <-s.source.Ready():
--- /dev/null
+++ b/gateway/lifecycle_test.go
@@ -0,0 +1,158 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/gateway"
+	"knapweedhoist/request"
+)
+
+// open starts a streamed completion and returns it once its id is known.
+func (s *site) open() (*http.Response, request.ID) {
+	response, err := s.client.Do(newRequest("POST", "/v1/chat/completions", "key-a", `{`+prompt+`,"stream":true}`))
+	Expect(err).NotTo(HaveOccurred())
+	id, err := request.ParseID(response.Header.Get("X-Request-Id"))
+	Expect(err).NotTo(HaveOccurred())
+	return response, id
+}
+
+var _ = Describe("the lifecycle of an instance", func() {
+	var (
+		s     *site
+		gated *fakeEngine
+	)
+
+	BeforeEach(func() {
+		gated = &fakeEngine{tokens: 3, gate: make(chan struct{})}
+		s = newSite(gated, gateway.Config{HeaderDelay: time.Millisecond}, noRemote{})
+	})
+
+	AfterEach(func() {
+		s.runner.Wait()
+		Expect(s.checks.Counts()).To(BeEmpty())
+	})
+
+	It("guards against a shutdown that cuts a request in progress", func() {
+		response, _ := s.open()
+		s.server.Drain()
+		ready, _ := s.do(newRequest("GET", "/readyz", "", ""))
+		Expect(ready.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		alive, _ := s.do(newRequest("GET", "/healthz", "", ""))
+		Expect(alive.StatusCode).To(Equal(http.StatusOK))
+		refused, body := s.do(newRequest("POST", "/v1/chat/completions", "key-a", `{`+prompt+`}`))
+		Expect(refused.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(refused.Header.Get("Retry-After")).To(Equal("1"))
+		Expect(problemOf(refused, body).Outcome).To(Equal("not_run"))
+
+		closed := make(chan error, 1)
+		go func() { closed <- s.close() }()
+		close(gated.gate)
+		rest, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		_, text, done := contents(string(rest))
+		Expect(text).To(Equal("t0t1t2"))
+		Expect(done).To(BeTrue())
+		Expect(<-closed).To(Succeed())
+	})
+
+	It("guards against a caller of a moved request that takes its stream for complete", func() {
+		response, id := s.open()
+		whole := make(chan *http.Response, 1)
+		client := *s.client
+		client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+		go func() {
+			defer GinkgoRecover()
+			answer, err := client.Do(newRequest("GET", "/v1/requests/"+id.String(), "key-a", ""))
+			Expect(err).NotTo(HaveOccurred())
+			whole <- answer
+		}()
+		entry, _ := s.registry.Lookup(id)
+		Eventually(entry.Readers, hangGuard).Should(Equal(2))
+		Expect(entry.Move()).To(Succeed())
+		rest, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		_, _, done := contents(string(rest))
+		Expect(done).To(BeFalse())
+		Expect(string(rest)).To(ContainSubstring("re-attach"))
+		answer := <-whole
+		Expect(answer.StatusCode).To(Equal(http.StatusSeeOther))
+		Expect(answer.Header.Get("Location")).To(Equal("/v1/requests/" + id.String()))
+		Expect(answer.Body.Close()).To(Succeed())
+		Expect(s.close()).To(Succeed())
+	})
+
+	It("guards against a refusal without its reason and time", func() {
+		s.policy.decision = gateway.Decision{Step: "quota", Limited: true, Detail: "over the limit", RetryAfter: 1500 * time.Millisecond}
+		response, body := s.do(newRequest("POST", "/v1/chat/completions", "key-a", `{`+prompt+`}`))
+		Expect(response.StatusCode).To(Equal(http.StatusTooManyRequests))
+		Expect(response.Header.Get("Retry-After")).To(Equal("2"))
+		Expect(problemOf(response, body)).To(Equal(problemDocument{Status: 429, Outcome: "not_run", Step: "quota"}))
+		Expect(s.close()).To(Succeed())
+	})
+
+	It("guards against a failure midway that looks like an end", func() {
+		response, id := s.open()
+		entry, _ := s.registry.Lookup(id)
+		gated.gate <- struct{}{}
+		reader := bufio.NewReader(response.Body)
+		for line := ""; !strings.HasPrefix(line, "id: 1"); {
+			var err error
+			line, err = reader.ReadString('\n')
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(entry.Finish(time.Now(), request.Finish{Outcome: request.OutcomeUnknown, Status: 502, Step: "test"})).To(Succeed())
+		rest, err := io.ReadAll(reader)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(rest)).To(ContainSubstring("event: error\nid: 2\n"))
+		Expect(string(rest)).To(ContainSubstring(`"outcome":"unknown"`))
+		Expect(string(rest)).NotTo(ContainSubstring("[DONE]"))
+		close(gated.gate)
+		Expect(s.close()).To(Succeed())
+	})
+})
+
+// remoteHome gives the events of a registry as the peer protocol would.
+type remoteHome struct{ registry *request.Registry }
+
+func (r *remoteHome) Attach(
+	ctx context.Context, id request.ID, team string, after uint64, yield func(request.Event) error,
+) error {
+	return r.registry.Attach(ctx, id, team, after, func(event request.Event) error {
+		return yield(request.EventFromMessage(event.Message()))
+	})
+}
+
+var _ = Describe("re-attaching at another instance", func() {
+	It("guards against events that are lost or repeated on the way", func() {
+		remote := &remoteHome{}
+		home := newSite(&fakeEngine{tokens: 200}, gateway.Config{}, noRemote{})
+		remote.registry = home.registry
+		other := newSite(nil, gateway.Config{}, remote)
+		response, _ := home.do(newRequest("POST", "/v1/chat/completions", "key-a", `{`+prompt+`}`))
+		path := "/v1/requests/" + response.Header.Get("X-Request-Id")
+
+		streamed := newRequest("GET", path, "key-a", "")
+		streamed.Header.Set("Last-Event-ID", "150")
+		_, body := other.do(streamed)
+		ids, _, done := contents(body)
+		Expect(ids).To(HaveLen(51))
+		Expect(ids[0]).To(Equal("151"))
+		Expect(done).To(BeTrue())
+
+		_, whole := other.do(newRequest("GET", path, "key-a", ""))
+		Expect(whole).To(ContainSubstring(`t199"`))
+		Expect(whole).To(ContainSubstring(`"completion_tokens":200`))
+		foreign, _ := other.do(newRequest("GET", path, "key-b", ""))
+		Expect(foreign.StatusCode).To(Equal(http.StatusNotFound))
+		Expect(home.close()).To(Succeed())
+		Expect(other.close()).To(Succeed())
+	})
+})
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -59,9 +59,11 @@
 		WriteTimeout:                 s.cfg.WriteTimeout,
 		IdleTimeout:                  s.cfg.IdleTimeout,
 		DisablePreParseMultipartForm: true,
-		SecureErrorLogMessage:        true,
-		CloseOnShutdown:              true,
-		Logger:                       httpLogger{lg: lg},
+		// Gives the read buffer back while an answer is streamed: 16 KiB less for each open stream.
+		ReduceMemoryUsage:     true,
+		SecureErrorLogMessage: true,
+		CloseOnShutdown:       true,
+		Logger:                httpLogger{lg: lg},
 	}
 	return s
 }
--- /dev/null
+++ b/request/bench_test.go
@@ -0,0 +1,36 @@
+package request
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkEvents measures a token from Entry.Token to a reader.
+func BenchmarkEvents(b *testing.B) {
+	registry := NewRegistry(incarnation, newReporter(), Config{})
+	const perRequest = 1000
+	buffer := make([]Event, 0, 16)
+	b.ReportAllocs()
+	for i := 0; i < b.N; i += perRequest {
+		entry, err := registry.Create(start.Add(time.Duration(i)*time.Hour), modelSpec(registry))
+		if err != nil {
+			b.Fatal(err)
+		}
+		_ = entry.Admit()
+		number, _, _ := entry.Begin()
+		_ = entry.MarkSent(number)
+		reader, _ := entry.Subscribe(0)
+		for index := range min(perRequest, b.N-i) {
+			if err := entry.Token(number, index, " token"); err != nil {
+				b.Fatal(err)
+			}
+			<-reader.Ready()
+			if events, _ := reader.Next(buffer); len(events) != 1 {
+				b.Fatal(len(events))
+			}
+		}
+		reader.Close()
+		_ = entry.Finish(start, Finish{Outcome: OutcomeRan, Reason: "stop"})
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "events/s")
+}
--- a/request/subscription.go
+++ b/request/subscription.go
@@ -27,6 +27,13 @@
 	return reader, nil
 }
 
+// Readers returns the number of subscriptions.
+func (e *Entry) Readers() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.readers)
+}
+
 // Ready receives when Next may have something new.
 func (s *Subscription) Ready() <-chan struct{} {
 	return s.ready
