Use the retry policy for further attempts and hedges

Cause: the instance repeated attempts with a fixed delay and never hedged. Change: retry.Policy owns budgets, backoff and hedge delays; the instance feeds it first-token times of short work.

--- a/feedback.go
+++ b/feedback.go
@@ -17,18 +17,22 @@
 	work   routing.Work
 	team   string
 	flight routing.Flight
-	sent   bool
+	// sentAt is zero until the attempt was sent.
+	sentAt time.Time
 }
 
 // Sent implements backend.Feedback.
 func (f *feedback) Sent(now time.Time) {
 	f.flight = f.policy.table.Sent(now, f.choice, f.work)
-	f.sent = true
+	f.sentAt = now
 }
 
 // FirstToken implements backend.Feedback.
 func (f *feedback) FirstToken(now time.Time) {
 	f.policy.table.FirstToken(now, &f.flight)
+	if f.work.Short {
+		f.policy.retries.FirstToken(f.work.Service, now.Sub(f.sentAt))
+	}
 }
 
 // Token implements backend.Feedback.
@@ -38,7 +42,7 @@
 
 // Finished implements backend.Feedback.
 func (f *feedback) Finished(now time.Time, _ backend.Report) {
-	if f.sent {
+	if !f.sentAt.IsZero() {
 		f.policy.table.Finished(now, &f.flight)
 	}
 }
--- a/policy.go
+++ b/policy.go
@@ -13,6 +13,7 @@
 	"knapweedhoist/engine"
 	"knapweedhoist/gateway"
 	"knapweedhoist/membership"
+	"knapweedhoist/retry"
 	"knapweedhoist/routing"
 	"knapweedhoist/wire"
 )
@@ -23,7 +24,7 @@
 	table     *routing.Table
 	estimator *admission.Estimator
 	admission *admission.Controller
-	retries   retrier
+	retries   *retry.Policy
 
 	mu sync.Mutex // guards the fields below
 	// engines and cursors are by endpoint key.
@@ -41,6 +42,7 @@
 		table:     routing.NewTable(cfg, rand.New(rand.NewSource(time.Now().UnixNano()))),
 		estimator: admission.NewEstimator(admission.DefaultConfig()),
 		admission: admission.NewController(admission.DefaultConfig()),
+		retries:   retry.NewPolicy(retry.DefaultConfig(), rand.New(rand.NewSource(time.Now().UnixNano()))),
 		engines:   make(map[string]*engine.Client), cursors: make(map[string]uint64),
 		loadAt: make(map[string]time.Time), used: make(map[string]*wire.TeamUsage),
 	}
--- a/retrier.go
+++ b/retrier.go
@@ -3,29 +3,36 @@
 import (
 	"time"
 
+	"knapweedhoist/admission"
 	"knapweedhoist/backend"
+	"knapweedhoist/retry"
 )
 
-// retrier allows no further attempts.
-type retrier struct{}
-
 // Retry implements backend.Retrier.
 func (p *policy) Retry(now time.Time, failure backend.Failure) (time.Duration, bool) {
-	return p.retries.retry(now, failure)
+	delay, err := p.retries.Next(now, retry.Attempt{
+		Service: failure.Service, Number: failure.Attempt, Repeatable: true, Deadline: failure.Deadline,
+	})
+	return delay, err == nil
 }
 
 // Hedge implements backend.Retrier.
-func (p *policy) Hedge(now time.Time, slow backend.Slow) (bool, time.Duration) {
-	return p.retries.hedge(now, slow)
+func (p *policy) Hedge(_ time.Time, slow backend.Slow) (start bool, again time.Duration) {
+	estimate := p.estimator.Estimate(slow.Service, slow.Team, slow.PromptTokens, slow.MaxTokens)
+	attempt := retry.Attempt{
+		Service: slow.Service, Number: 1, Repeatable: true, Idempotent: true, Short: estimate.Class == admission.ClassShort,
+	}
+	delay, allowed := p.retries.HedgeDelay(attempt)
+	if !allowed {
+		return false, 0
+	}
+	if slow.Waited < delay {
+		return false, delay - slow.Waited
+	}
+	return p.retries.Hedge(attempt), 0
 }
 
 // Succeeded implements backend.Retrier.
 func (p *policy) Succeeded(service string) {
-	p.retries.succeeded(service)
-}
-
-func (retrier) retry(_ time.Time, failure backend.Failure) (time.Duration, bool) {
-	return 50 * time.Millisecond, failure.Attempt < 4
+	p.retries.Success(service)
 }
-func (retrier) hedge(time.Time, backend.Slow) (bool, time.Duration) { return false, 0 }
-func (retrier) succeeded(string)                                    {}
