Test comment lines, orders and delays of the engine stand-in

Cause: comment lines, engines that ignore fences, draining and the time of a KV export had no test; service bodies over 2 MiB were refused. Change: tests for them; the stand-ins accept bodies up to 16 MiB, the most that a plain service can be configured for. Conclusion: no change of behaviour besides the body limit.

--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -1,7 +1,9 @@
 package standin_test
 
 import (
+	"bufio"
 	"context"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -154,6 +156,21 @@
 		Expect(err).To(MatchError(engine.ErrUnreachable))
 	})
 
+	It("guards against a stream without comment lines while no token is ready", func() {
+		addr := start(standin.NewEngine(lg, slow))
+		body := `{"stream":true,"model":"m","messages":[{"role":"user","content":"x"}]}`
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/chat/completions", strings.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set(engine.HeaderRequestID, "r1")
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		lines := bufio.NewScanner(response.Body)
+		for lines.Scan() && !strings.HasPrefix(lines.Text(), ":") {
+		}
+		Expect(lines.Text()).To(HavePrefix(":"))
+	})
+
 	It("guards against a silent connection that also stops new ones", func() {
 		server := standin.NewEngine(lg, fast)
 		client := engineClient(start(server))
@@ -281,6 +298,29 @@
 	})
 }
 
+// Guards against orders that are refused by an engine that ignores fences, a
+// drain that takes new work, and faults or transfers that take no time.
+func TestEngineOrdersAndDelays(t *testing.T) {
+	inBubble(t, standin.EngineConfig{InterToken: time.Hour}, func(ctx context.Context, g *WithT, e *standin.Engine) {
+		g.Expect(e.Order(ctx, engine.Order{Kind: engine.OrderSetRole, Fence: 5})).To(Succeed())
+		g.Expect(e.Order(ctx, engine.Order{Kind: engine.OrderSetRole, Fence: 4})).To(Succeed())
+		request := prompt("r1", "tokens=5")
+		go func() { _, _, _ = take(ctx, e, request) }()
+		time.Sleep(time.Second)
+		began := time.Now()
+		e.Faults.Add(standin.Fault{Kind: standin.FaultDelay, Op: "export", Delay: time.Second, Count: 1})
+		handle, err := e.ExportKV(ctx, "r1", 1)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(handle.Tokens).To(Equal(engine.PromptTokens(request.Messages) + 1))
+		transfer := time.Duration(handle.Tokens) * time.Second / 100000
+		g.Expect(time.Since(began)).To(BeNumerically("~", time.Second+transfer, time.Microsecond))
+		g.Expect(e.Order(ctx, engine.Order{Kind: engine.OrderDrain, Fence: 5})).To(Succeed())
+		_, _, err = take(ctx, e, prompt("r2", "x"))
+		g.Expect(err).To(MatchError(engine.ErrLeaving))
+		g.Expect(e.LateArrivals(0)).To(BeZero(), "it arrived at the same instant")
+	})
+}
+
 // Guards against a chain of attempts, each broken at some token, that does not add up to the answer.
 func TestEngineResumeProperty(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/standin/server.go
+++ b/standin/server.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// maxBodyBytes holds the largest object value in base64 with its JSON.
-	maxBodyBytes = 2 << 20
+	// maxBodyBytes is the largest body that a plain service can be configured
+	// for; it also holds the largest object value in base64.
+	maxBodyBytes = 16 << 20
 	// serverReadTimeout bounds a slow request and an idle connection.
 	serverReadTimeout = 60 * time.Second
 )
