--- a/standin/server.go
+++ b/standin/server.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// maxBodyBytes holds the largest object value in base64 with its JSON.
-	maxBodyBytes = 2 << 20
+	// maxBodyBytes is the largest body that a plain service can be configured
+	// for; it also holds the largest object value in base64.
+	maxBodyBytes = 16 << 20
 	// serverReadTimeout bounds a slow request and an idle connection.
 	serverReadTimeout = 60 * time.Second
 )
@@ -97,13 +98,16 @@
 }
 
 // Close stops listening and closes every connection at once, as the end of the
-// machine would.
+// machine would. After it returns, also in a second caller, no connection is accepted.
 func (s *Server) Close() error {
 	s.mu.Lock()
 	ln, cancel, served := s.listener, s.cancel, s.served
 	s.listener = nil
 	s.mu.Unlock()
 	if ln == nil {
+		if served != nil {
+			<-served
+		}
 		return nil
 	}
 	cancel()
