--- a/claim/config.go
+++ b/claim/config.go
@@ -51,7 +51,7 @@
 	ExpiryMargin time.Duration
 	// MaxPending bounds the asks and finishes that wait. Default 4096.
 	MaxPending int
-	// Rand spreads the back-off of takeovers.
+	// Rand spreads the back-off of takeovers. Required.
 	Rand     *rand.Rand
 	Recorder timeline.Recorder
 	Checker  invariant.Checker
--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -16,7 +16,7 @@
 
 // FollowerConfig holds what a Follower needs besides the view.
 type FollowerConfig struct {
-	// Rand spreads the polls of instances that do not watch.
+	// Rand spreads the polls of instances that do not watch. Required.
 	Rand     *rand.Rand
 	Recorder timeline.Recorder
 	Checker  invariant.Checker
