Keep an answer that ends during an export, and watch a hedge that is left

Cause: a finish that arrived while the KV cache was exported was dropped and generated again; a leave notice of a hedge was ignored after the first attempt failed; a finish by the handover left a silent attempt running. Change: a move waits for the ends of its attempts; the supervised attempt is always a live one; a finish stops the run. Measured: backend, gateway, request and handover tests pass with -race. Conclusion: one new test for each of the first two faults.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -33,6 +33,8 @@
 	engine.Engine
 	name    string
 	scripts []script
+	// delay is before each attempt.
+	delay time.Duration
 
 	mu       sync.Mutex
 	work     []engine.Request
@@ -50,6 +52,7 @@
 
 func (e *fakeEngine) Stream(ctx context.Context, work engine.Request, yield func(engine.Event) error) error {
 	s := e.next(work)
+	time.Sleep(e.delay)
 	from := 0
 	if work.Resume != nil {
 		from = len(work.Resume.Tokens)
@@ -314,3 +317,36 @@
 		Expect(entry.Follow(context.Background(), 1, func(request.Event) error { return nil })).To(MatchError(request.ErrMoved))
 	})
 }
+
+// Guards against an answer that is generated again, because it ended while its
+// KV cache was exported.
+func TestAnswerThatEndsDuringTheExportCounts(t *testing.T) {
+	leaving := engineOf("e1", script{tokens: 2, interval: second})
+	other := engineOf("e2", healthy)
+	simulate(t, &fakePolicy{engines: []*fakeEngine{leaving, other}}, nil, func(b *bench) {
+		entry := b.start(b.spec(catalog.KindModel))
+		time.Sleep(1950 * time.Millisecond)
+		b.runner.EndpointLeaving("e1", time.Now().Add(5*second))
+		text, finish := answer(entry)
+		Expect(text).To(Equal("0 1 "))
+		Expect(finish.Outcome).To(Equal(request.OutcomeRan))
+		b.runner.Wait()
+		Expect(other.work).To(BeEmpty())
+	})
+}
+
+// Guards against a hedge that is not watched once the first attempt has failed.
+func TestHedgeTakesTheFailedAttemptsPlace(t *testing.T) {
+	failing := engineOf("e1", script{tokens: 0, err: engine.ErrBroken})
+	slow := engineOf("e2", script{tokens: 5, interval: 20 * second})
+	last := engineOf("e3", healthy)
+	failing.delay = 2 * second
+	simulate(t, &fakePolicy{engines: []*fakeEngine{failing, slow, last}, hedgeAfter: second}, nil, func(b *bench) {
+		entry := b.start(b.spec(catalog.KindModel))
+		time.Sleep(3 * second)
+		b.runner.EndpointLeaving("e2", time.Now().Add(5*second))
+		text, _ := answer(entry)
+		Expect(text).To(Equal(whole))
+		Expect(last.work).To(HaveLen(1))
+	})
+}
--- a/backend/move.go
+++ b/backend/move.go
@@ -18,15 +18,48 @@
 	return time.After(time.Until(until) - r.runner.cfg.MoveMargin)
 }
 
+// stopWait bounds the wait for the end of attempts that were given up.
+const stopWait = 100 * time.Millisecond
+
 // move gives up an attempt at a leaving endpoint. The attempt streams on while
-// its KV cache is exported.
-func (r *run) move(t *try) *engine.KVHandle {
-	kv := r.export(t)
+// its KV cache is exported, and may finish meanwhile; then no other follows.
+func (r *run) move(t *try) (kv *engine.KVHandle, again bool) {
+	kv = r.export(t)
+	r.record(timeline.KindResume, t, "move", "")
+	for _, live := range r.live {
+		live.cancel()
+	}
+	if r.awaitEnds() {
+		return nil, false
+	}
 	r.avoid = appendAvoid(r.avoid, t.choice.Endpoint)
 	r.idle++
-	r.record(timeline.KindResume, t, "move", "")
 	r.cancelLive()
-	return kv
+	return kv, true
+}
+
+// awaitEnds waits for the ends of cancelled attempts, and reports whether one
+// of them had answered the request before. An answer that is overlooked would
+// be generated again, perhaps with another end.
+func (r *run) awaitEnds() bool {
+	timer := time.NewTimer(stopWait)
+	defer timer.Stop()
+	for len(r.live) > 0 {
+		select {
+		case e := <-r.ends:
+			if !r.remove(e.try) {
+				continue
+			}
+			if e.finish != nil {
+				r.answered(e)
+				return true
+			}
+			r.cancelAtEngine(e.try, e.result)
+		case <-timer.C:
+			return false
+		}
+	}
+	return false
 }
 
 // export returns the exported KV cache, nil when there is no time or it fails.
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -58,10 +58,10 @@
 }
 
 func (r *Runner) run(entry *request.Entry) {
-	moved, cancel := context.WithCancelCause(context.Background())
+	stopped, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	entry.OnMove(func() { cancel(request.ErrMoved) })
-	ctx, expire := context.WithDeadline(moved, entry.Spec().Deadline)
+	entry.OnStop(func() { cancel(request.ErrMoved) })
+	ctx, expire := context.WithDeadline(stopped, entry.Spec().Deadline)
 	defer expire()
 	stop := make(chan struct{})
 	defer close(stop)
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -7,6 +7,7 @@
 
 	"knapweedhoist/engine"
 	"knapweedhoist/request"
+	"knapweedhoist/timeline"
 )
 
 // stream runs an attempt at a model engine.
@@ -17,13 +18,14 @@
 	}
 	t.choice.Feedback.Sent(time.Now())
 	err := t.choice.Engine.Stream(t.ctx, work, func(event engine.Event) error { return r.accept(t, event) })
-	if err == nil && t.finish == "" {
-		err = errProtocol
+	if t.finish != "" {
+		// The answer is whole, also when the connection broke after its last event.
+		return end{try: t, result: request.ResultDone, finish: r.modelFinish(t)}
 	}
-	if err != nil {
-		return end{try: t, result: streamResult(err), err: err}
+	if err == nil {
+		err = errProtocol
 	}
-	return end{try: t, result: request.ResultDone, finish: r.modelFinish(t)}
+	return end{try: t, result: streamResult(err), err: err}
 }
 
 func (r *run) engineRequest(t *try) engine.Request {
@@ -79,6 +81,7 @@
 		return nil
 	}
 	t.choice.Feedback.FirstToken(time.Now())
+	r.record(timeline.KindFirstToken, t, "stream", "")
 	select {
 	case r.won <- t:
 	case <-t.ctx.Done():
--- a/backend/supervise.go
+++ b/backend/supervise.go
@@ -20,6 +20,10 @@
 	r.askHedge(t, hedge)
 	var move <-chan time.Time
 	for {
+		if t != r.live[0] {
+			// The attempt ended or lost; its hedge takes its place.
+			t, move = r.live[0], nil
+		}
 		select {
 		case e := <-r.ends:
 			if again, decided := r.ended(e); decided {
@@ -29,7 +33,6 @@
 			// An attempt that has ended meanwhile decides nothing.
 			if slices.Contains(r.live, winner) {
 				hedge.Stop()
-				t = winner
 				r.keepOnly(winner)
 			}
 		case <-hedge.C:
@@ -37,7 +40,7 @@
 		case until := <-t.leave:
 			move = r.moveAt(until)
 		case <-move:
-			return r.move(t), true
+			return r.move(t)
 		case <-r.ctx.Done():
 			r.fail(context.Cause(r.ctx))
 			return nil, false
--- a/request/entry.go
+++ b/request/entry.go
@@ -20,8 +20,8 @@
 	visible uint64
 	// changed is called after each event while the entry is held.
 	changed func()
-	// onMove is called when a peer takes the request over.
-	onMove func()
+	// onStop is called when no attempt is needed any more.
+	onStop func()
 	// onEnd is called at the finish, or with nil when a peer takes over.
 	onEnd func(finish *Finish)
 }
@@ -118,6 +118,7 @@
 	e.grow(len(finish.Body))
 	e.publish()
 	e.registry.finished(e, now)
+	e.stop()
 	e.end(e.machine.finish)
 	return nil
 }
@@ -171,17 +172,25 @@
 	return e.machine.late
 }
 
-// OnMove sets the function that is called when a peer takes the request over.
-// It is called at once when that has happened already, and must not call the entry.
-func (e *Entry) OnMove(stop func()) {
+// OnStop sets the function that is called when no attempt is needed any more,
+// because the request finished or a peer took it over. It is called at once
+// when that has happened already. It must not block or call the entry.
+func (e *Entry) OnStop(stop func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.onMove = stop
-	if e.machine.state == StateMoved {
+	e.onStop = stop
+	if e.machine.state == StateMoved || e.machine.state == StateFinished {
 		stop()
 	}
 }
 
+// stop calls onStop. The caller holds mu.
+func (e *Entry) stop() {
+	if e.onStop != nil {
+		e.onStop()
+	}
+}
+
 // OnEnd sets the function that is called once at the finish, or with nil when
 // a peer takes the request over. It must not block or call the entry.
 func (e *Entry) OnEnd(ended func(finish *Finish)) {
--- a/request/hold.go
+++ b/request/hold.go
@@ -52,9 +52,7 @@
 		return err
 	}
 	e.show(e.visible)
-	if e.onMove != nil {
-		e.onMove()
-	}
+	e.stop()
 	e.end(nil)
 	e.registry.moved(e)
 	return nil
