Let Runner.Wait run beside Runner.Start

Cause: a race report in the gateway tests: WaitGroup.Wait beside the first Add, as also happens when a request is taken over during a shutdown. Change: a counter with a lock replaces the WaitGroup; a spec for a caller that does not read its stream. The spec called Wait beside Start and now waits for the finish itself.

--- a/backend/cancel.go
+++ b/backend/cancel.go
@@ -46,7 +46,7 @@
 		return
 	}
 	id := r.spec.ID.String()
-	r.runner.work.Go(func() {
+	r.runner.work.start(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), r.runner.cfg.CancelTimeout)
 		defer cancel()
 		_ = t.choice.Engine.Cancel(ctx, id, t.number)
--- a/backend/run.go
+++ b/backend/run.go
@@ -101,7 +101,7 @@
 	r.live = append(r.live, t)
 	r.runner.register(t)
 	r.record(timeline.KindAttempt, t, "start", "")
-	r.runner.work.Go(func() { r.perform(t) })
+	r.runner.work.start(func() { r.perform(t) })
 	return t
 }
 
--- a/backend/runner.go
+++ b/backend/runner.go
@@ -19,7 +19,7 @@
 	deps Deps
 
 	// work counts running requests and cancellations in the background.
-	work sync.WaitGroup
+	work tasks
 
 	mu sync.Mutex // guards the fields below
 	// tries are the running attempts at each endpoint.
@@ -49,12 +49,12 @@
 
 // Start runs an admitted request to its end. It does not block.
 func (r *Runner) Start(entry *request.Entry) {
-	r.work.Go(func() { r.run(entry) })
+	r.work.start(func() { r.run(entry) })
 }
 
 // Wait returns when all started requests have ended.
 func (r *Runner) Wait() {
-	r.work.Wait()
+	r.work.wait()
 }
 
 func (r *Runner) run(entry *request.Entry) {
--- a/gateway/lifecycle_test.go
+++ b/gateway/lifecycle_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -119,6 +120,38 @@
 	})
 })
 
+var _ = Describe("a caller that does not read", func() {
+	It("guards against a stream that is held open, and against a request that waits for its caller", func() {
+		// More than the socket buffers hold, so that the write blocks for good.
+		s := newSite(flatEngine{tokens: 200_000}, gateway.Config{WriteTimeout: 100 * time.Millisecond}, noRemote{})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = s.server.Serve(listener) }()
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = conn.Write(streamedRequest)
+		Expect(err).NotTo(HaveOccurred())
+
+		var entry *request.Entry
+		Eventually(func() bool {
+			var found bool
+			entry, found = s.registry.Lookup(request.ID{Incarnation: incarnation, Sequence: 1})
+			return found
+		}, hangGuard).Should(BeTrue())
+		Eventually(entry.State, hangGuard).Should(Equal(request.StateFinished))
+		Expect(entry.Result().Outcome).To(Equal(request.OutcomeRan))
+		Eventually(entry.Readers, hangGuard).Should(BeZero())
+		again := newRequest("GET", "/v1/requests/"+entry.Spec().ID.String(), "key-a", "")
+		again.Header.Set("Last-Event-ID", "199990")
+		_, body := s.do(again)
+		ids, _, done := contents(body)
+		Expect(ids).To(HaveLen(11))
+		Expect(done).To(BeTrue())
+		Expect(s.close()).To(Succeed())
+	})
+})
+
 // remoteHome gives the events of a registry as the peer protocol would.
 type remoteHome struct{ registry *request.Registry }
 
