--- a/bench/run.go
+++ b/bench/run.go
@@ -41,7 +41,10 @@
 }
 
 func extras() []extra {
-	return []extra{{name: "weight_store_refusing", measure: measureGate}}
+	return []extra{
+		{name: "weight_store_refusing", measure: measureGate},
+		{name: "capacity_cost", measure: measureCost},
+	}
 }
 
 func runScenario(w io.Writer, s scenario, opts Options) error {
--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,173 @@
+package capacity_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"knapweedhoist/capacity"
+	"knapweedhoist/engine"
+)
+
+func TestCapacity(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "capacity")
+}
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func offers() []capacity.Offer {
+	var list []capacity.Offer
+	for i := range 4 {
+		zone := fmt.Sprintf("z%d", i)
+		list = append(list,
+			capacity.Offer{Zone: zone, Datacentre: zone, Class: "gpu", PricePerHour: 10, Units: 10},
+			capacity.Offer{Zone: zone, Datacentre: zone, Class: "gpu", PricePerHour: 4, Units: 10, Reclaimable: true, ReclaimsPerHour: 0.1})
+	}
+	return list
+}
+
+// cloud applies orders to a fleet; instances are ready at the next step.
+type cloud struct {
+	snapshot capacity.Snapshot
+	next     int
+	starts   int
+	drains   int
+}
+
+func (c *cloud) apply(t *rapid.T, now time.Time, orders []capacity.Order) {
+	for _, o := range orders {
+		if o.Fence != 3 {
+			t.Fatalf("order without fence: %+v", o)
+		}
+		switch o.Kind {
+		case capacity.OrderStart:
+			c.next++
+			c.starts++
+			c.snapshot.Instances = append(c.snapshot.Instances, capacity.Instance{
+				ID: fmt.Sprintf("i%03d", c.next), Service: o.Service, Offer: o.Offer, State: capacity.StateReady, StartedAt: now, Since: now,
+			})
+		case capacity.OrderDrain, capacity.OrderStop:
+			c.end(t, now, o)
+		}
+	}
+}
+
+func (c *cloud) end(t *rapid.T, now time.Time, o capacity.Order) {
+	for k := range c.snapshot.Instances {
+		i := &c.snapshot.Instances[k]
+		if i.ID != o.Instance {
+			continue
+		}
+		if o.Kind == capacity.OrderStop {
+			c.snapshot.Instances = append(c.snapshot.Instances[:k], c.snapshot.Instances[k+1:]...)
+			return
+		}
+		if now.Sub(i.StartedAt) < capacity.DefaultConfig().MinLife {
+			t.Fatalf("%s drained after %v", i.ID, now.Sub(i.StartedAt))
+		}
+		i.State, i.Since, i.Idle = capacity.StateDraining, now, true
+		c.drains++
+	}
+}
+
+func (c *cloud) units() (total, largest, reclaimable float64) {
+	by := map[string]float64{}
+	for _, i := range c.snapshot.Instances {
+		if i.State != capacity.StateReady {
+			continue
+		}
+		total += i.Offer.Units
+		by[i.Offer.Datacentre] += i.Offer.Units
+		largest = max(largest, by[i.Offer.Datacentre])
+		if i.Offer.Reclaimable {
+			reclaimable += i.Offer.Units
+		}
+	}
+	return total, largest, reclaimable
+}
+
+var _ = Describe("Plan", func() {
+	It("guards against flapping, against an instance drained too early and against a fleet that a lost data centre breaks", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			cfg := capacity.DefaultConfig()
+			c := &cloud{snapshot: capacity.Snapshot{Offers: offers()}}
+			var forecast capacity.Forecast
+			base := float64(rapid.IntRange(10, 400).Draw(t, "base"))
+			now, settledOrders := start, 0
+			for step := range 240 {
+				now = now.Add(30 * time.Second)
+				demand := base * (1 + float64(rapid.IntRange(-5, 5).Draw(t, "noise"))/100)
+				if step >= 100 {
+					demand = base * 1.05
+				}
+				forecast.Observe(now, demand)
+				c.snapshot.Services = []capacity.Service{{Name: "s", Peak: forecast.Peak(now), HoldDrains: !forecast.Ready(now)}}
+				orders := capacity.Plan(now, cfg, 3, c.snapshot)
+				c.apply(t, now, orders)
+				if step >= 200 {
+					settledOrders += len(orders)
+				}
+			}
+			total, largest, reclaimable := c.units()
+			peak := forecast.Peak(now)
+			if total < peak*1.2-1e-6 || total-largest < peak-1e-6 {
+				t.Fatalf("capacity %f, without the largest data centre %f, for %f", total, total-largest, peak)
+			}
+			if reclaimable > 0.56*total+10 {
+				t.Fatalf("%f of %f reclaimable", reclaimable, total)
+			}
+			if settledOrders > 0 {
+				t.Fatalf("%d orders at constant demand", settledOrders)
+			}
+			// Each place in the fleet changes at most once in MinLife (12 periods), beside growth.
+			if most := int(total/10)*12 + 20; c.drains > most {
+				t.Fatalf("%d drains", c.drains)
+			}
+		})
+	})
+
+	It("guards against asking again for a refused offer instead of trying others", func() {
+		s := capacity.Snapshot{Offers: offers(), Services: []capacity.Service{{Name: "s", Peak: 100}}}
+		for _, o := range s.Offers {
+			if o.Reclaimable {
+				s.Refusals = append(s.Refusals, capacity.Refusal{Zone: o.Zone, Class: o.Class, Reclaimable: true, At: start})
+			}
+		}
+		orders := capacity.Plan(start.Add(time.Minute), capacity.DefaultConfig(), 3, s)
+		Expect(orders).NotTo(BeEmpty())
+		for _, o := range orders {
+			Expect(o.Offer.Reclaimable).To(BeFalse())
+		}
+	})
+
+	It("guards against more loads than the weight store's rate allows, and a model in one data centre only", func() {
+		s := capacity.Snapshot{
+			Offers: offers(), WeightBytesPerSecond: 1e9,
+			Services: []capacity.Service{{Name: "s", Models: []capacity.Model{{Name: "m", Bytes: 4e9, Share: 1}}}},
+		}
+		for k := range 8 {
+			s.Instances = append(s.Instances, capacity.Instance{
+				ID: fmt.Sprintf("i%d", k), Service: "s", Offer: s.Offers[k/2], State: capacity.StateReady, StartedAt: start, Role: capacity.RoleMixed,
+			})
+		}
+		seen := map[string]bool{}
+		loads := 0
+		for _, o := range capacity.Plan(start, capacity.DefaultConfig(), 3, s) {
+			if o.Kind == capacity.OrderEngine && o.Engine.Kind == engine.OrderLoadModel {
+				loads++
+				for _, i := range s.Instances {
+					if i.ID == o.Instance {
+						seen[i.Offer.Datacentre] = true
+					}
+				}
+			}
+		}
+		Expect(loads).To(Equal(2))
+		Expect(seen).To(HaveLen(2))
+	})
+})
