Count returning work once in the quota demand

Cause: uneven arrivals leave teams 15% under their limits. Change: work that returns at its promised time is not counted as new demand, a smaller grant keeps what an earlier one gave, and a member whose grant is enough asks for half of its demand.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -26,13 +26,14 @@
 	b.at = now
 	paid := min(b.owed, gain)
 	b.owed -= paid
-	b.budget = min(max(burst, 0), b.budget+gain-paid)
+	// A smaller grant does not take away what an earlier one gave.
+	b.budget = max(b.budget, min(burst, b.budget+gain-paid))
 }
 
 // fits reports whether n can be taken. Large work fits once fitShare of the burst is there and is owed for the rest:
 // if it had to wait for a full bucket, small work would keep it out at instances with a small grant.
 func (b *bucket) fits(now time.Time, n, rate, burst float64) bool {
-	b.promised.expire(now)
+	b.promised.expire(now, burst)
 	free := b.budget - b.promised.due(now, rate)
 	if b.budget >= fullShare*burst {
 		free = b.budget // A bucket that is nearly full would lose what it keeps.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -64,9 +64,11 @@
 	t := l.team(team)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.demand.add(now, float64(tokens))
 	t.refill(now)
 	n := float64(tokens)
+	if !t.tokens.promised.returned(n) {
+		t.demand.add(now, n)
+	}
 	tokenRate, requestRate := t.tokenGrant.rate(now), t.requestGrant.rate(now)
 	if t.tokenGrant != nil && !t.tokens.fits(now, n, tokenRate, tokenRate*burstSeconds) {
 		return false, t.tokens.wait(now, n, tokenRate, tokenRate*burstSeconds)
@@ -96,14 +98,23 @@
 	t.tokens.give(float64(expected-used), t.tokenGrant.rate(now)*burstSeconds)
 }
 
-// Demand returns the team's recent demand at this instance in tokens per second, shed work included.
+// Demand returns the rate that the team could use at this instance in tokens per second: its recent demand, shed work
+// included, or part of it while nothing is owed or promised, because then the present grant is enough.
 func (l *Limiter) Demand(now time.Time, team string) float64 {
 	t := l.team(team)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.demand.rate(now)
+	t.refill(now)
+	demand := t.demand.rate(now)
+	if t.tokenGrant != nil && t.tokens.owed == 0 && t.tokens.promised.reserved == 0 {
+		demand *= satisfiedShare
+	}
+	return demand
 }
 
+// satisfiedShare is the part of the demand that a member asks for while its grant is enough.
+const satisfiedShare = 0.5
+
 // Budget returns the team's token budget and debt; both are never negative.
 func (l *Limiter) Budget(team string) (budget, owed float64) {
 	t := l.team(team)
@@ -118,6 +129,7 @@
 func (t *teamLimit) refill(now time.Time) {
 	tokenRate, requestRate := t.tokenGrant.rate(now), t.requestGrant.rate(now)
 	t.tokens.refill(now, tokenRate, tokenRate*burstSeconds)
+	t.tokens.promised.expire(now, tokenRate*burstSeconds)
 	t.requests.refill(now, requestRate, max(1, requestRate*burstSeconds))
 }
 
--- a/quota/promises.go
+++ b/quota/promises.go
@@ -10,6 +10,8 @@
 	list []promise
 	// reserved is the sum of the list.
 	reserved float64
+	// returning is what was promised and may be coming back now. It was counted as demand when it was refused.
+	returning float64
 }
 
 type promise struct {
@@ -23,15 +25,27 @@
 	promiseHorizon = 10 * time.Second
 )
 
-// expire drops the promises whose time has come: the budget is now there for whoever comes.
-func (p *promises) expire(now time.Time) {
+// expire drops the promises whose time has come: the budget is now there for whoever comes. The limit bounds what
+// callers who did not come back leave behind.
+func (p *promises) expire(now time.Time, limit float64) {
 	for len(p.list) > 0 && !p.list[0].at.After(now) {
 		p.reserved -= p.list[0].n
+		p.returning += p.list[0].n
 		p.list = p.list[1:]
 	}
 	if len(p.list) == 0 {
 		p.reserved = 0
 	}
+	p.returning = min(p.returning, limit)
+}
+
+// returned takes n from what may be coming back, and reports whether it covers n.
+func (p *promises) returned(n float64) bool {
+	if p.returning < n {
+		return false
+	}
+	p.returning -= n
+	return true
 }
 
 // due is the part of the reserved amount that must be in the bucket now, because the rate does not add it in time.
