Find the holder of the quota lease on the platform

Cause: data centre owners asked the two lease candidates, but the holder can be an instance that is no longer a candidate: the first instance that started holds the lease and keeps it. Grants never arrived, so teams had their floors. Ruled out: the divider (its grants were right once asked), the datagrams. Change: the owner reads the holder from the lease object when the last one known stops answering as the holder.

--- a/control/quota.go
+++ b/control/quota.go
@@ -24,11 +24,6 @@
 	return chosen[0]
 }
 
-// QuotaHolders returns the instances that may hold the lease "quota", best first.
-func QuotaHolders(fleet *membership.View) []*membership.Member {
-	return membership.Choose(fleet.Live(), "lease/"+DutyQuota, leaseCandidates)
-}
-
 // Limits of the second level. An instance that its own data centre's owner
 // cannot reach is rare, so little is kept back for it.
 const (
--- a/quotas.go
+++ b/quotas.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
 	"knapweedhoist/catalog"
 	"knapweedhoist/control"
+	"knapweedhoist/lease"
 	"knapweedhoist/membership"
+	"knapweedhoist/platform"
 	"knapweedhoist/quota"
 	"knapweedhoist/wire"
 )
@@ -17,6 +20,8 @@
 type quotas struct {
 	instance *Instance
 	limiter  *quota.Limiter
+	// leaseHolder is the incarnation that last answered as the holder of the lease "quota"; only run uses it.
+	leaseHolder string
 
 	mu sync.Mutex // guards held
 	// held are the sequence numbers of the grants in use, by team.
@@ -98,13 +103,36 @@
 		Level: wire.QuotaLevel_QUOTA_LEVEL_DATACENTRE, Member: q.instance.cfg.Datacentre,
 		Demands: q.datacentreDemands(ctx),
 	}
-	for _, holder := range control.QuotaHolders(fleet) {
-		askedAt := time.Now()
-		if reply := q.ask(ctx, holder, ask); reply.GetOwner() {
-			q.instance.hub.post(ctx, control.QuotaGranted{AskedAt: askedAt, Reply: reply})
-			return
+	holder := q.holder(ctx, fleet)
+	if holder == nil {
+		return
+	}
+	askedAt := time.Now()
+	reply := q.ask(ctx, holder, ask)
+	if !reply.GetOwner() {
+		q.leaseHolder = ""
+		return
+	}
+	q.instance.hub.post(ctx, control.QuotaGranted{AskedAt: askedAt, Reply: reply})
+}
+
+// holder returns the holder of the lease "quota". It is read from the platform
+// when the last one known does not answer as the holder any more; one instance
+// of each data centre does so at most every quotaInterval.
+func (q *quotas) holder(ctx context.Context, fleet *membership.View) *membership.Member {
+	if q.leaseHolder == "" {
+		reply, err := q.instance.store.Do(ctx, platform.Get(platform.KindLease, control.DutyQuota))
+		if err != nil {
+			return nil
+		}
+		var record lease.Record
+		if err := json.Unmarshal(reply.Object.Value, &record); err != nil {
+			q.instance.lg.Error("lease record cannot be decoded", "step", "quota", "error", err.Error())
+			return nil
 		}
+		q.leaseHolder = record.Incarnation
 	}
+	return fleet.Member(q.leaseHolder)
 }
 
 // datacentreDemands sums up the demand of this data centre from what its
--- a/run.go
+++ b/run.go
@@ -32,10 +32,25 @@
 	group.Go(func() error { return i.peerServer.Serve(listeners.peers) })
 	group.Go(func() error { return i.operators.Serve(listeners.operators) })
 	i.startPollers(work, group)
+	group.Go(func() error { i.housekeep(work); return nil })
 	group.Go(func() error { return i.leave(ctx) })
 	return group.Wait()
 }
 
+// housekeepInterval is the time between two looks at copies and finished requests.
+const housekeepInterval = time.Second
+
+// housekeep forgets finished requests whose time is over, and takes over the
+// copies of peers whose session stayed broken.
+func (i *Instance) housekeep(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		i.registry.Sweep(now)
+		i.host.Tick(now)
+		pause(ctx, housekeepInterval)
+	}
+}
+
 // listeners are the TCP listeners of an instance.
 type listeners struct {
 	callers, peers, operators net.Listener
@@ -146,6 +161,7 @@
 	if err != nil {
 		i.lg.Warn("some answers were not read to their end", "step", "shutdown", "error", err.Error())
 	}
+	i.runner.Wait()
 	_ = i.operators.Close(ctx)
 	_ = i.peerServer.Close()
 	_ = i.peers.Close()
