Run the capacity duty under its lease

Cause: package capacity planned instances that nothing ordered. Change: the holder of the lease capacity reads offers and instances from the cloud and load from the fleet, plans every 10 s, checks the lease again before each order and sends the fence with it. Services name the machine classes that their endpoints run on. Placement of models and roles is planned by the package but not ordered by the daemon: the fleet's list does not tell what engines have loaded.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -1,5 +1,7 @@
 package catalog
 
+import "slices"
+
 // ServiceKind tells how a service is called.
 type ServiceKind string
 
@@ -25,10 +27,17 @@
 	ChecksFence bool `json:"checks_fence,omitempty"`
 	// RetentionHours is how long an Idempotency-Key stays claimed. Default 24, 1 to 168.
 	RetentionHours int `json:"retention_hours,omitempty" validate:"omitempty,min=1,max=168"`
+	// Classes are the machine classes that its endpoints run on; empty means any. At most 32.
+	Classes []string `json:"classes,omitempty" validate:"max=32,dive,required,max=64"`
 	// MaxBodyBytes bounds a request body. Default 1048576, 1024 to 16777216.
 	MaxBodyBytes int `json:"max_body_bytes,omitempty" validate:"omitempty,min=1024,max=16777216"`
 }
 
+// RunsOn reports whether the service's endpoints may run on a machine class.
+func (s *Service) RunsOn(class string) bool {
+	return len(s.Classes) == 0 || slices.Contains(s.Classes, class)
+}
+
 // CallRule matches calls by method and path prefix.
 type CallRule struct {
 	Method     string `json:"method" validate:"required,oneof=POST PUT PATCH DELETE"`
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -55,6 +55,7 @@
 func (s *Snapshot) addService(service Service) {
 	service.Models = slices.Clone(service.Models)
 	service.Idempotent = slices.Clone(service.Idempotent)
+	service.Classes = slices.Clone(service.Classes)
 	s.services[service.Name] = &service
 	for _, model := range service.Models {
 		s.models[model] = &service
@@ -104,6 +105,11 @@
 	return slices.SortedFunc(maps.Values(s.teams), func(a, b *Team) int { return cmp.Compare(a.Name, b.Name) })
 }
 
+// Services returns all services in the order of their names.
+func (s *Snapshot) Services() []*Service {
+	return slices.SortedFunc(maps.Values(s.services), func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // TeamOfKey returns the team whose bearer key has the hash.
 func (s *Snapshot) TeamOfKey(hash KeyHash) (*Team, bool) {
 	for _, key := range s.keys[binary.BigEndian.Uint64(hash[:])] {
--- a/internal/devtool/sample.go
+++ b/internal/devtool/sample.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 
 	"knapweedhoist/catalog"
+	"knapweedhoist/standin"
 )
 
 // Names of the sample deployment.
@@ -39,9 +40,9 @@
 		Revision: 1,
 		InForce:  "ordinary",
 		Services: []catalog.Service{
-			{Name: sampleModelService, Kind: catalog.KindModel, Models: []string{sampleModel}, ChecksFence: true},
+			{Name: sampleModelService, Kind: catalog.KindModel, Models: []string{sampleModel}, ChecksFence: true, Classes: []string{standin.ClassAccelerator}},
 			{
-				Name: samplePlainService, Kind: catalog.KindPlain,
+				Name: samplePlainService, Kind: catalog.KindPlain, Classes: []string{standin.ClassGeneral},
 				Idempotent: []catalog.CallRule{{Method: "POST", PathPrefix: "/availability"}},
 			},
 		},
--- a/pollers.go
+++ b/pollers.go
@@ -34,6 +34,7 @@
 	group.Go(func() error { i.quotas.run(ctx); return nil })
 	if i.cloud != nil {
 		group.Go(func() error { i.pollNotices(ctx); return nil })
+		group.Go(func() error { newPlanner(i).run(ctx); return nil })
 	}
 }
 
