Make a decision cheaper when all data centres are near

Change: reports are not read at trust 0, the decay is computed only for suspects, times are converted once; the benchmark uses near data centres.

--- a/routing/average.go
+++ b/routing/average.go
@@ -40,12 +40,12 @@
 }
 
 // read returns the average, decayed by its age.
-func (a *average) read(now time.Time) float64 {
+func (a *average) read(nowNs int64) float64 {
 	mean := math.Float64frombits(a.bits.Load())
 	if mean == 0 {
 		return 0
 	}
-	age := now.UnixNano() - a.at.Load()
+	age := nowNs - a.at.Load()
 	if age < int64(averageHalfLife)/4 {
 		return mean
 	}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -9,7 +9,7 @@
 	if g == nil {
 		return Choice{}, ErrUnknownService
 	}
-	q := query{now: now, work: &work, cfg: &t.cfg, usualGap: g.usual.gap.mean(), correction: 1}
+	q := query{nowNs: now.UnixNano(), peers: g.peers.load(), work: &work, cfg: &t.cfg, usualGap: g.usual.gap.mean(), correction: 1}
 	if !work.Short {
 		q.correction = g.usual.correction()
 	}
@@ -42,7 +42,7 @@
 }
 
 func (p *pick) offer(q *query, c *candidate, cost float64) {
-	if c.state.leaving.Load() || c.endpoint.ID == q.work.Avoid {
+	if c.state.leaving.Load() || q.work.Avoid != "" && c.endpoint.ID == q.work.Avoid {
 		return
 	}
 	e := q.estimate(c)
--- a/routing/feedback.go
+++ b/routing/feedback.go
@@ -121,7 +121,7 @@
 // a sign that the endpoint takes at least this long.
 func (s *state) observeUnanswered(now time.Time, f *Flight) {
 	ratio := float64(now.Sub(f.sentAt)) / float64(max(f.expected, minExpected))
-	if ratio > max(1, s.delay.read(now)) {
+	if ratio > max(1, s.delay.read(now.UnixNano())) {
 		s.delay.add(now, ratio)
 	}
 }
--- a/routing/peers.go
+++ b/routing/peers.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // peers holds the mean load that other instances put on an endpoint of the
 // service. Reports are pulled towards it: instances that all follow the same
@@ -20,8 +23,20 @@
 	p.decode.merge(now, float64(s.decode), peersWeight)
 }
 
+// load is a reading of the means.
+func (p *peers) load() peerLoad {
+	return peerLoad{running: p.running.mean(), prefill: p.prefill.mean(), decode: p.decode.mean()}
+}
+
+// peerLoad is the mean load that others put on an endpoint.
+type peerLoad struct {
+	running, prefill, decode float64
+}
+
 // blend returns the reported value pulled towards the mean.
-func blend(reported int64, mean *average, trust float64) int64 {
-	m := mean.mean()
-	return int64(m + trust*(float64(reported)-m) + 0.5)
+func blend(reported *atomic.Int64, mean, trust float64) int64 {
+	if trust > 0 {
+		mean += trust * (float64(reported.Load()) - mean)
+	}
+	return int64(mean + 0.5)
 }
--- a/routing/score.go
+++ b/routing/score.go
@@ -15,9 +15,11 @@
 
 // query is one decision's input, fixed over all candidates.
 type query struct {
-	now  time.Time
-	work *Work
-	cfg  *Config
+	nowNs int64
+	// peers is the mean load that others put on an endpoint of the service.
+	peers peerLoad
+	work  *Work
+	cfg   *Config
 	// usualGap is the group's usual time between tokens in ns.
 	usualGap float64
 	// correction multiplies the predicted first-token time.
@@ -42,8 +44,8 @@
 // estimate predicts the work's times at the candidate.
 func (q *query) estimate(c *candidate) estimate {
 	s := c.state
-	load := s.load(q.now, q.cfg)
-	slow := s.slowness(q.now, q.usualGap, q.cfg)
+	load := s.load(q)
+	slow := s.slowness(q)
 	cached := q.cached(s)
 	step := max(c.step(load.running+1), q.usualGap) * slow
 	prefill := q.prefill(c, load, cached) * slow
@@ -51,7 +53,7 @@
 	first := raw * q.correction
 	decode := step * float64(q.work.DecodeTokens)
 	e := estimate{first: first, raw: raw, total: first + decode, cached: cached}
-	e.score = (first + decodeShare*decode) * q.cfg.youth(q.now, c.endpoint)
+	e.score = (first + decodeShare*decode) * q.cfg.youth(q.nowNs, c.readyAt)
 	if q.work.Short {
 		e.score += crowdPenalty * float64(s.ownLong.Load()) * slow
 	} else if c.reserved {
--- a/routing/state.go
+++ b/routing/state.go
@@ -1,9 +1,6 @@
 package routing
 
-import (
-	"sync/atomic"
-	"time"
-)
+import "sync/atomic"
 
 // state is what one instance knows of one endpoint. Decisions read only the
 // atomics. About 1.2 KiB per endpoint, most of it the history.
@@ -58,31 +55,35 @@
 }
 
 // load is the corrected total: own work now, and the others' work if the report is fresh.
-func (s *state) load(now time.Time, cfg *Config) sample {
+func (s *state) load(q *query) sample {
 	total := s.own.read()
-	if !cfg.UseReports || !s.fresh(now, cfg) {
+	if !q.cfg.UseReports || !s.fresh(q) {
 		return total
 	}
-	others := s.others.read()
-	trust := cfg.ReportTrust
-	total.running += blend(others.running, &s.peers.running, trust)
-	total.prefill += blend(others.prefill, &s.peers.prefill, trust)
-	total.decode += blend(others.decode, &s.peers.decode, trust)
+	total.running += blend(&s.others.running, q.peers.running, q.cfg.ReportTrust)
+	total.prefill += blend(&s.others.prefill, q.peers.prefill, q.cfg.ReportTrust)
+	total.decode += blend(&s.others.decode, q.peers.decode, q.cfg.ReportTrust)
 	return total
 }
 
-func (s *state) fresh(now time.Time, cfg *Config) bool {
+func (s *state) fresh(q *query) bool {
 	at := s.reportAt.Load()
-	return at != 0 && now.UnixNano()-at <= int64(cfg.ReportExpiry)
+	return at != 0 && q.nowNs-at <= int64(q.cfg.ReportExpiry)
 }
 
 // slowness returns at least 1: the ratio of the endpoint's recent times to the usual ones.
-func (s *state) slowness(now time.Time, usualGap float64, cfg *Config) float64 {
-	if cfg.StragglerRatio <= 0 || usualGap <= 0 {
+func (s *state) slowness(q *query) float64 {
+	limit := q.cfg.StragglerRatio
+	if limit <= 0 || q.usualGap <= 0 {
 		return 1
 	}
-	ratio := max(s.gap.read(now)/usualGap, s.delay.read(now), s.silence(now, usualGap))
-	if ratio < cfg.StragglerRatio {
+	silence := s.silence(q)
+	// Averages only decay: when they are below the limit without decay, the decay need not be computed.
+	if silence < limit && s.gap.mean() < limit*q.usualGap && s.delay.mean() < limit {
+		return 1
+	}
+	ratio := max(s.gap.read(q.nowNs)/q.usualGap, s.delay.read(q.nowNs), silence)
+	if ratio < limit {
 		return 1
 	}
 	return min(ratio, maxSlowness)
@@ -92,11 +93,11 @@
 const maxSlowness = 30
 
 // silence is the time since the last progress as a multiple of the usual gap, when own streams are running.
-func (s *state) silence(now time.Time, usualGap float64) float64 {
+func (s *state) silence(q *query) float64 {
 	at := s.progressAt.Load()
 	if at == 0 || s.own.running.Load() == 0 || s.own.prefill.Load() > 0 {
 		return 0
 	}
 	// A quiet period is only as suspicious as one gap: half of it counts, because a step with prefill is longer.
-	return float64(now.UnixNano()-at) / usualGap / 2
+	return float64(q.nowNs-at) / q.usualGap / 2
 }
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -194,7 +194,14 @@
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{10, 107, 640} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			table := newTable(fleet(n))
+			// All data centres are near, so that a decision compares endpoints of each.
+			cfg := routing.DefaultConfig("dc0")
+			cfg.Distance = map[string]time.Duration{}
+			for i := range 6 {
+				cfg.Distance[fmt.Sprintf("dc%d", i)] = time.Millisecond
+			}
+			table := routing.NewTable(cfg, rand.New(rand.NewSource(1)))
+			table.SetEndpoints(fleet(n))
 			for i := range n {
 				table.Report(start, fmt.Sprintf("e%d", i), engine.LoadReport{AtMs: start.UnixMilli(), Running: i % 7, DecodeTokens: 500})
 			}
--- a/routing/view.go
+++ b/routing/view.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"sort"
-	"time"
 
 	"github.com/zeebo/xxh3"
 )
@@ -19,8 +18,8 @@
 // group holds the candidates for one service and model, by data centre, nearest first.
 type group struct {
 	sites []site
-	size  int
 	usual *usual
+	peers *peers
 }
 
 // site holds the candidates of one data centre.
@@ -35,6 +34,8 @@
 	profile  Profile
 	state    *state
 	usual    *usual
+	// readyAt is when the endpoint began to serve, in ns since the epoch; 0 means long ago.
+	readyAt int64
 	// reserved endpoints are left to short work while others have room.
 	reserved bool
 }
@@ -45,6 +46,9 @@
 	for i := range endpoints {
 		e := &endpoints[i]
 		c := candidate{endpoint: e, profile: e.Profile.withDefaults(), state: states[e.ID]}
+		if !e.ReadyAt.IsZero() {
+			c.readyAt = e.ReadyAt.UnixNano()
+		}
 		for _, key := range e.keys() {
 			list := byKey[key]
 			if !e.Leaving {
@@ -88,7 +92,10 @@
 		name := list[i].endpoint.Datacentre
 		byDatacentre[name] = append(byDatacentre[name], list[i])
 	}
-	g := &group{size: len(list), usual: u}
+	g := &group{usual: u, peers: &peers{}}
+	if len(list) > 0 {
+		g.peers = list[0].state.peers
+	}
 	for name, candidates := range byDatacentre {
 		g.sites = append(g.sites, site{cost: cfg.cost(name), candidates: candidates})
 	}
@@ -135,12 +142,9 @@
 }
 
 // youth is 1 for an endpoint past its slow start and grows up to 4 for a new one.
-func (c *Config) youth(now time.Time, e *Endpoint) float64 {
-	if c.SlowStart <= 0 || e.ReadyAt.IsZero() {
-		return 1
-	}
-	age := now.Sub(e.ReadyAt)
-	if age >= c.SlowStart {
+func (c *Config) youth(nowNs, readyAt int64) float64 {
+	age := nowNs - readyAt
+	if age >= int64(c.SlowStart) {
 		return 1
 	}
 	return 4 - 3*max(0, float64(age)/float64(c.SlowStart))
