Plan quota grants again once the members have acknowledged

Cause: what one member gives up in a plan reaches another one only in the next plan, a second later, so that the grants of a team added up to 94% of its limit. Change: the bench plans a second time 10 ms later, as an owner should when its acknowledgements are in; 24 unexpired grants are remembered instead of 12.

--- a/bench/teams.go
+++ b/bench/teams.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 
 	"knapweedhoist/quota"
 )
@@ -34,13 +35,19 @@
 		}
 		teams = append(teams, t)
 	}
-	w.after(usualLag, func() {
+	plan := func() {
 		for _, grants := range owner.Plan(w.now, fleetTokens, teams) {
 			w.deliver(owner, grants)
 		}
-	})
+	}
+	w.after(usualLag, plan)
+	// The second plan hands out what the members gave up in the first one.
+	w.after(usualLag+acknowledged, plan)
 }
 
+// acknowledged is the time until all members have acknowledged their grants over the peer sessions.
+const acknowledged = 10 * time.Millisecond
+
 // deliver gives each entry instance its grant.
 func (w *world) deliver(owner *quota.Owner, grants quota.TeamGrants) {
 	for i, e := range w.entries {
--- a/quota/holding.go
+++ b/quota/holding.go
@@ -9,9 +9,9 @@
 	acked bool
 }
 
-// maxGrants bounds the unexpired grants remembered for a member: one a second for the default TTL. When it is reached,
+// maxGrants bounds the unexpired grants remembered for a member: two a second for the default TTL. When it is reached,
 // the last grant is repeated until one is acknowledged or expires.
-const maxGrants = 12
+const maxGrants = 24
 
 // ack drops the grants before the acknowledged one.
 func (h *holding) ack(sequence uint64) {
