Assert P5 in routing and order quota grants by fence

Change: Table takes an invariant.Checker and reports work sent to an endpoint that has been leaving for over 3 s; grants carry the owner's fence, and a Limiter accepts only newer ones. Measured: tests of routing and quota pass with -race; a late grant and a late send are caught by new tests.

--- a/bench/baseline.go
+++ b/bench/baseline.go
@@ -29,8 +29,8 @@
 	return &baseline{name: name, rng: rng, left: map[string]bool{}, outstanding: map[string]int{}, turn: rng.Intn(64)}
 }
 
-func (b *baseline) setEndpoints(list []routing.Endpoint) { b.endpoints = list }
-func (b *baseline) leave(id string)                      { b.left[id] = true }
+func (b *baseline) setEndpoints(_ time.Time, list []routing.Endpoint) { b.endpoints = list }
+func (b *baseline) leave(_ time.Time, id string)                      { b.left[id] = true }
 
 func (b *baseline) choose(_ time.Time, w routing.Work) (routing.Choice, error) {
 	var live []*routing.Endpoint
--- a/bench/entry.go
+++ b/bench/entry.go
@@ -28,7 +28,7 @@
 	rng := rand.New(rand.NewSource(w.rng.Int63() + int64(index)))
 	cfg := admission.DefaultConfig()
 	return &entry{
-		w: w, datacentre: datacentre, router: w.variant.router(datacentre, rng),
+		w: w, datacentre: datacentre, router: w.variant.router(datacentre, w.result, rng),
 		estimator: admission.NewEstimator(cfg), controller: admission.NewController(cfg),
 		retries: retry.NewPolicy(retry.DefaultConfig(), rng), limiter: quota.NewLimiter(),
 		name: fmt.Sprintf("entry-%d", index),
--- a/bench/result.go
+++ b/bench/result.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"knapweedhoist/invariant"
 )
 
 // result holds the measurements of one variant in one scenario.
@@ -44,6 +46,8 @@
 	// unfinished counts accepted calls without an outcome at the end.
 	unfinished int
 	completed  int
+	// violations counts violated invariants.
+	violations int
 }
 
 // Range of the histograms in µs.
@@ -120,3 +124,6 @@
 func quantile(h *hdrhistogram.Histogram, q float64) float64 {
 	return float64(h.ValueAtQuantile(q)) / 1000
 }
+
+// Violated implements invariant.Checker.
+func (r *result) Violated(invariant.Violation) { r.violations++ }
--- a/bench/router.go
+++ b/bench/router.go
@@ -5,13 +5,14 @@
 	"time"
 
 	"knapweedhoist/engine"
+	"knapweedhoist/invariant"
 	"knapweedhoist/routing"
 )
 
 // router is what an entry instance asks for endpoints: the policy or a baseline.
 type router interface {
-	setEndpoints(endpoints []routing.Endpoint)
-	leave(id string)
+	setEndpoints(now time.Time, endpoints []routing.Endpoint)
+	leave(now time.Time, id string)
 	choose(now time.Time, work routing.Work) (routing.Choice, error)
 	sent(now time.Time, choice routing.Choice, work routing.Work) *routing.Flight
 	firstToken(now time.Time, f *routing.Flight)
@@ -24,12 +25,15 @@
 // policyRouter is the routing package, unchanged.
 type policyRouter struct{ table *routing.Table }
 
-func newPolicyRouter(cfg routing.Config, rng *rand.Rand) *policyRouter {
-	return &policyRouter{table: routing.NewTable(cfg, rng)}
+func newPolicyRouter(cfg routing.Config, checker invariant.Checker, rng *rand.Rand) *policyRouter {
+	return &policyRouter{table: routing.NewTable(cfg, checker, rng)}
 }
 
-func (p *policyRouter) setEndpoints(list []routing.Endpoint) { p.table.SetEndpoints(list) }
-func (p *policyRouter) leave(id string)                      { p.table.Leave(id) }
+func (p *policyRouter) setEndpoints(now time.Time, list []routing.Endpoint) {
+	p.table.SetEndpoints(now, list)
+}
+
+func (p *policyRouter) leave(now time.Time, id string) { p.table.Leave(now, id) }
 
 func (p *policyRouter) choose(now time.Time, w routing.Work) (routing.Choice, error) {
 	return p.table.Choose(now, w)
--- a/bench/table.go
+++ b/bench/table.go
@@ -31,6 +31,7 @@
 		{"recomputed_ktok", func(r *result) float64 { return float64(r.recomputed) / 1000 }},
 		{"rerun_ktok", func(r *result) float64 { return float64(r.rerun) / 1000 }},
 		{"team_err_pct", (*result).teamError},
+		{"violations", func(r *result) float64 { return float64(r.violations) }},
 		{"lost", func(r *result) float64 { return float64(r.failed + r.unfinished) }},
 	}
 }
--- a/bench/teams.go
+++ b/bench/teams.go
@@ -56,8 +56,9 @@
 			continue
 		}
 		g := grants.Tokens[i]
-		e.limiter.SetGrants(w.now, grants.Team, &g, nil)
-		owner.Ack(grants.Team, g.Member, g.Sequence, 0)
+		if e.limiter.SetGrants(w.now, grants.Team, &g, nil) {
+			owner.Ack(grants.Team, g.Member, g.Sequence, 0)
+		}
 	}
 }
 
--- a/bench/variant.go
+++ b/bench/variant.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand"
 
+	"knapweedhoist/invariant"
 	"knapweedhoist/routing"
 )
 
@@ -24,7 +25,7 @@
 	quota bool
 }
 
-func (v variant) router(datacentre string, rng *rand.Rand) router {
+func (v variant) router(datacentre string, checker invariant.Checker, rng *rand.Rand) router {
 	if v.baseline != "" {
 		return newBaseline(v.baseline, rng)
 	}
@@ -33,7 +34,7 @@
 	if v.tune != nil {
 		v.tune(&cfg)
 	}
-	return newPolicyRouter(cfg, rng)
+	return newPolicyRouter(cfg, checker, rng)
 }
 
 // variants are the baselines, the earlier versions of the policy in the order
--- a/bench/world.go
+++ b/bench/world.go
@@ -67,7 +67,7 @@
 		}
 	}
 	for _, e := range w.entries {
-		e.router.setEndpoints(list)
+		e.router.setEndpoints(w.now, list)
 	}
 }
 
@@ -78,7 +78,7 @@
 	}
 	w.play(arrivals)
 	w.startAtFloor()
-	owner := quota.NewOwner(quota.DefaultConfig(entries))
+	owner := quota.NewOwner(quota.DefaultConfig(entries), 1, time.Time{})
 	w.every(time.Second, func() bool {
 		w.publishReports()
 		if w.variant.quota {
@@ -132,7 +132,7 @@
 	for _, s := range w.in(datacentre) {
 		s.leaving = true
 		for _, e := range w.entries {
-			e.router.leave(s.endpoint.ID)
+			e.router.leave(w.now, s.endpoint.ID)
 		}
 	}
 }
--- a/quota/divider.go
+++ b/quota/divider.go
@@ -18,6 +18,7 @@
 type Divider struct {
 	cfg      Config
 	holdings map[string]*holding
+	fence    uint64
 	sequence uint64
 	// notBefore is when grants of a former owner have expired.
 	notBefore time.Time
@@ -28,8 +29,11 @@
 	return &Divider{cfg: cfg, holdings: make(map[string]*holding)}
 }
 
-// Resume is called by a new owner: until the former owner's grants have expired, only floors are granted.
-func (d *Divider) Resume(now time.Time) { d.notBefore = now.Add(d.cfg.TTL) }
+// Resume is called by a new owner with its fence: until the former owner's grants have expired, only floors are granted.
+func (d *Divider) Resume(now time.Time, fence uint64) {
+	d.notBefore = now.Add(d.cfg.TTL)
+	d.fence = fence
+}
 
 // Ack records that the member uses the grant with this sequence number, so that older ones no longer count.
 func (d *Divider) Ack(member string, sequence uint64) {
@@ -144,7 +148,7 @@
 		expiry = d.beforeReturn(expiry, floor)
 	}
 	d.sequence++
-	g := Grant{Member: member, Sequence: d.sequence, Rate: rate, Floor: floor, Until: expiry}
+	g := Grant{Member: member, Fence: d.fence, Sequence: d.sequence, Rate: rate, Floor: floor, Until: expiry}
 	h.grants = append(h.grants, g)
 	return g
 }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -43,13 +43,18 @@
 	return l.teams[name]
 }
 
-// SetGrants replaces a team's grants; nil removes the limit.
-func (l *Limiter) SetGrants(now time.Time, team string, tokens, requests *Grant) {
+// SetGrants replaces a team's grants; nil removes the limit. It returns false, and changes nothing, when one of the
+// grants is older than the present one; only accepted grants may be acknowledged.
+func (l *Limiter) SetGrants(now time.Time, team string, tokens, requests *Grant) bool {
 	t := l.team(team)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !tokens.replaces(t.tokenGrant) || !requests.replaces(t.requestGrant) {
+		return false
+	}
 	t.refill(now)
 	t.tokenGrant, t.requestGrant = tokens, requests
+	return true
 }
 
 // Remove forgets a team that was deleted from the configuration.
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -16,7 +16,10 @@
 //
 // State: two Dividers for each team with a limit in force.
 type Owner struct {
-	cfg      Config
+	cfg Config
+	// fence is that of the owner's lease; resumed is when the lease was taken.
+	fence    uint64
+	resumed  time.Time
 	tokens   map[string]*Divider
 	requests map[string]*Divider
 }
@@ -39,9 +42,11 @@
 	Requests []Grant
 }
 
-// NewOwner returns an Owner without grants.
-func NewOwner(cfg Config) *Owner {
-	return &Owner{cfg: cfg, tokens: make(map[string]*Divider), requests: make(map[string]*Divider)}
+// NewOwner returns an Owner without grants for the holder of a lease with the given fence. Until one TTL after resumed,
+// the time at which the lease was taken from a former holder, it grants only floors; the zero time means that there was
+// no former holder.
+func NewOwner(cfg Config, fence uint64, resumed time.Time) *Owner {
+	return &Owner{cfg: cfg, fence: fence, resumed: resumed, tokens: make(map[string]*Divider), requests: make(map[string]*Divider)}
 }
 
 // Plan divides the limits. When the teams together demand more than the
@@ -55,10 +60,10 @@
 	for i, t := range teams {
 		plan[i] = TeamGrants{Team: t.Team}
 		if limits[i] > 0 {
-			plan[i].Tokens = divider(o.tokens, t.Team, o.cfg).Divide(now, limits[i], time.Time{}, t.Tokens)
+			plan[i].Tokens = o.divider(o.tokens, t.Team).Divide(now, limits[i], time.Time{}, t.Tokens)
 		}
 		if t.RequestLimit > 0 {
-			plan[i].Requests = divider(o.requests, t.Team, o.cfg).Divide(now, t.RequestLimit, time.Time{}, t.Tokens)
+			plan[i].Requests = o.divider(o.requests, t.Team).Divide(now, t.RequestLimit, time.Time{}, t.Tokens)
 		}
 	}
 	o.forget(teams)
@@ -75,10 +80,11 @@
 	}
 }
 
-func divider(m map[string]*Divider, team string, cfg Config) *Divider {
+func (o *Owner) divider(m map[string]*Divider, team string) *Divider {
 	d := m[team]
 	if d == nil {
-		d = NewDivider(cfg)
+		d = NewDivider(o.cfg)
+		d.Resume(o.resumed, o.fence)
 		m[team] = d
 	}
 	return d
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -91,7 +91,7 @@
 	It("guards against a new owner that grants on top of its predecessor's grants", func() {
 		cfg := quota.DefaultConfig(2)
 		d := quota.NewDivider(cfg)
-		d.Resume(start)
+		d.Resume(start, 2)
 		demands := []quota.Demand{{Member: "m0", Rate: 900}, {Member: "m1", Rate: 900}}
 		for _, g := range d.Divide(start.Add(cfg.TTL-1), 1000, time.Time{}, demands) {
 			Expect(g.Rate).To(Equal(cfg.Floor(1000)))
@@ -157,6 +157,17 @@
 	})
 })
 
+var _ = Describe("Limiter with late messages", func() {
+	It("guards against a late grant of the same or a former owner that replaces a newer one", func() {
+		l := quota.NewLimiter()
+		until := start.Add(time.Hour)
+		Expect(l.SetGrants(start, "t", &quota.Grant{Fence: 2, Sequence: 5, Rate: 100, Until: until}, nil)).To(BeTrue())
+		Expect(l.SetGrants(start, "t", &quota.Grant{Fence: 2, Sequence: 4, Rate: 900, Until: until}, nil)).To(BeFalse())
+		Expect(l.SetGrants(start, "t", &quota.Grant{Fence: 1, Sequence: 9, Rate: 900, Until: until}, nil)).To(BeFalse())
+		Expect(l.SetGrants(start, "t", &quota.Grant{Fence: 3, Sequence: 1, Rate: 900, Until: until}, nil)).To(BeTrue())
+	})
+})
+
 var _ = Describe("Limiter after a pause", func() {
 	It("guards against refusing work although there is room", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -42,7 +42,7 @@
 }
 
 func (p *pick) offer(q *query, c *candidate, cost float64) {
-	if c.state.leaving.Load() || q.work.Avoid != "" && c.endpoint.ID == q.work.Avoid {
+	if c.state.leaving() || q.work.Avoid != "" && c.endpoint.ID == q.work.Avoid {
 		return
 	}
 	e := q.estimate(c)
--- a/routing/feedback.go
+++ b/routing/feedback.go
@@ -1,11 +1,16 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"knapweedhoist/invariant"
+)
 
 // Sent records that the work was sent to the chosen endpoint. The caller
 // passes the flight to FirstToken, Token and Finished.
 func (t *Table) Sent(now time.Time, choice Choice, work Work) Flight {
 	s := choice.state
+	t.checkLeaving(now, s)
 	s.history.note(now, &s.own)
 	f := Flight{
 		state:    s,
@@ -33,6 +38,17 @@
 	return f
 }
 
+// LeaveGrace is the time after which a leaving endpoint must get no new work (guarantee P5).
+const LeaveGrace = 3 * time.Second
+
+func (t *Table) checkLeaving(now time.Time, s *state) {
+	if left := s.leftFor(now); left > LeaveGrace {
+		t.checker.Violated(invariant.Violation{
+			Name: "routing/sent_to_leaving", Step: "sent", Peer: s.id, Detail: "leaving for " + left.String(),
+		})
+	}
+}
+
 // remember records the prefixes that the endpoint will hold, before its late cache events say so.
 func (t *Table) remember(s *state, prefixes []Prefix) {
 	for _, p := range prefixes[:min(len(prefixes), MaxPrefixes)] {
--- a/routing/state.go
+++ b/routing/state.go
@@ -1,12 +1,16 @@
 package routing
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // state is what one instance knows of one endpoint. Decisions read only the
 // atomics. About 1.2 KiB per endpoint, most of it the history.
 type state struct {
-	id      string
-	leaving atomic.Bool
+	id string
+	// leftAt is when the endpoint was first known to leave, in ns since the epoch; 0 while it is live.
+	leftAt atomic.Int64
 
 	// own counts this instance's attempts in flight.
 	own counts
@@ -37,6 +41,22 @@
 	cache   cacheCursor
 }
 
+// leave marks the endpoint as leaving; the first mark counts.
+func (s *state) leave(now time.Time) {
+	s.leftAt.CompareAndSwap(0, now.UnixNano())
+}
+
+func (s *state) leaving() bool { return s.leftAt.Load() != 0 }
+
+// leftFor is how long the endpoint has been leaving; 0 while it is live.
+func (s *state) leftFor(now time.Time) time.Duration {
+	at := s.leftAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Duration(now.UnixNano() - at)
+}
+
 // counts are requests and tokens not yet done.
 type counts struct {
 	running atomic.Int64
--- a/routing/table.go
+++ b/routing/table.go
@@ -19,16 +19,18 @@
 	"time"
 
 	"knapweedhoist/engine"
+	"knapweedhoist/invariant"
 )
 
 // Table chooses endpoints and keeps the feedback of one entry instance. It is
 // safe for concurrent use.
 type Table struct {
-	cfg    Config
-	view   atomic.Pointer[view]
-	states atomic.Pointer[map[string]*state]
-	random random
-	cache  cacheIndex
+	cfg     Config
+	checker invariant.Checker
+	view    atomic.Pointer[view]
+	states  atomic.Pointer[map[string]*state]
+	random  random
+	cache   cacheIndex
 
 	mu     sync.Mutex // guards changes of view and states, peers and the tombstones
 	peers  map[string]*peers
@@ -39,9 +41,10 @@
 // maxTombstones bounds the IDs remembered as left after they vanish from the list.
 const maxTombstones = 4096
 
-// NewTable returns an empty table; rng seeds its choices.
-func NewTable(cfg Config, rng *rand.Rand) *Table {
-	t := &Table{cfg: cfg, left: make(map[string]struct{}), peers: make(map[string]*peers)}
+// NewTable returns an empty table; rng seeds its choices. The checker is told when work is sent to an endpoint that has
+// been leaving for longer than LeaveGrace.
+func NewTable(cfg Config, checker invariant.Checker, rng *rand.Rand) *Table {
+	t := &Table{cfg: cfg, checker: checker, left: make(map[string]struct{}), peers: make(map[string]*peers)}
 	t.random.counter.Store(rng.Uint64())
 	t.view.Store(&view{groups: map[groupKey]*group{}})
 	t.states.Store(&map[string]*state{})
@@ -50,7 +53,7 @@
 
 // SetEndpoints replaces the list. The slice must not be changed afterwards.
 // The feedback of endpoints that stay in the list is kept.
-func (t *Table) SetEndpoints(endpoints []Endpoint) {
+func (t *Table) SetEndpoints(now time.Time, endpoints []Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := *t.states.Load()
@@ -63,7 +66,7 @@
 		}
 		if _, gone := t.left[id]; gone || endpoints[i].Leaving {
 			t.bury(id)
-			s.leaving.Store(true)
+			s.leave(now)
 		}
 		states[id] = s
 	}
@@ -82,12 +85,12 @@
 }
 
 // Leave marks an endpoint as leaving immediately. It is final for the ID.
-func (t *Table) Leave(id string) {
+func (t *Table) Leave(now time.Time, id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.bury(id)
 	if s := (*t.states.Load())[id]; s != nil {
-		s.leaving.Store(true)
+		s.leave(now)
 	}
 }
 
@@ -111,7 +114,7 @@
 		return
 	}
 	if report.Leaving {
-		t.Leave(id)
+		t.Leave(now, id)
 	}
 	at := time.UnixMilli(report.AtMs).UnixNano()
 	if at <= s.reportAt.Load() {
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"knapweedhoist/engine"
+	"knapweedhoist/invariant"
 	"knapweedhoist/routing"
 )
 
@@ -32,6 +34,11 @@
 	return list
 }
 
+// violations counts violated invariants.
+type violations struct{ n atomic.Int64 }
+
+func (v *violations) Violated(invariant.Violation) { v.n.Add(1) }
+
 // local puts all endpoints into the instance's own data centre, so that distance does not decide.
 func local(n int) []routing.Endpoint {
 	list := fleet(n)
@@ -42,8 +49,8 @@
 }
 
 func newTable(endpoints []routing.Endpoint) *routing.Table {
-	t := routing.NewTable(routing.DefaultConfig("dc0"), rand.New(rand.NewSource(1)))
-	t.SetEndpoints(endpoints)
+	t := routing.NewTable(routing.DefaultConfig("dc0"), &violations{}, rand.New(rand.NewSource(1)))
+	t.SetEndpoints(start, endpoints)
 	return t
 }
 
@@ -52,7 +59,7 @@
 var _ = Describe("Table", func() {
 	It("guards against a choice of a leaving endpoint, or of one for another service or model", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			table := routing.NewTable(routing.DefaultConfig("dc0"), rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed"))))
+			table := routing.NewTable(routing.DefaultConfig("dc0"), &violations{}, rand.New(rand.NewSource(rapid.Int64().Draw(t, "seed"))))
 			left := map[string]bool{}
 			now := start
 			var list []routing.Endpoint
@@ -69,12 +76,12 @@
 						})
 						left[list[i].ID] = left[list[i].ID] || list[i].Leaving
 					}
-					table.SetEndpoints(list)
+					table.SetEndpoints(now, list)
 				},
 				"leave": func(t *rapid.T) {
 					id := fmt.Sprintf("e%d", rapid.IntRange(0, 40).Draw(t, "id"))
 					left[id] = true
-					table.Leave(id)
+					table.Leave(now, id)
 				},
 				"report": func(t *rapid.T) {
 					id := fmt.Sprintf("e%d", rapid.IntRange(0, 40).Draw(t, "id"))
@@ -143,6 +150,19 @@
 		}
 	})
 
+	It("guards against work sent long after the choice to an endpoint that left meanwhile", func() {
+		found := &violations{}
+		table := routing.NewTable(routing.DefaultConfig("dc0"), found, rand.New(rand.NewSource(1)))
+		table.SetEndpoints(start, local(3))
+		choice, err := table.Choose(start, question)
+		Expect(err).NotTo(HaveOccurred())
+		table.Leave(start, choice.Endpoint.ID)
+		table.Sent(start.Add(routing.LeaveGrace), choice, question)
+		Expect(found.n.Load()).To(BeZero())
+		table.Sent(start.Add(routing.LeaveGrace+1), choice, question)
+		Expect(found.n.Load()).To(Equal(int64(1)))
+	})
+
 	It("guards against own work that a late report counts twice", func() {
 		table := newTable(local(3))
 		draft := routing.Work{Service: "model", Model: "m", PromptTokens: 20000, DecodeTokens: 2000}
@@ -185,7 +205,7 @@
 		for i := range 100 {
 			table.Report(start, "e1", engine.LoadReport{AtMs: start.UnixMilli() + int64(i), Running: i})
 			table.CacheEvent("e2", engine.CacheEvent{Sequence: uint64(i * 2), Prefix: uint64(i), Tokens: 50})
-			table.SetEndpoints(fleet(20))
+			table.SetEndpoints(start, fleet(20))
 		}
 		group.Wait()
 	})
@@ -200,8 +220,8 @@
 			for i := range 6 {
 				cfg.Distance[fmt.Sprintf("dc%d", i)] = time.Millisecond
 			}
-			table := routing.NewTable(cfg, rand.New(rand.NewSource(1)))
-			table.SetEndpoints(fleet(n))
+			table := routing.NewTable(cfg, &violations{}, rand.New(rand.NewSource(1)))
+			table.SetEndpoints(start, fleet(n))
 			for i := range n {
 				table.Report(start, fmt.Sprintf("e%d", i), engine.LoadReport{AtMs: start.UnixMilli(), Running: i % 7, DecodeTokens: 500})
 			}
