--- a/control/quota.go
+++ b/control/quota.go
@@ -39,10 +39,8 @@
 // divider divides the limits of all teams over members while this instance is
 // responsible for it.
 type divider struct {
-	owner *quota.Owner
-	// since is when this instance became responsible. Until the grants of a
-	// former owner have expired, members get their floors only.
-	since   time.Time
+	owner   *quota.Owner
+	fence   uint64
 	demands map[string]map[string]float64
 	plan    map[string]map[string]teamGrant
 	planned time.Time
@@ -52,9 +50,11 @@
 // planInterval is the least time between two divisions.
 const planInterval = time.Second
 
-func newDivider(cfg quota.Config, now time.Time) *divider {
+// newDivider returns a divider of an owner that became responsible at now.
+// fence orders its grants after those of former owners.
+func newDivider(cfg quota.Config, fence uint64, now time.Time) *divider {
 	return &divider{
-		owner: quota.NewOwner(cfg), since: now, cfg: cfg,
+		owner: quota.NewOwner(cfg, fence, now), fence: fence, cfg: cfg,
 		demands: make(map[string]map[string]float64), plan: make(map[string]map[string]teamGrant),
 	}
 }
@@ -80,13 +80,14 @@
 func (c *Core) dividerOf(now time.Time, level wire.QuotaLevel) (*divider, []string) {
 	fleet := c.view.Fleet
 	if level == wire.QuotaLevel_QUOTA_LEVEL_DATACENTRE {
-		if _, held := c.keepers[DutyQuota].Held(now); !held {
+		fence, held := c.keepers[DutyQuota].Held(now)
+		if !held {
 			c.datacentres = nil
 			return nil, nil
 		}
 		members := datacentresOf(fleet)
 		if c.datacentres == nil || c.datacentres.cfg.FloorMembers < len(members) {
-			c.datacentres = newDivider(quota.DefaultConfig(len(members)), now)
+			c.datacentres = newDivider(quota.DefaultConfig(len(members)), fence, now)
 		}
 		return c.datacentres, members
 	}
@@ -98,7 +99,9 @@
 	if c.instances == nil {
 		cfg := quota.DefaultConfig(maxInstances)
 		cfg.FloorShare = instanceFloorShare
-		c.instances = newDivider(cfg, now)
+		// Owners inside a data centre have no lease; they follow each other at heartbeat
+		// intervals, so that the time orders them.
+		c.instances = newDivider(cfg, uint64(now.UnixMilli()), now)
 	}
 	return c.instances, incarnations(fleet.LiveIn(fleet.Self.Datacentre))
 }
@@ -174,7 +177,7 @@
 
 // divide makes a new plan when the last one is old enough.
 func (d *divider) divide(now time.Time, teams []quota.TeamDemand, members []string) {
-	if now.Sub(d.since) < d.cfg.TTL || now.Sub(d.planned) < planInterval {
+	if now.Sub(d.planned) < planInterval {
 		return
 	}
 	d.planned = now
@@ -230,10 +233,10 @@
 	}
 	if grant == nil {
 		floor := d.cfg.Floor(limit)
-		return &wire.QuotaGrant{Rate: floor, Floor: floor, RemainingMs: d.cfg.TTL.Milliseconds()}
+		return &wire.QuotaGrant{Rate: floor, Floor: floor, RemainingMs: d.cfg.TTL.Milliseconds(), Fence: d.fence}
 	}
 	return &wire.QuotaGrant{
-		Rate: grant.Rate, Floor: grant.Floor, Sequence: grant.Sequence,
+		Rate: grant.Rate, Floor: grant.Floor, Sequence: grant.Sequence, Fence: grant.Fence,
 		RemainingMs: max(0, grant.Until.Sub(now).Milliseconds()),
 	}
 }
@@ -256,7 +259,7 @@
 		return nil
 	}
 	return &quota.Grant{
-		Sequence: message.GetSequence(), Rate: message.GetRate(), Floor: message.GetFloor(),
+		Fence: message.GetFence(), Sequence: message.GetSequence(), Rate: message.GetRate(), Floor: message.GetFloor(),
 		Until: askedAt.Add(time.Duration(message.GetRemainingMs()) * time.Millisecond),
 	}
 }
--- a/policy.go
+++ b/policy.go
@@ -37,7 +37,7 @@
 	cfg.Distance = i.cfg.DistanceTable()
 	return &policy{
 		instance:  i,
-		table:     routing.NewTable(cfg, rand.New(rand.NewSource(time.Now().UnixNano()))),
+		table:     routing.NewTable(cfg, i.checker, rand.New(rand.NewSource(time.Now().UnixNano()))),
 		estimator: admission.NewEstimator(admission.DefaultConfig()),
 		admission: admission.NewController(admission.DefaultConfig()),
 		retries:   retry.NewPolicy(retry.DefaultConfig(), rand.New(rand.NewSource(time.Now().UnixNano()))),
@@ -49,7 +49,7 @@
 // update takes a new view in. It runs on the control goroutine.
 func (p *policy) update(before, view *control.View) {
 	if before == nil || before.Catalog != view.Catalog || before.Fleet != view.Fleet {
-		p.table.SetEndpoints(routingEndpoints(view))
+		p.table.SetEndpoints(time.Now(), routingEndpoints(view))
 	}
 	p.reportLoads(view.Fleet)
 	p.forget(view.Fleet)
@@ -108,7 +108,7 @@
 
 // leave marks an endpoint before the next view does.
 func (p *policy) leave(e *membership.Endpoint) {
-	p.table.Leave(endpointKey(e))
+	p.table.Leave(time.Now(), endpointKey(e))
 }
 
 // engine returns the client of a model endpoint.
--- a/quotas.go
+++ b/quotas.go
@@ -183,7 +183,9 @@
 	for _, grant := range reply.GetGrants() {
 		tokens := control.GrantFromMessage(askedAt, grant.GetTokens())
 		requests := control.GrantFromMessage(askedAt, grant.GetRequests())
-		q.limiter.SetGrants(now, grant.GetTeam(), tokens, requests)
+		if !q.limiter.SetGrants(now, grant.GetTeam(), tokens, requests) {
+			continue
+		}
 		q.held[grant.GetTeam()] = &wire.QuotaDemand{
 			TokenSequence: grant.GetTokens().GetSequence(), RequestSequence: grant.GetRequests().GetSequence(),
 		}
--- a/routing/state.go
+++ b/routing/state.go
@@ -6,10 +6,11 @@
 )
 
 // state is what one instance knows of one endpoint. Decisions read only the
-// atomics. About 1.4 KiB per endpoint, most of it the history.
+// atomics. About 1.2 KiB per endpoint, most of it the history.
 type state struct {
-	id      string
-	leaving atomic.Bool
+	id string
+	// leftAt is when the endpoint was first known to leave, in ns since the epoch; 0 while it is live.
+	leftAt atomic.Int64
 
 	// own counts this instance's attempts in flight.
 	own counts
@@ -40,6 +41,22 @@
 	cache   cacheCursor
 }
 
+// leave marks the endpoint as leaving; the first mark counts.
+func (s *state) leave(now time.Time) {
+	s.leftAt.CompareAndSwap(0, now.UnixNano())
+}
+
+func (s *state) leaving() bool { return s.leftAt.Load() != 0 }
+
+// leftFor is how long the endpoint has been leaving; 0 while it is live.
+func (s *state) leftFor(now time.Time) time.Duration {
+	at := s.leftAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Duration(now.UnixNano() - at)
+}
+
 // counts are requests and tokens not yet done.
 type counts struct {
 	running atomic.Int64
@@ -58,31 +75,35 @@
 }
 
 // load is the corrected total: own work now, and the others' work if the report is fresh.
-func (s *state) load(now time.Time, cfg *Config) sample {
+func (s *state) load(q *query) sample {
 	total := s.own.read()
-	if !cfg.UseReports || !s.fresh(now, cfg) {
+	if !q.cfg.UseReports || !s.fresh(q) {
 		return total
 	}
-	others := s.others.read()
-	trust := cfg.ReportTrust
-	total.running += blend(others.running, &s.peers.running, trust)
-	total.prefill += blend(others.prefill, &s.peers.prefill, trust)
-	total.decode += blend(others.decode, &s.peers.decode, trust)
+	total.running += blend(&s.others.running, q.peers.running, q.cfg.ReportTrust)
+	total.prefill += blend(&s.others.prefill, q.peers.prefill, q.cfg.ReportTrust)
+	total.decode += blend(&s.others.decode, q.peers.decode, q.cfg.ReportTrust)
 	return total
 }
 
-func (s *state) fresh(now time.Time, cfg *Config) bool {
+func (s *state) fresh(q *query) bool {
 	at := s.reportAt.Load()
-	return at != 0 && now.UnixNano()-at <= int64(cfg.ReportExpiry)
+	return at != 0 && q.nowNs-at <= int64(q.cfg.ReportExpiry)
 }
 
 // slowness returns at least 1: the ratio of the endpoint's recent times to the usual ones.
-func (s *state) slowness(now time.Time, usualGap float64, cfg *Config) float64 {
-	if cfg.StragglerRatio <= 0 || usualGap <= 0 {
+func (s *state) slowness(q *query) float64 {
+	limit := q.cfg.StragglerRatio
+	if limit <= 0 || q.usualGap <= 0 {
+		return 1
+	}
+	silence := s.silence(q)
+	// Averages only decay: when they are below the limit without decay, the decay need not be computed.
+	if silence < limit && s.gap.mean() < limit*q.usualGap && s.delay.mean() < limit {
 		return 1
 	}
-	ratio := max(s.gap.read(now)/usualGap, s.delay.read(now), s.silence(now, usualGap))
-	if ratio < cfg.StragglerRatio {
+	ratio := max(s.gap.read(q.nowNs)/q.usualGap, s.delay.read(q.nowNs), silence)
+	if ratio < limit {
 		return 1
 	}
 	return min(ratio, maxSlowness)
@@ -92,11 +113,11 @@
 const maxSlowness = 30
 
 // silence is the time since the last progress as a multiple of the usual gap, when own streams are running.
-func (s *state) silence(now time.Time, usualGap float64) float64 {
+func (s *state) silence(q *query) float64 {
 	at := s.progressAt.Load()
 	if at == 0 || s.own.running.Load() == 0 || s.own.prefill.Load() > 0 {
 		return 0
 	}
 	// A quiet period is only as suspicious as one gap: half of it counts, because a step with prefill is longer.
-	return float64(now.UnixNano()-at) / usualGap / 2
+	return float64(q.nowNs-at) / q.usualGap / 2
 }
