Apply the whole filter to the timeline of peers

Change: the handler answers with operator.AnswerQuery, bounded to 10000 events. Conclusion: each field of the filter applies to all instances.

--- a/operator/collector.go
+++ b/operator/collector.go
@@ -16,6 +16,9 @@
 // parallelQueries bounds the peers that are asked at the same time.
 const parallelQueries = 32
 
+// maxAnswerEvents bounds the events that one peer returns, which must fit a frame.
+const maxAnswerEvents = 10000
+
 // Caller is the part of *peer.Client that a Collector needs.
 type Caller interface {
 	Call(ctx context.Context, address string, call *wire.Call) (*wire.Answer, error)
@@ -104,8 +107,8 @@
 // AnswerQuery answers a peer's query from this instance's ring.
 func AnswerQuery(ring *timeline.Ring, q *wire.TimelineQuery) (*wire.Answer, error) {
 	limit := int(q.GetLimit())
-	if limit <= 0 || limit > maxEvents {
-		limit = maxEvents
+	if limit <= 0 || limit > maxAnswerEvents {
+		limit = maxAnswerEvents
 	}
 	events, err := timeline.Encode(ring.Select(timeline.Filter{
 		Request: q.GetRequest(), Preset: q.GetPreset(), Endpoint: q.GetEndpoint(), Team: q.GetTeam(),
--- a/peer_handler.go
+++ b/peer_handler.go
@@ -8,9 +8,9 @@
 
 	"knapweedhoist/claim"
 	"knapweedhoist/control"
+	"knapweedhoist/operator"
 	"knapweedhoist/peer"
 	"knapweedhoist/request"
-	"knapweedhoist/timeline"
 	"knapweedhoist/wire"
 )
 
@@ -38,7 +38,7 @@
 		h.instance.hub.post(ctx, control.RosterRelayed{Relay: body.RosterRelay})
 		return ackAnswer(), nil
 	case *wire.Call_Timeline:
-		return h.timeline(body.Timeline)
+		return operator.AnswerQuery(h.instance.ring, body.Timeline)
 	case *wire.Call_RequestStatus:
 		return h.requestStatus(body.RequestStatus)
 	default:
@@ -89,26 +89,6 @@
 	return &wire.Answer{Body: &wire.Answer_Config{Config: newer}}, nil
 }
 
-// maxTimelineEvents bounds the events of one answer, which must fit a frame.
-const maxTimelineEvents = 10000
-
-func (h *peerHandler) timeline(query *wire.TimelineQuery) (*wire.Answer, error) {
-	limit := int(query.GetLimit())
-	if limit == 0 || limit > maxTimelineEvents {
-		limit = maxTimelineEvents
-	}
-	events := timeline.Newest(h.instance.ring.Select(timeline.Filter{
-		Request: query.GetRequest(), Preset: query.GetPreset(), Endpoint: query.GetEndpoint(),
-	}), limit)
-	encoded, err := timeline.Encode(events)
-	if err != nil {
-		return nil, err
-	}
-	return &wire.Answer{Body: &wire.Answer_Timeline{Timeline: &wire.TimelineEvents{
-		Events: encoded, Dropped: h.instance.ring.Dropped(),
-	}}}, nil
-}
-
 func (h *peerHandler) requestStatus(query *wire.RequestQuery) (*wire.Answer, error) {
 	id, err := request.ParseID(query.GetId())
 	if err != nil {
