Do not list a member that already sends heartbeats

Cause: the platform may list an instance under its own incarnation. When the heartbeat came first, the list added a second member, which stayed listed in hoistctl status and counted as a sender when heartbeat gaps were estimated. Change: an entry with the id and datagram address of a heard member is skipped. Conclusion: one member per running instance.

--- a/membership/list.go
+++ b/membership/list.go
@@ -9,13 +9,14 @@
 		return
 	}
 	listed := make(map[string]struct{}, len(entries))
+	heard := t.heardAddresses()
 	for _, e := range entries {
 		if e.Kind == KindEndpoint {
 			listed[e.ID] = struct{}{}
 			t.listEndpoint(e)
 		} else {
 			listed[e.incarnation()] = struct{}{}
-			t.listMember(e)
+			t.listMember(e, heard)
 		}
 	}
 	t.dropUnlisted(now, listed)
@@ -41,13 +42,34 @@
 	return ok && age < freshLoad
 }
 
-func (t *Table) listMember(e Entry) {
+// place is where an instance receives datagrams.
+type place struct {
+	id, address string
+}
+
+// heardAddresses returns the places of the members that send heartbeats.
+func (t *Table) heardAddresses() map[place]struct{} {
+	heard := make(map[place]struct{}, len(t.members))
+	for _, m := range t.members {
+		if m.State == Live || m.State == Suspect {
+			heard[place{m.ID, m.DatagramAddress}] = struct{}{}
+		}
+	}
+	return heard
+}
+
+func (t *Table) listMember(e Entry, heard map[place]struct{}) {
 	incarnation := e.incarnation()
 	if incarnation == t.cfg.Incarnation || e.ID == t.cfg.ID && !e.Leaving {
 		// The list may name this instance under the platform's own incarnation.
 		return
 	}
 	t.listLeaving(e)
+	if _, ok := heard[place{e.ID, e.Address}]; ok {
+		// The instance itself told its incarnation; the platform may use another one. A second
+		// member for it would count twice when the times of heartbeats are estimated.
+		return
+	}
 	_, known := t.members[incarnation]
 	if known || t.left.has(incarnation) {
 		return
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -304,6 +304,24 @@
 		Expect(age).To(Equal(time.Second))
 	})
 
+	It("guards against a second member for an instance that the platform lists under its own incarnation", func() {
+		s := newSite(strict{GinkgoT()}, 2, 2)
+		table := s.tables["e00:7"]
+		s.run(20)
+		entries := slices.Clone(s.late)
+		for i := range entries {
+			if entries[i].Kind == membership.KindEntry {
+				entries[i].Incarnation = "01H-platform-" + entries[i].ID
+			}
+		}
+		table.List(s.now, entries)
+		ids := make(map[string]int)
+		for _, m := range table.View().Members {
+			ids[m.ID]++
+		}
+		Expect(ids).To(Equal(map[string]int{"e00": 1, "e01": 1, "e02": 1, "e03": 1}))
+	})
+
 	It("guards against an interval that exceeds the budget in a large data centre", func() {
 		s := newSite(strict{GinkgoT()}, 1, 60)
 		Expect(s.tables["e00:7"].Interval()).To(Equal(2 * time.Second))
