Give each sample deployment its own fleet key

Cause: all sample deployments shared one fleet key. Two on one machine mixed: an instance of hoistdev up applied revision 2 (preset peak) that a demonstration in another process had accepted, over a reused heartbeat port. Change: the key is random per deployment. Conclusion: frames of another deployment are refused.

--- a/internal/devtool/deployment.go
+++ b/internal/devtool/deployment.go
@@ -10,6 +10,7 @@
 	"knapweedhoist/distribution"
 	"knapweedhoist/platform"
 	"knapweedhoist/roster"
+	"knapweedhoist/settings"
 	"knapweedhoist/standin"
 )
 
@@ -31,11 +32,13 @@
 type deployment struct {
 	*standin.Fleet
 	topology topology
+	// fleetKey authenticates frames between the entry instances of this deployment only.
+	fleetKey settings.Secret
 }
 
 // startDeployment starts the stand-ins and stores the sample configuration.
 func startDeployment(ctx context.Context, lg *slog.Logger, size topology) (*deployment, error) {
-	d := &deployment{topology: size, Fleet: standin.NewFleet(lg, standin.FleetConfig{
+	d := &deployment{topology: size, fleetKey: newFleetKey(), Fleet: standin.NewFleet(lg, standin.FleetConfig{
 		Datacentres: size.datacentres, Engines: size.engines, Services: size.services,
 		ModelService: sampleModelService, PlainService: samplePlainService,
 		Engine: standin.EngineConfig{ChecksFence: true},
--- a/internal/devtool/entry_settings.go
+++ b/internal/devtool/entry_settings.go
@@ -1,11 +1,12 @@
 package devtool
 
 import (
+	"crypto/rand"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
 	"os"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -14,8 +15,13 @@
 	"knapweedhoist/settings"
 )
 
-// fleetKey is the fleet's key of the sample deployment. It is for trials only.
-var fleetKey = strings.Repeat("5a", 32)
+// newFleetKey returns a fleet key in hexadecimal. Each deployment has its own: with a common key,
+// deployments that run on one machine and reuse a port would accept each other's frames.
+func newFleetKey() settings.Secret {
+	var key [32]byte
+	_, _ = rand.Read(key[:]) // never fails
+	return settings.Secret(hex.EncodeToString(key[:]))
+}
 
 // entrySettings are the settings of the sample deployment's entry instance n, from 0.
 func (d *deployment) entrySettings(n int) (settings.Settings, error) {
@@ -23,7 +29,7 @@
 	cfg.Instance = fmt.Sprintf("entry-%d", n+1)
 	cfg.Datacentre = d.topology.datacentres[n%len(d.topology.datacentres)]
 	cfg.Region = sampleRegion
-	cfg.FleetKey = settings.Secret(fleetKey)
+	cfg.FleetKey = d.fleetKey
 	cfg.Operators = []settings.Operator{{Name: "operator", KeyHash: hashKey(operatorKey)}}
 	cfg.Platform.Address = d.Platform.Addr()
 	cfg.List.Address = d.Roster.Addr()
