Tell the reason for a refused body in chunks

Cause: fasthttp clears the header when a body in chunks exceeds its limit, so that a caller with a valid key got 401 'a bearer key is required'. Change: such a request gets 413 with both possible reasons. Measured: the new test fails without the change for a valid and a wrong key, and passes with it; go test ./gateway passes. Conclusion: oversized bodies get 413 in both forms; the credential of a request in chunks is not known at that point, which the detail says.

--- a/gateway/bad_input.go
+++ b/gateway/bad_input.go
@@ -38,6 +38,12 @@
 
 // bodyTooLarge tells a caller without a valid credential of that instead.
 func (s *Server) bodyTooLarge(ctx *fasthttp.RequestCtx) *problem {
+	if len(ctx.Request.Header.Host()) == 0 {
+		// fasthttp clears the header of a request whose body in chunks exceeds the limit, so that
+		// it is not known here which of the two limits applied.
+		return notRun(http.StatusRequestEntityTooLarge, "read",
+			"the body is too large, or it is sent in chunks without a valid bearer key")
+	}
 	if _, p := s.authenticate(&ctx.Request.Header); p != nil {
 		return p
 	}
--- a/gateway/bad_input_test.go
+++ b/gateway/bad_input_test.go
@@ -123,6 +123,20 @@
 		Expect(problemOf(response, body).Outcome).To(Equal("not_run"))
 	})
 
+	DescribeTable("guards against a body in chunks that is refused for a wrong reason",
+		func(key string) {
+			response, body := s.raw("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+key+"\r\n",
+				"Transfer-Encoding: chunked\r\n\r\n1388\r\n", strings.Repeat("x", 5000), "\r\n0\r\n\r\n")
+			Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+			document := problemOf(response, body)
+			Expect(document.Step).To(Equal("read"))
+			Expect(document.Outcome).To(Equal("not_run"))
+			Expect(body).To(ContainSubstring("too large, or it is sent in chunks without a valid bearer key"))
+		},
+		Entry("with a valid credential", "key-a"),
+		Entry("with a wrong credential", "wrong"),
+	)
+
 	It("guards against a body that stops midway", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
