Generate docs/configuration.md from the configuration structs

Change: internal/configdoc writes the page from doc comments and validate tags; the comments are completed. Tests compare page, bounds, defaults and a complete example with the code and with check-config. Conclusion: the page cannot differ from the code unnoticed.

--- a/catalog/preset.go
+++ b/catalog/preset.go
@@ -12,11 +12,11 @@
 	ReclaimableShare *int `json:"reclaimable_share_percent,omitempty" validate:"omitempty,min=0,max=100"`
 	// SpareDatacentres is how many data centres may be lost with the targets still met. Default 1, 0 to 2.
 	SpareDatacentres *int `json:"spare_datacentres,omitempty" validate:"omitempty,min=0,max=2"`
-	// HeadroomPercent is capacity kept above the forecast load. Default 20, 0 to 200.
+	// HeadroomPercent is capacity kept above the forecast load, in percent. Default 20, 0 to 200.
 	HeadroomPercent *int `json:"headroom_percent,omitempty" validate:"omitempty,min=0,max=200"`
-	// RetryBudgetPercent is the largest share of extra attempts. Default 10, 0 to 10.
+	// RetryBudgetPercent is the largest share of extra attempts, in percent of successful work. Default 10, 0 to 10.
 	RetryBudgetPercent *int `json:"retry_budget_percent,omitempty" validate:"omitempty,min=0,max=10"`
-	// HedgeBudgetPercent is the largest share of hedged attempts. Default 5, 0 to 5.
+	// HedgeBudgetPercent is the largest share of hedged attempts, in percent. Default 5, 0 to 5.
 	HedgeBudgetPercent *int `json:"hedge_budget_percent,omitempty" validate:"omitempty,min=0,max=5"`
 	// ShortTokens is the largest expected work, in tokens, that counts as short. Default 512, 1 to 100000.
 	ShortTokens int `json:"short_tokens,omitempty" validate:"omitempty,min=1,max=100000"`
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -15,22 +15,24 @@
 	Name string `json:"name" validate:"required,name"`
 	// Kind is "model" (completions) or "plain" (any HTTP call).
 	Kind ServiceKind `json:"kind" validate:"required,oneof=model plain"`
-	// Models are the model names that callers may ask for; model services only, 1 to 32.
+	// Models are the model names that callers may ask for, each of at most 128 characters; model services only, 1 to 32.
 	Models []string `json:"models,omitempty" validate:"max=32,dive,required,max=128"`
-	// Idempotent are calls that may be repeated beside the safe methods; plain services only.
+	// Idempotent are calls that may be repeated beside the safe methods; plain services only, at most 64. Default: none.
 	Idempotent []CallRule `json:"idempotent,omitempty" validate:"max=64,dive"`
-	// Deduplicates: the endpoints de-duplicate by Idempotency-Key themselves, so calls need no claim.
+	// Deduplicates: the endpoints de-duplicate by Idempotency-Key themselves, so calls need no claim. Default false.
 	Deduplicates bool `json:"deduplicates,omitempty"`
-	// ChecksFence: the endpoints refuse orders with an old fencing number.
+	// ChecksFence: the endpoints refuse orders with an old fencing number. Default false.
 	ChecksFence bool `json:"checks_fence,omitempty"`
-	// RetentionHours is how long an Idempotency-Key stays claimed. Default 24, 1 to 168.
+	// RetentionHours is how long an Idempotency-Key stays claimed, in hours. Default 24, 1 to 168.
 	RetentionHours int `json:"retention_hours,omitempty" validate:"omitempty,min=1,max=168"`
-	// MaxBodyBytes bounds a request body. Default 1048576, 1024 to 16777216.
+	// MaxBodyBytes bounds a request body, in bytes. Default 1048576, 1024 to 16777216.
 	MaxBodyBytes int `json:"max_body_bytes,omitempty" validate:"omitempty,min=1024,max=16777216"`
 }
 
 // CallRule matches calls by method and path prefix.
 type CallRule struct {
-	Method     string `json:"method" validate:"required,oneof=POST PUT PATCH DELETE"`
+	// Method is the HTTP method: "POST", "PUT", "PATCH" or "DELETE".
+	Method string `json:"method" validate:"required,oneof=POST PUT PATCH DELETE"`
+	// PathPrefix matches whole segments of the path below the service: "/a" matches "/a" and "/a/b", not "/ab".
 	PathPrefix string `json:"path_prefix" validate:"required,startswith=/"`
 }
--- /dev/null
+++ b/internal/configdoc/configdoc_test.go
@@ -0,0 +1,134 @@
+package configdoc
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.yaml.in/yaml/v3"
+
+	"knapweedhoist/catalog"
+	"knapweedhoist/internal/daemon"
+	"knapweedhoist/settings"
+)
+
+func TestConfigdoc(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "configdoc")
+}
+
+const root = "../.."
+
+// documented are the structs that the page shows, by package.
+func documented() map[string][]field {
+	fields := make(map[string][]field)
+	for dir, tagKey := range map[string]string{"settings": "yaml", "catalog": "json"} {
+		all, err := parseStructs(filepath.Join(root, dir), tagKey)
+		Expect(err).NotTo(HaveOccurred())
+		tops := []string{"Settings"}
+		if dir == "catalog" {
+			tops = []string{"Service", "Team", "Preset"}
+		}
+		for len(tops) > 0 {
+			for _, f := range all[tops[0]] {
+				fields[dir+"."+tops[0]] = append(fields[dir+"."+tops[0]], f)
+				tops = append(tops, elementOf(f.typeName))
+			}
+			tops = tops[1:]
+		}
+	}
+	return fields
+}
+
+var bound = regexp.MustCompile(`(?:min|max)=([0-9]+)`)
+
+var _ = Describe("configuration page", func() {
+	It("guards against a page that differs from the code", func() {
+		page, err := Page(root)
+		Expect(err).NotTo(HaveOccurred())
+		stored, err := os.ReadFile(root + "/docs/configuration.md")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(stored)).To(Equal(page), "run go generate ./internal/configdoc")
+	})
+
+	It("guards against a field without a doc comment or with bounds that the comment does not give", func() {
+		count := 0
+		for name, fields := range documented() {
+			for _, f := range fields {
+				count++
+				Expect(f.comment).NotTo(BeEmpty(), name+"."+f.name)
+				for _, limit := range bound.FindAllStringSubmatch(f.rule, -1) {
+					Expect(f.comment).To(MatchRegexp(`\b`+limit[1]), "%s.%s: %s", name, f.name, f.rule)
+				}
+			}
+		}
+		Expect(count).To(BeNumerically(">", 50))
+	})
+
+	It("guards against a doc comment whose default differs from the code", func() {
+		all, err := parseStructs(filepath.Join(root, "settings"), "yaml")
+		Expect(err).NotTo(HaveOccurred())
+		encoded, err := yaml.Marshal(settings.Default())
+		Expect(err).NotTo(HaveOccurred())
+		var defaults struct {
+			Limits   map[string]any
+			Shutdown map[string]any
+			Log      map[string]any
+		}
+		Expect(yaml.Unmarshal(encoded, &defaults)).To(Succeed())
+		for typeName, values := range map[string]map[string]any{
+			"Limits": defaults.Limits, "Shutdown": defaults.Shutdown, "Log": defaults.Log,
+		} {
+			for _, f := range all[typeName] {
+				Expect(f.comment).To(MatchRegexp(`Default "?`+defaultText(values[f.name])+`\b`), typeName+"."+f.name)
+			}
+		}
+		Expect(settings.DefaultDistance).To(Equal(40 * time.Millisecond))
+		Expect(settings.DefaultRemoteTimeout).To(Equal(5 * time.Second))
+	})
+
+	It("guards against a doc comment of the shared configuration whose default differs from the code", func() {
+		all, err := parseStructs(filepath.Join(root, "catalog"), "json")
+		Expect(err).NotTo(HaveOccurred())
+		document := catalog.Initial()
+		document.Services = []catalog.Service{{Name: "s", Kind: catalog.KindPlain}}
+		document.Teams = []catalog.Team{{Name: "t", KeyHashes: []string{strings.Repeat("0a", 32)}, Services: []string{"s"}}}
+		snapshot, err := catalog.NewSnapshot(document)
+		Expect(err).NotTo(HaveOccurred())
+		service, _ := snapshot.Service("s")
+		team, _ := snapshot.Team("t")
+		for typeName, item := range map[string]any{"Service": service, "Team": team, "Preset": snapshot.InForce()} {
+			encoded, err := json.Marshal(item)
+			Expect(err).NotTo(HaveOccurred())
+			var values map[string]any
+			Expect(json.Unmarshal(encoded, &values)).To(Succeed())
+			for _, f := range all[typeName] {
+				if number, ok := values[f.name].(float64); ok {
+					Expect(f.comment).To(MatchRegexp(fmt.Sprintf(`Default %d\b`, int(number))), typeName+"."+f.name)
+				}
+			}
+		}
+	})
+
+	It("guards against an example that check-config refuses or that leaves a field out", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "hoist.yaml")
+		Expect(os.WriteFile(path, []byte(Example), 0o600)).To(Succeed())
+		var out, fault bytes.Buffer
+		Expect(daemon.Main([]string{"check-config", "-c", path}, &out, &fault)).To(Equal(daemon.ExitOK), fault.String())
+		all, err := parseStructs(filepath.Join(root, "settings"), "yaml")
+		Expect(err).NotTo(HaveOccurred())
+		for _, typeName := range []string{"Settings", "Listen", "Remote", "OptionalRemote", "Operator", "Limits", "Shutdown", "Log"} {
+			for _, f := range all[typeName] {
+				Expect(Example).To(MatchRegexp(`(?m)^[ -]*`+f.name+`:`), typeName+"."+f.name)
+			}
+		}
+	})
+})
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -4,11 +4,11 @@
 
 // Limits bound what one entry instance takes on.
 type Limits struct {
-	// MaxRequests is the number of requests in progress. Default 4096, 1 to 100000.
+	// MaxRequests is the largest number of requests in progress. Default 4096, 1 to 100000.
 	MaxRequests int `yaml:"max_requests" validate:"min=1,max=100000"`
-	// MaxBodyBytes bounds a request body; a service may set less. Default 1048576, 1024 to 16777216.
+	// MaxBodyBytes bounds a request body, in bytes; a service may set less. Default 1048576, 1024 to 16777216.
 	MaxBodyBytes int `yaml:"max_body_bytes" validate:"min=1024,max=16777216"`
-	// MaxHeaderBytes bounds the headers of a request. Default 16384, 1024 to 65536.
+	// MaxHeaderBytes bounds the request line and headers of a request, in bytes. Default 16384, 1024 to 65536.
 	MaxHeaderBytes int `yaml:"max_header_bytes" validate:"min=1024,max=65536"`
 	// ReadTimeout bounds the time in which a whole request must arrive. Default 10s, 1s to 120s.
 	ReadTimeout Duration `yaml:"read_timeout" validate:"min=1s,max=120s"`
--- a/settings/remote.go
+++ b/settings/remote.go
@@ -6,7 +6,7 @@
 type Remote struct {
 	// Address is an IP number and a port. Required.
 	Address string `yaml:"address" validate:"required,ip_port"`
-	// Credential is sent as a bearer token; empty sends none.
+	// Credential is sent as a bearer token; empty sends none. Default: none.
 	Credential Secret `yaml:"credential"`
 	// Timeout bounds one call. Default 5s, 100ms to 60s.
 	Timeout Duration `yaml:"timeout" validate:"omitempty,min=100ms,max=60s"`
@@ -27,7 +27,7 @@
 type OptionalRemote struct {
 	// Address is an IP number and a port. Default: none.
 	Address string `yaml:"address" validate:"omitempty,ip_port"`
-	// Credential is sent as a bearer token; empty sends none.
+	// Credential is sent as a bearer token; empty sends none. Default: none.
 	Credential Secret `yaml:"credential"`
 	// Timeout bounds one call. Default 5s, 100ms to 60s.
 	Timeout Duration `yaml:"timeout" validate:"omitempty,min=100ms,max=60s"`
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,8 +10,8 @@
 	Datacentre string `yaml:"datacentre" validate:"required,name"`
 	// Region is the region of the data centre. Required.
 	Region string `yaml:"region" validate:"required,name"`
-	// Distances are the one-way latencies from this data centre to others, by data centre.
-	// A data centre that is not named counts as DefaultDistance. Default: none.
+	// Distances are the one-way latencies from this data centre to others, by data centre; at most 64, each 0s to 10s.
+	// A data centre that is not named counts as 40ms away. Default: none.
 	Distances map[string]Duration `yaml:"distances" validate:"max=64,dive,min=0s,max=10s"`
 	// Listen are the addresses that the process listens on.
 	Listen Listen `yaml:"listen"`
@@ -25,7 +25,7 @@
 	Weights OptionalRemote `yaml:"weights"`
 	// FleetKey authenticates frames between entry instances: 64 hexadecimal digits. Required.
 	FleetKey Secret `yaml:"fleet_key" validate:"required,len=64,hexadecimal"`
-	// Operators are the people and programs that may use the operators' address; 1 to 64.
+	// Operators are the people and programs that may use the operators' address; 1 to 64. Required.
 	Operators []Operator `yaml:"operators" validate:"required,min=1,max=64,dive"`
 	// Limits bound what the instance takes on.
 	Limits Limits `yaml:"limits"`
