Make the timeline page readable with many events

Cause: in a screenshot of a demonstration, marks beyond the sixth lane covered each other, the axis mixed '+0 ms' with '+1s' and did not say from when, only the first row was shaded, and colours of families and requests had no legend. Change: events without a free lane share a mark '+n' whose hover text lists them; ticks have one unit; rows alternate; legends for colours and lines; lines pass through the marks. Conclusion: every event has a visible mark, and every colour a legend.

--- a/timeline/drawing.go
+++ b/timeline/drawing.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -19,11 +18,13 @@
 	markHeight  = 16
 	markGap     = 2
 	rowPadding  = 7
-	// maxLanes bounds a row's height; further marks overlap in the last lane.
+	// maxLanes bounds a row's height; further events at the same place share a mark in the last lane.
 	maxLanes = 6
+	// maxHoverLines bounds the hover text of a shared mark.
+	maxHoverLines = 25
 	// maxPaths is how many requests get a line; more would not be told apart.
-	maxPaths  = 8
-	wantTicks = 10
+	maxPaths = 8
+	maxTicks = 12
 )
 
 func newDrawing(page Page) *drawing {
@@ -38,11 +39,12 @@
 	d.From, d.To = clockOf(first), clockOf(last)
 	scale := newScale(first, last, d.Left, d.Right)
 	rows := d.addRows()
+	spots := make([]spot, 0, len(page.Events))
 	for _, e := range page.Events {
-		rows[e.Instance].place(scale.x(e.Stamp.WallMs), e)
+		spots = append(spots, rows[e.Instance].place(scale.x(e.Stamp.WallMs), e))
 	}
 	d.stack()
-	d.addPaths(scale, rows)
+	d.addPaths(spots)
 	d.Ticks = scale.ticks()
 	d.addLegend()
 	for _, e := range page.Events {
@@ -69,30 +71,57 @@
 	return rows
 }
 
-// place puts the mark into the first lane in which it overlaps no other.
-func (r *row) place(x int, e Event) {
+// spot is the mark of an event: an index of the row's marks.
+type spot struct {
+	row  *row
+	mark int
+}
+
+// place puts the event into the first lane in which its mark overlaps no other.
+// When all lanes are taken it joins the last mark of the last lane.
+func (r *row) place(x int, e Event) spot {
 	lane := 0
-	for lane < len(r.lanes) && lane < maxLanes-1 && x < r.lanes[lane] {
+	for lane < len(r.lanes) && x < r.lanes[lane].right {
 		lane++
 	}
+	if lane == maxLanes {
+		last := r.lanes[lane-1].mark
+		r.Marks[last].join(e)
+		return spot{r, last}
+	}
 	if lane == len(r.lanes) {
-		r.lanes = append(r.lanes, 0)
+		r.lanes = append(r.lanes, laneEnd{})
 	}
-	r.lanes[lane] = x + markWidth + markGap
+	r.lanes[lane] = laneEnd{right: x + markWidth + markGap, mark: len(r.Marks)}
 	item := legendOf(e.Kind)
 	r.Marks = append(r.Marks, mark{
-		X: x, Y: lane * (markHeight + markGap), Code: item.Code, Family: item.Family, Text: describe(e),
+		X: x, Y: lane * (markHeight + markGap), Code: item.Code, Family: item.Family, Text: describe(e), count: 1,
 	})
+	return spot{r, len(r.Marks) - 1}
+}
+
+// join adds an event to a mark, which then shows how many events it stands for.
+func (m *mark) join(e Event) {
+	m.count++
+	m.Code, m.Family = fmt.Sprintf("+%d", m.count), familyShared
+	if m.count > 99 {
+		m.Code = "+99"
+	}
+	if strings.Count(m.Text, "\n") < maxHoverLines {
+		m.Text += "\n\n" + describe(e)
+	}
 }
 
 // stack gives rows and marks their vertical positions.
 func (d *drawing) stack() {
 	top := axisHeight
-	for _, r := range d.Rows {
+	for i, r := range d.Rows {
+		r.Even = i%2 == 0
 		r.Top, r.Height = top, 2*rowPadding+len(r.lanes)*(markHeight+markGap)-markGap
 		r.Middle = r.Top + r.Height/2
 		for i := range r.Marks {
 			m := &r.Marks[i]
+			d.Shared = d.Shared || m.count > 1
 			m.Y += top + rowPadding
 			m.TextX, m.TextY = m.X+markWidth/2, m.Y+markHeight-4
 		}
@@ -101,18 +130,19 @@
 	d.PlotBottom, d.Height = top, top+4
 }
 
-// addPaths joins the events of each request when there are few requests.
-func (d *drawing) addPaths(scale scale, rows map[string]*row) {
+// addPaths joins the marks of each request when there are few requests; spots are in the order of the events.
+func (d *drawing) addPaths(spots []spot) {
 	var order []string
 	points := make(map[string][]string)
-	for _, e := range d.Events {
+	for i, e := range d.Events {
 		if e.Request == "" {
 			continue
 		}
 		if points[e.Request] == nil {
 			order = append(order, e.Request)
 		}
-		point := fmt.Sprintf("%d,%d", scale.x(e.Stamp.WallMs)+markWidth/2, rows[e.Instance].Middle)
+		m := spots[i].row.Marks[spots[i].mark]
+		point := fmt.Sprintf("%d,%d", m.X+markWidth/2, m.Y+markHeight/2)
 		points[e.Request] = append(points[e.Request], point)
 	}
 	if len(order) > maxPaths {
@@ -154,27 +184,47 @@
 	return s.left + int(float64(ms-s.first)/float64(s.span)*float64(s.width))
 }
 
-// ticks returns about wantTicks marks at steps of 1, 2 or 5 times a power of ten.
-func (s scale) ticks() []tick {
-	step := math.Pow(10, math.Floor(math.Log10(float64(s.span)/wantTicks)))
-	for _, factor := range []float64{2, 5, 10} {
-		if float64(s.span)/step > wantTicks {
-			step = math.Pow(10, math.Floor(math.Log10(float64(s.span)/wantTicks))) * factor
+// tickSteps are the steps between ticks.
+var tickSteps = []time.Duration{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second,
+	time.Minute, 2 * time.Minute, 5 * time.Minute, 10 * time.Minute, 30 * time.Minute,
+	time.Hour, 2 * time.Hour, 6 * time.Hour, 12 * time.Hour,
+}
+
+// step returns the first of tickSteps that gives at most maxTicks, in milliseconds; longer spans get whole days.
+func (s scale) step() int64 {
+	for _, step := range tickSteps {
+		if s.span/step.Milliseconds() <= maxTicks {
+			return step.Milliseconds()
 		}
 	}
-	width := max(1, int64(step))
+	day := (24 * time.Hour).Milliseconds()
+	return day * (s.span/(day*maxTicks) + 1)
+}
+
+func (s scale) ticks() []tick {
+	width := s.step()
 	var ticks []tick
 	for at := int64(0); at <= s.span; at += width {
-		ticks = append(ticks, tick{X: s.x(s.first+at) + markWidth/2, Label: label(at)})
+		ticks = append(ticks, tick{X: s.x(s.first+at) + markWidth/2, Label: label(at, width)})
 	}
 	return ticks
 }
 
-func label(ms int64) string {
-	if ms < 1000 {
+// label writes the time since the first event, in one unit for all ticks of a step.
+func label(ms, step int64) string {
+	switch {
+	case step < 100:
 		return fmt.Sprintf("+%d ms", ms)
+	case step < time.Minute.Milliseconds():
+		return fmt.Sprintf("+%g s", float64(ms)/1000)
+	case step < time.Hour.Milliseconds():
+		return fmt.Sprintf("+%d min", ms/time.Minute.Milliseconds())
+	default:
+		return fmt.Sprintf("+%d h", ms/time.Hour.Milliseconds())
 	}
-	return "+" + (time.Duration(ms) * time.Millisecond).String()
 }
 
 func clockOf(ms int64) string {
--- a/timeline/legend.go
+++ b/timeline/legend.go
@@ -7,6 +7,8 @@
 	familyControl = "control"
 	familyMember  = "member"
 	familyFault   = "fault"
+	// familyShared is the colour of marks that stand for several events.
+	familyShared = "shared"
 )
 
 // legend gives each kind a two-letter code, so that marks differ without colour.
@@ -19,8 +21,8 @@
 	{"SH", familyChoice, KindShed, "shed at admission"},
 	{"CL", familyChoice, KindClaim, "claim of a key"},
 	{"CH", familyChoice, KindChoose, "endpoint chosen"},
-	{"HO", familyControl, KindHandover, "handover"},
-	{"LE", familyControl, KindLease, "lease"},
+	{"HO", familyControl, KindHandover, "requests handed over"},
+	{"LE", familyControl, KindLease, "lease taken or lost"},
 	{"OR", familyControl, KindOrder, "order to an endpoint"},
 	{"PR", familyControl, KindPreset, "preset in force"},
 	{"RV", familyControl, KindRevision, "configuration revision"},
--- a/timeline/page.go
+++ b/timeline/page.go
@@ -38,22 +38,31 @@
 	Ticks                                           []tick
 	Paths                                           []path
 	Legend                                          []legendItem
-	Lines                                           []line
+	// Shared tells that some marks stand for several events.
+	Shared bool
+	Lines  []line
 }
 
 // row is one instance.
 type row struct {
 	Instance, Datacentre string
 	Top, Height, Middle  int
-	Marks                []mark
-	// lanes has the right end of the last mark in each lane.
-	lanes []int
+	// Even rows have a shaded background.
+	Even  bool
+	Marks []mark
+	lanes []laneEnd
 }
 
-// mark is one event.
+// laneEnd is the last mark of a lane: its right end with the gap, and its index.
+type laneEnd struct {
+	right, mark int
+}
+
+// mark is one event, or several that share a place.
 type mark struct {
 	X, Y, TextX, TextY int
 	Code, Family, Text string
+	count              int
 }
 
 type tick struct {
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -6,8 +6,10 @@
 	"errors"
 	"flag"
 	"fmt"
+	"html"
 	"io"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -156,6 +158,43 @@
 		Expect(errors.Is(err, io.EOF)).To(BeTrue(), "svg: %v", err)
 	})
 
+	It("guards against marks that cover each other and events that no mark stands for", func() {
+		p := newProcess("p", 0)
+		for i := range 40 {
+			p.ring.Record(timeline.Event{Kind: timeline.KindAccept, Detail: fmt.Sprintf("event-%02d", i)})
+		}
+		p.wall = p.wall.Add(time.Second)
+		p.ring.Record(timeline.Event{Kind: timeline.KindFinish, Detail: "last"})
+		var page bytes.Buffer
+		Expect(timeline.WriteHTML(&page, timeline.Page{Events: p.ring.Select(timeline.Filter{})})).To(Succeed())
+		places := regexp.MustCompile(`<rect class="[a-z]+" x="(\d+)" y="(\d+)" width="22" height="16"`)
+		seen := make(map[string]bool)
+		for _, place := range places.FindAllStringSubmatch(page.String(), -1) {
+			Expect(seen).NotTo(HaveKey(place[1]+","+place[2]), "two marks at one place")
+			seen[place[1]+","+place[2]] = true
+		}
+		Expect(seen).To(HaveLen(7), "six lanes at the first moment, one mark at the last")
+		Expect(html.UnescapeString(page.String())).To(MatchRegexp(`<text [^>]*>\+35</text>`), "the sixth lane stands for 40-5 events")
+		Expect(page.String()).To(ContainSubstring("n events at the same place"))
+	})
+
+	It("guards against an axis whose ticks have different units", func() {
+		for span, labels := range map[time.Duration][]string{
+			40 * time.Millisecond: {"+0 ms", "+5 ms"}, 8 * time.Second: {"+0 s", "+1 s"},
+			90 * time.Second: {"+0 s", "+10 s"}, 48 * time.Hour: {"+0 h", "+6 h"}, 30 * time.Minute: {"+0 min", "+10 min"},
+		} {
+			p := newProcess("p", 0)
+			p.ring.Record(timeline.Event{Kind: timeline.KindAccept})
+			p.wall = p.wall.Add(span)
+			p.ring.Record(timeline.Event{Kind: timeline.KindFinish})
+			var page bytes.Buffer
+			Expect(timeline.WriteHTML(&page, timeline.Page{Events: p.ring.Select(timeline.Filter{})})).To(Succeed())
+			for _, label := range labels {
+				Expect(html.UnescapeString(page.String())).To(ContainSubstring(">"+label+"</text>"), span.String())
+			}
+		}
+	})
+
 	It("guards against an empty page and an empty table that fail", func() {
 		Expect(timeline.WriteHTML(io.Discard, timeline.Page{})).To(Succeed())
 		Expect(timeline.WriteTable(io.Discard, nil)).To(Succeed())
