Count requests and events in the metrics; cause failures by hand

Cause: /metrics of a running daemon had no figure about requests, sheds, outcomes, silent connections, platform outages or violated invariants, and hoistdev up offered no way to cause a failure.

--- a/instance.go
+++ b/instance.go
@@ -37,8 +37,10 @@
 	incarnation string
 	clock       *timeline.Clock
 	ring        *timeline.Ring
-	checker     *invariant.Reporter
-	metrics     metrics.Registry
+	// recorder stores events in ring and counts them.
+	recorder *meteredRecorder
+	checker  *invariant.Reporter
+	metrics  metrics.Registry
 
 	store platform.Store
 	list  roster.List
@@ -67,7 +69,8 @@
 	i.lg = lg.With("instance", cfg.Instance, "datacentre", cfg.Datacentre)
 	i.clock = timeline.NewClock(time.Now)
 	i.ring = timeline.NewRing(i.clock, cfg.Instance, cfg.Datacentre, cfg.Limits.TimelineEvents)
-	i.checker = invariant.NewReporter(i.lg, i.ring)
+	i.recorder = newMeteredRecorder(i.ring, i.metrics)
+	i.checker = invariant.NewReporter(i.lg, i.recorder)
 	i.wireOutside()
 	core := control.New(i.controlConfig(), time.Now())
 	i.view.Store(core.View())
@@ -111,7 +114,7 @@
 			OperatorAddress: i.cfg.Listen.Operators,
 		},
 		Rand:   rand.New(rand.NewSource(time.Now().UnixNano())),
-		Logger: i.lg, Recorder: i.ring, Checker: i.checker,
+		Logger: i.lg, Recorder: i.recorder, Checker: i.checker,
 	}
 }
 
@@ -120,11 +123,12 @@
 	i.registry = request.NewRegistry(i.incarnation, i.checker, request.Config{
 		MaxInProgress: limits.MaxRequests, Keep: time.Duration(limits.FinishedKept),
 	})
+	i.registerRequestMetrics()
 	i.policy = newPolicy(i)
 	answers := &attacher{instance: i}
 	i.runner = backend.NewRunner(i.lg, backend.Config{}, backend.Deps{
 		Chooser: i.policy, Retrier: i.policy, Claimer: &claimer{instance: i}, Caller: backend.NewHTTPCaller(),
-		Answers: answers, Recorder: i.ring,
+		Answers: answers, Recorder: i.recorder,
 	})
 	i.gateway = gateway.NewServer(i.lg, gateway.Config{
 		MaxHeaderBytes: limits.MaxHeaderBytes, MaxBodyBytes: limits.MaxBodyBytes,
@@ -132,7 +136,7 @@
 		MaxDeadline: time.Duration(limits.MaxDeadline),
 	}, gateway.Deps{
 		Directory: directory{view: &i.view}, Admitter: i.policy, Registry: i.registry, Remote: answers,
-		Starter: i.runner, Recorder: i.ring,
+		Starter: i.runner, Recorder: i.recorder,
 	})
 	i.home = handover.NewHome(i.incarnation, i.registry, &handoverTransport{instance: i}, i.checker)
 	i.host = handover.NewHost(i.incarnation, handover.ReceiverConfig{}, i.registry, i.runner, i.checker)
@@ -149,7 +153,7 @@
 	if err != nil {
 		return stepError("configure", "", err)
 	}
-	cfg := peer.Config{Key: key, Incarnation: i.incarnation, Clock: i.clock, Recorder: i.ring, Metrics: i.metrics}
+	cfg := peer.Config{Key: key, Incarnation: i.incarnation, Clock: i.clock, Recorder: i.recorder, Metrics: i.metrics}
 	if i.peers, err = peer.NewClient(i.lg, cfg); err != nil {
 		return stepError("configure", "", err)
 	}
--- /dev/null
+++ b/internal/devtool/console_test.go
@@ -0,0 +1,52 @@
+package devtool
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/platform"
+)
+
+var _ = Describe("console", func() {
+	It("guards against a fault or a reclaim that is reported and has no effect", func() {
+		d, err := startDeployment(context.Background(), slog.New(slog.DiscardHandler), topology{
+			datacentres: sampleDatacentres[:2], engines: 2, services: 2,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(d.Close)
+		c, err := startConsole(d, "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.close)
+		post := func(path string) (int, string) {
+			response, err := http.Post("http://"+c.address+path, "", nil)
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			text, err := io.ReadAll(response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			return response.StatusCode, string(text)
+		}
+		status, text := post("/fault?on=platform&kind=outage&op=get&count=1")
+		Expect(status).To(Equal(http.StatusOK), text)
+		_, err = d.Platform.Do(context.Background(), platform.Get(platform.KindConfig, "current"))
+		Expect(err).To(MatchError(platform.ErrUnavailable))
+		_, err = d.Platform.Do(context.Background(), platform.Get(platform.KindConfig, "current"))
+		Expect(err).NotTo(HaveOccurred())
+
+		status, text = post("/reclaim?datacentre=" + sampleDatacentres[0])
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(text).To(ContainSubstring("2 instances"))
+
+		for _, wrong := range []string{
+			"/fault?on=platform&kind=none&count=1", "/fault?on=nothing&kind=delay&count=1", "/fault?on=platform&kind=outage",
+			"/fault?on=platform&kind=delay&for=3", "/reclaim",
+		} {
+			status, text = post(wrong)
+			Expect(status).To(Equal(http.StatusBadRequest), wrong+": "+text)
+		}
+	})
+})
--- a/internal/devtool/standins.go
+++ b/internal/devtool/standins.go
@@ -20,6 +20,8 @@
 	Engines     int `long:"engines" description:"Number of model engines" default:"10" value-name:"N"`
 	Services    int `long:"services" description:"Number of plain service endpoints" default:"4" value-name:"N"`
 
+	Console string `long:"console" description:"Loopback address at which failures can be caused (HTTP)" value-name:"IP:PORT"`
+
 	stdout io.Writer
 	stderr io.Writer
 }
@@ -39,6 +41,11 @@
 		return err
 	}
 	defer func() { _ = deployment.Close() }()
+	console, err := startConsole(deployment, c.Console)
+	if err != nil {
+		return err
+	}
+	defer console.close()
 	for n := range c.Entries {
 		path := filepath.Join(c.Dir, fmt.Sprintf("entry-%d.yaml", n+1))
 		if err := deployment.writeSettings(path, n); err != nil {
--- a/internal/devtool/up.go
+++ b/internal/devtool/up.go
@@ -12,7 +12,8 @@
 
 // upCommand keeps the sample deployment running.
 type upCommand struct {
-	Entries int `long:"entries" description:"Number of entry instances" default:"8" value-name:"N"`
+	Entries int    `long:"entries" description:"Number of entry instances" default:"8" value-name:"N"`
+	Console string `long:"console" description:"Loopback address at which failures can be caused (HTTP)" value-name:"IP:PORT"`
 
 	stdout io.Writer
 	stderr io.Writer
@@ -30,6 +31,11 @@
 	if err := s.waitReady(ctx); err != nil {
 		return err
 	}
+	console, err := startConsole(s.deployment, c.Console)
+	if err != nil {
+		return err
+	}
+	defer console.close()
 	c.printUsage(s)
 	<-ctx.Done()
 	return nil
--- a/timeline/legend.go
+++ b/timeline/legend.go
@@ -33,6 +33,15 @@
 	{"PD", familyFault, KindPlatformDown, "platform not available"},
 }
 
+// Kinds returns the kinds that the system records.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(legend))
+	for _, item := range legend {
+		kinds = append(kinds, item.Kind)
+	}
+	return kinds
+}
+
 // legendOf returns the legend item of a kind; unknown kinds get their own code.
 func legendOf(kind Kind) legendItem {
 	for _, item := range legend {
