--- a/request_metrics.go
+++ b/request_metrics.go
@@ -5,11 +5,11 @@
 // registerRequestMetrics shows what the instance holds at the moment.
 func (i *Instance) registerRequestMetrics() {
 	gauges := map[string]func() int64{
-		"requests_in_progress":          func() int64 { n, _, _ := i.registry.Counts(); return int64(n) },
-		"requests_finished_kept":        func() int64 { _, n, _ := i.registry.Counts(); return int64(n) },
-		"requests_held_bytes":           func() int64 { _, _, n := i.registry.Counts(); return n },
+		"requests_in_progress":    func() int64 { n, _, _ := i.registry.Counts(); return int64(n) },
+		"requests_finished_kept":  func() int64 { _, n, _ := i.registry.Counts(); return int64(n) },
+		"requests_held_bytes":     func() int64 { _, _, n := i.registry.Counts(); return n },
 		"timeline_dropped_events": func() int64 { return int64(i.ring.Dropped()) },
-		"configuration_revision":        func() int64 { return int64(i.revisionInForce()) },
+		"configuration_revision":  func() int64 { return int64(i.revisionInForce()) },
 	}
 	for name, read := range gauges {
 		metrics.NewRegisteredFunctionalGauge(name, i.metrics, read)
