Continue a broken stream without a retry budget

Change: an attempt that delivered tokens may be continued without budget, within MaxAttempts, backoff and deadline. Attempts without a token still need budget, so that amplification in an outage stays bounded as before. Measured: new tests in retry and backend fail without the change, pass with it; the amplification property test is unchanged and passes.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -99,6 +99,8 @@
 
 	mu      sync.Mutex
 	reports []request.Result
+	// failures are what Retry was asked about.
+	failures []Failure
 }
 
 func (p *fakePolicy) Choose(_ time.Time, query Query) (Choice, error) {
@@ -113,7 +115,10 @@
 	return Choice{}, ErrNoEndpoint
 }
 
-func (p *fakePolicy) Retry(time.Time, Failure) (time.Duration, bool) {
+func (p *fakePolicy) Retry(_ time.Time, failure Failure) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failures = append(p.failures, failure)
 	return 10 * time.Millisecond, !p.denyRetry
 }
 
@@ -225,6 +230,8 @@
 		Expect(other.work[0].Resume.Tokens).To(HaveLen(3))
 		Expect(other.work[0].Attempt).To(Equal(2))
 		Expect(broken.canceled).To(Equal([]int{1}))
+		Expect(b.policy.failures).To(HaveLen(1))
+		Expect(b.policy.failures[0].Progressed).To(BeTrue(), "a stream that delivered tokens needs no retry budget")
 		Expect(b.policy.reports).To(Equal([]request.Result{request.ResultBroken, request.ResultDone}))
 	})
 }
--- a/backend/retrier.go
+++ b/backend/retrier.go
@@ -34,6 +34,8 @@
 	Service  string
 	Endpoint string
 	Cause    Cause
+	// Progressed: the attempt delivered tokens, after which the next one continues.
+	Progressed bool
 	// Attempt is the number of the failed attempt, from 1.
 	Attempt  int
 	Deadline time.Time
--- a/backend/supervise.go
+++ b/backend/supervise.go
@@ -118,7 +118,7 @@
 		return r.reclaimDelay(), true
 	}
 	return r.runner.deps.Retrier.Retry(time.Now(), Failure{
-		Service: r.spec.Service, Endpoint: e.try.choice.Endpoint, Cause: cause,
+		Service: r.spec.Service, Endpoint: e.try.choice.Endpoint, Cause: cause, Progressed: e.try.got > 0,
 		Attempt: e.try.number, Deadline: r.spec.Deadline,
 	})
 }
--- a/retrier.go
+++ b/retrier.go
@@ -11,7 +11,8 @@
 // Retry implements backend.Retrier.
 func (p *policy) Retry(now time.Time, failure backend.Failure) (time.Duration, bool) {
 	delay, err := p.retries.Next(now, retry.Attempt{
-		Service: failure.Service, Number: failure.Attempt, Repeatable: true, Deadline: failure.Deadline,
+		Service: failure.Service, Number: failure.Attempt, Repeatable: true, Progressed: failure.Progressed,
+		Deadline: failure.Deadline,
 	})
 	return delay, err == nil
 }
--- a/retry/attempt.go
+++ b/retry/attempt.go
@@ -15,6 +15,9 @@
 	// Announced: the endpoint left after a reclaim notice. The next attempt needs no budget, because accepted work
 	// survives every announced reclaim; it is not delayed.
 	Announced bool
+	// Progressed: the failed attempt of resumable work delivered tokens. The next one continues after them, so that it
+	// repeats only the prompt and needs no budget; without it the work of the failed attempt would be lost.
+	Progressed bool
 	// RetryAfter is the endpoint's hint; 0 for none.
 	RetryAfter time.Duration
 	Deadline   time.Time
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -6,7 +6,8 @@
 // the load is at most 1 + BudgetShare times the requests since the start, and
 // an outage gets at most Burst extra attempts from what was saved up before.
 // Attempts after an announced reclaim are exempt: their number is bounded by
-// the reclaims.
+// the reclaims. Attempts that continue a stream after its last token are exempt
+// up to MaxAttempts: an endpoint that delivers tokens is not in an outage.
 //
 // State: 56 bytes for each service, nothing for each request.
 package retry
@@ -82,6 +83,9 @@
 	if now.Add(delay).After(a.Deadline) {
 		return 0, ErrDeadline
 	}
+	if a.Progressed {
+		return delay, nil
+	}
 	s := p.service(a.Service)
 	if !s.retries.has() {
 		return 0, ErrBudget
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -51,6 +51,19 @@
 		})
 	})
 
+	It("guards against a stream that ends midway on an instance without a budget", func() {
+		p := retry.NewPolicy(retry.DefaultConfig(), rand.New(rand.NewSource(1)))
+		broken := retry.Attempt{Service: "s", Number: 1, Repeatable: true, Deadline: start.Add(time.Minute)}
+		_, err := p.Next(start, broken)
+		Expect(err).To(MatchError(retry.ErrBudget))
+		broken.Progressed = true
+		_, err = p.Next(start, broken)
+		Expect(err).NotTo(HaveOccurred())
+		broken.Number = retry.DefaultConfig().MaxAttempts
+		_, err = p.Next(start, broken)
+		Expect(err).To(MatchError(retry.ErrAttempts))
+	})
+
 	It("guards against repeating or hedging a call that must not be repeated, and against a retry past the deadline", func() {
 		p := retry.NewPolicy(retry.DefaultConfig(), rand.New(rand.NewSource(1)))
 		for range 200 {
