End the stream of a caller that re-attaches after the last event

Cause: with Last-Event-ID at or after the last event the answer was 200 with an empty body, so that a caller that lost only [DONE] could not tell the end. Change: such a caller gets [DONE], the problem document of a failed request, or 400 for a position after the end. Conclusion: every re-attached stream has an end.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -16,7 +16,8 @@
 	if err != nil {
 		return attachProblem(entry.Spec().ID.String(), err)
 	}
-	return s.answerFrom(ctx, reader, identityOf(entry.Spec()), stream)
+	before := func() (source, error) { return entry.Subscribe(max(after, 1) - 1) }
+	return s.answerFrom(ctx, reader, before, identityOf(entry.Spec()), stream)
 }
 
 func identityOf(spec *request.Spec) identity {
@@ -27,11 +28,15 @@
 	return who
 }
 
-// answerFrom writes an answer from a source, which it closes.
-func (s *Server) answerFrom(ctx *fasthttp.RequestCtx, from source, who identity, stream bool) *problem {
+// opener opens a source.
+type opener func() (source, error)
+
+// answerFrom writes an answer from a source, which it closes. The opener before
+// gives the same events from one position earlier.
+func (s *Server) answerFrom(ctx *fasthttp.RequestCtx, from source, before opener, who identity, stream bool) *problem {
 	ctx.Response.Header.Set("X-Request-Id", who.id)
 	if stream {
-		return s.stream(ctx, from, who)
+		return s.stream(ctx, from, before, who)
 	}
 	defer from.Close()
 	return s.whole(ctx, from, who)
@@ -39,7 +44,7 @@
 
 // stream starts a streamed answer. A failure before the first event gets its
 // own status; later ones become an event.
-func (s *Server) stream(ctx *fasthttp.RequestCtx, from source, who identity) *problem {
+func (s *Server) stream(ctx *fasthttp.RequestCtx, from source, before opener, who identity) *problem {
 	body := &eventStream{
 		source: from, encoder: newChunkEncoder(who), conn: ctx.Conn(),
 		writeTimeout: s.cfg.WriteTimeout, interval: s.cfg.KeepAlive, keepAlive: time.NewTimer(s.cfg.HeaderDelay),
@@ -49,11 +54,14 @@
 		_ = body.Close()
 		return p
 	}
+	if len(events) == 0 && err != nil {
+		_ = body.Close()
+		return s.atEnd(ctx, before, who)
+	}
 	for _, event := range events {
 		body.out = body.encoder.append(body.out, event)
 	}
-	body.done = len(events) == 0 && err != nil
-	if len(body.out) == 0 && !body.done {
+	if len(body.out) == 0 {
 		body.out = append(body.out, keepAliveComment...)
 	}
 	ctx.Response.Header.SetContentType("text/event-stream")
@@ -77,6 +85,32 @@
 	}
 }
 
+// atEnd answers a caller that has the last event already, and lost only the end of its stream.
+func (s *Server) atEnd(ctx *fasthttp.RequestCtx, before opener, who identity) *problem {
+	from, err := before()
+	if err != nil {
+		return attachProblem(who.id, err)
+	}
+	defer from.Close()
+	timer := time.NewTimer(s.cfg.ReadTimeout)
+	defer timer.Stop()
+	events, err := awaitFirst(from, make([]request.Event, 0, 1), timer.C)
+	switch {
+	case len(events) == 0 && err != nil && !isEnd(err):
+		return attachProblem(who.id, err)
+	case len(events) == 0 || events[0].Finish == nil:
+		return &problem{
+			Status: http.StatusBadRequest, Outcome: request.OutcomeUnknown, Step: "attach", RequestID: who.id,
+			Detail: "Last-Event-ID is after the last event of the request",
+		}
+	case events[0].Finish.Failed():
+		return failed(who.id, events[0].Finish)
+	}
+	ctx.Response.Header.SetContentType("text/event-stream")
+	ctx.SetBodyString(doneMarker)
+	return nil
+}
+
 // firstProblem returns the problem of a stream that begins with its failure.
 func firstProblem(id string, events []request.Event, err error) *problem {
 	if len(events) == 1 && events[0].Finish != nil && events[0].Finish.Failed() {
--- a/gateway/chunk.go
+++ b/gateway/chunk.go
@@ -9,6 +9,9 @@
 	"knapweedhoist/request"
 )
 
+// doneMarker ends a whole streamed answer.
+const doneMarker = "data: [DONE]\n\n"
+
 // chunkEncoder writes events as server-sent events with completion chunks.
 type chunkEncoder struct {
 	identity identity
@@ -68,7 +71,7 @@
 		out = append(out, `,"usage":`...)
 		out = append(out, encodeUsage(event.Finish.Usage)...)
 	}
-	return append(out, "}\n\ndata: [DONE]\n\n"...)
+	return append(out, "}\n\n"+doneMarker...)
 }
 
 func (e *chunkEncoder) appendProblem(out []byte, event request.Event) []byte {
--- a/gateway/lifecycle_test.go
+++ b/gateway/lifecycle_test.go
@@ -98,6 +98,40 @@
 		Expect(s.close()).To(Succeed())
 	})
 
+	It("guards against a caller that re-attaches after the last event and gets no end", func() {
+		close(gated.gate)
+		response, id := s.open()
+		_, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		after := func(position string) (*http.Response, string) {
+			request := newRequest("GET", "/v1/requests/"+id.String(), "key-a", "")
+			request.Header.Set("Last-Event-ID", position)
+			return s.do(request)
+		}
+		ended, body := after("4")
+		Expect(ended.StatusCode).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("data: [DONE]\n\n"))
+		beyond, body := after("5")
+		Expect(beyond.StatusCode).To(Equal(http.StatusBadRequest))
+		Expect(problemOf(beyond, body).Step).To(Equal("attach"))
+		Expect(s.close()).To(Succeed())
+	})
+
+	It("guards against a caller that re-attaches after a failure and gets no problem", func() {
+		response, id := s.open()
+		entry, _ := s.registry.Lookup(id)
+		Expect(entry.Finish(time.Now(), request.Finish{Outcome: request.OutcomeUnknown, Status: 502, Step: "test"})).To(Succeed())
+		_, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		again := newRequest("GET", "/v1/requests/"+id.String(), "key-a", "")
+		again.Header.Set("Last-Event-ID", "1")
+		ended, body := s.do(again)
+		Expect(ended.StatusCode).To(Equal(http.StatusBadGateway))
+		Expect(problemOf(ended, body).Outcome).To(Equal("unknown"))
+		close(gated.gate)
+		Expect(s.close()).To(Succeed())
+	})
+
 	It("guards against a failure midway that looks like an end", func() {
 		response, id := s.open()
 		entry, _ := s.registry.Lookup(id)
--- a/gateway/reattach.go
+++ b/gateway/reattach.go
@@ -44,7 +44,8 @@
 		return attachProblem(text, err)
 	}
 	from := newRemoteSource(s.deps.Remote, id, team.Name, after)
-	return s.answerFrom(ctx, from, identity{id: text, created: time.Now().Unix()}, stream)
+	before := func() (source, error) { return newRemoteSource(s.deps.Remote, id, team.Name, max(after, 1)-1), nil }
+	return s.answerFrom(ctx, from, before, identity{id: text, created: time.Now().Unix()}, stream)
 }
 
 // position reads Last-Event-ID and whether the answer is to be streamed.
