--- a/timeline/legend.go
+++ b/timeline/legend.go
@@ -7,6 +7,8 @@
 	familyControl = "control"
 	familyMember  = "member"
 	familyFault   = "fault"
+	// familyShared is the colour of marks that stand for several events.
+	familyShared = "shared"
 )
 
 // legend gives each kind a two-letter code, so that marks differ without colour.
@@ -19,8 +21,8 @@
 	{"SH", familyChoice, KindShed, "shed at admission"},
 	{"CL", familyChoice, KindClaim, "claim of a key"},
 	{"CH", familyChoice, KindChoose, "endpoint chosen"},
-	{"HO", familyControl, KindHandover, "handover"},
-	{"LE", familyControl, KindLease, "lease"},
+	{"HO", familyControl, KindHandover, "requests handed over"},
+	{"LE", familyControl, KindLease, "lease taken or lost"},
 	{"OR", familyControl, KindOrder, "order to an endpoint"},
 	{"PR", familyControl, KindPreset, "preset in force"},
 	{"RV", familyControl, KindRevision, "configuration revision"},
@@ -31,6 +33,15 @@
 	{"PD", familyFault, KindPlatformDown, "platform not available"},
 }
 
+// Kinds returns the kinds that the system records.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(legend))
+	for _, item := range legend {
+		kinds = append(kinds, item.Kind)
+	}
+	return kinds
+}
+
 // legendOf returns the legend item of a kind; unknown kinds get their own code.
 func legendOf(kind Kind) legendItem {
 	for _, item := range legend {
