--- a/bench/run.go
+++ b/bench/run.go
@@ -43,6 +43,7 @@
 func extras() []extra {
 	return []extra{
 		{name: "weight_store_refusing", measure: measureGate},
+		{name: "retry_outage", measure: measureOutage},
 		{name: "capacity_cost", measure: measureCost},
 	}
 }
