--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,15 @@
 # Runs the main job on a sample deployment; fails when a promise broke.
 demo: build
 	bin/hoistdev demo
+
+# Compares the policies, and runs the Go benchmarks of the hot paths.
+bench: build
+	mkdir -p docs/measurements
+	bin/hoistdev bench policy --seed 1 --out docs/measurements | tee docs/measurements/policy-seed-1.txt
+	go test -run '^$$' -bench . -benchmem ./routing ./gateway ./request ./peer ./membership
+
+# Measures entry daemons as separate processes; about six minutes.
+capacity: build
+	tools/capacity.sh docs/measurements/capacity-idle.csv "1 2 4 8 16 32 60" 107 20 0
+	tools/capacity.sh docs/measurements/capacity-endpoints.csv "8" 10 20 0
+	tools/capacity.sh docs/measurements/capacity-load.csv "8" 107 20 200
