Make quota grants safe over two levels

Cause: a data centre's owner divides a grant that changes; floors that follow the changing rate, or an early acknowledgement, let instances exceed the limit. Change: Limit with a constant floor rate, Grant.Share, Divider.Fits; a property over data centres and instances with lost grants and acknowledgements. Conclusion: the sum of shares holds over both levels.

--- a/quota/divider.go
+++ b/quota/divider.go
@@ -42,19 +42,23 @@
 	}
 }
 
-// Divide grants parts of the limit until at most the given time. All members must be listed, cut-off ones too.
-func (d *Divider) Divide(now time.Time, limit float64, until time.Time, demands []Demand) []Grant {
+// Divide grants parts of the limit. All members must be listed, cut-off ones too.
+func (d *Divider) Divide(now time.Time, limit Limit, demands []Demand) []Grant {
 	demands = append([]Demand(nil), demands...)
 	sort.Slice(demands, func(i, j int) bool { return demands[i].Member < demands[j].Member })
 	d.expire(now)
-	targets := d.targets(limit, demands)
-	room := d.room(now, limit, demands)
+	floor := d.cfg.Floor(limit.FloorRate)
+	targets := d.targets(limit.Rate, floor, demands)
+	room := 0.0
+	if !now.Before(d.notBefore) {
+		room = max(0, limit.Rate-d.used(floor, demands))
+	}
 	grants := make([]Grant, 0, len(demands))
 	for i, demand := range demands {
-		held := d.held(demand.Member, limit)
+		held := d.held(demand.Member, floor)
 		rate := min(targets[i], held+room)
 		room -= max(0, rate-held)
-		grants = append(grants, d.grant(now, demand.Member, rate, limit, until))
+		grants = append(grants, d.grant(now, demand.Member, rate, floor, limit.Until))
 	}
 	return grants
 }
@@ -62,15 +66,22 @@
 // idleShare is the part of its floor that a reachable member without demand keeps; it lends the rest.
 const idleShare = 0.2
 
+// Fits reports whether what the members can be using fits into a limit. A data centre's owner acknowledges its own grant
+// only then, because grants that it gave under a larger one can still be in use.
+func (d *Divider) Fits(now time.Time, limit Limit, demands []Demand) bool {
+	d.expire(now)
+	return d.used(d.cfg.Floor(limit.FloorRate), demands) <= limit.Rate*(1+roundingShare)
+}
+
 // targets are the shares that the members should have; they add up to the limit.
-func (d *Divider) targets(limit float64, demands []Demand) []float64 {
+func (d *Divider) targets(rate, floor float64, demands []Demand) []float64 {
 	claims := make([]Claim, len(demands))
 	for i, demand := range demands {
 		// An idle member gets a little, so that its first requests need not wait for a grant.
-		claims[i] = Claim{Weight: 1, Demand: math.Max(demand.Rate, idleShare*d.cfg.Floor(limit))}
+		claims[i] = Claim{Weight: 1, Demand: math.Max(demand.Rate, idleShare*floor)}
 	}
-	shares := FairShares(limit, claims)
-	left := limit
+	shares := FairShares(rate, claims)
+	left := rate
 	for _, s := range shares {
 		left -= s
 	}
@@ -80,23 +91,19 @@
 	return shares
 }
 
-// room is what is not held by anyone.
-func (d *Divider) room(now time.Time, limit float64, demands []Demand) float64 {
-	if now.Before(d.notBefore) {
-		return 0
-	}
+// used is the most that all members can be using.
+func (d *Divider) used(floor float64, demands []Demand) float64 {
 	listed := make(map[string]bool, len(demands))
-	room := limit
+	used := 0.0
 	for _, demand := range demands {
 		listed[demand.Member] = true
-		room -= d.held(demand.Member, limit)
+		used += d.held(demand.Member, floor)
 	}
 	for _, member := range d.unlisted(listed) {
-		room -= d.held(member, limit)
+		used += d.held(member, floor)
 	}
 	// Members that are configured but not listed keep their floor.
-	room -= float64(max(0, d.cfg.FloorMembers-len(demands))) * d.cfg.Floor(limit)
-	return max(0, room)
+	return used + float64(max(0, d.cfg.FloorMembers-len(demands)))*floor
 }
 
 // unlisted are members that left and still hold grants.
@@ -113,12 +120,12 @@
 
 // held is the most that the member can be using. A member that has acknowledged a grant keeps to it until it expires,
 // also when it is below the floor; the rest of the floor is lent.
-func (d *Divider) held(member string, limit float64) float64 {
+func (d *Divider) held(member string, floor float64) float64 {
 	h := d.holdings[member]
 	if h == nil {
-		return d.cfg.Floor(limit)
+		return floor
 	}
-	return h.most(d.cfg.Floor(limit))
+	return h.most(floor)
 }
 
 func (d *Divider) expire(now time.Time) {
@@ -130,7 +137,7 @@
 	}
 }
 
-func (d *Divider) grant(now time.Time, member string, rate, limit float64, until time.Time) Grant {
+func (d *Divider) grant(now time.Time, member string, rate, floor float64, until time.Time) Grant {
 	h := d.holdings[member]
 	if h == nil {
 		h = &holding{}
@@ -139,7 +146,6 @@
 	if h.full() {
 		return h.grants[len(h.grants)-1]
 	}
-	floor := d.cfg.Floor(limit)
 	expiry := now.Add(d.cfg.TTL)
 	if !until.IsZero() && until.Before(expiry) {
 		expiry = until
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -3,7 +3,8 @@
 //
 // The holder of the lease "quota" divides each limit over the data centres; an
 // owner in each data centre divides that share over its instances, with the
-// same Divider. Grants of the second level end with the grant of the first.
+// same Divider: its limit is Grant.Share, its grants end with the data centre's
+// grant, and it acknowledges that grant once Fits holds.
 package quota
 
 import (
@@ -60,10 +61,10 @@
 	for i, t := range teams {
 		plan[i] = TeamGrants{Team: t.Team}
 		if limits[i] > 0 {
-			plan[i].Tokens = o.divider(o.tokens, t.Team).Divide(now, limits[i], time.Time{}, t.Tokens)
+			plan[i].Tokens = o.divider(o.tokens, t.Team).Divide(now, FixedLimit(limits[i]), t.Tokens)
 		}
 		if t.RequestLimit > 0 {
-			plan[i].Requests = o.divider(o.requests, t.Team).Divide(now, t.RequestLimit, time.Time{}, t.Tokens)
+			plan[i].Requests = o.divider(o.requests, t.Team).Divide(now, FixedLimit(t.RequestLimit), t.Tokens)
 		}
 	}
 	o.forget(teams)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -50,7 +50,7 @@
 				for i := range members {
 					demands = append(demands, quota.Demand{Member: member(i), Rate: float64(rapid.IntRange(0, 3000).Draw(t, "rate"))})
 				}
-				for _, g := range d.Divide(now, limit, time.Time{}, demands) {
+				for _, g := range d.Divide(now, quota.FixedLimit(limit), demands) {
 					if rapid.Bool().Draw(t, "arrives") {
 						using[g.Member] = g
 						if rapid.Bool().Draw(t, "acknowledged") {
@@ -65,6 +65,58 @@
 		})
 	})
 
+	It("guards against instances of cut-off data centres that together use more than the limit", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const limit, sites, instances = 1000.0, 3, 2
+			top, inner := quota.DefaultConfig(sites), quota.DefaultConfig(instances)
+			owner := quota.NewDivider(top)
+			floor := top.Floor(limit)
+			var dividers [sites]*quota.Divider
+			var shares [sites]quota.Grant
+			var using [sites]usage
+			for s := range sites {
+				dividers[s], using[s] = quota.NewDivider(inner), usage{}
+				shares[s] = quota.Grant{Rate: floor, Floor: floor}
+			}
+			draw := func(n int) []quota.Demand {
+				var list []quota.Demand
+				for i := range n {
+					list = append(list, quota.Demand{Member: member(i), Rate: float64(rapid.IntRange(0, 2000).Draw(t, "rate"))})
+				}
+				return list
+			}
+			now := start
+			for range 30 {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				total := 0.0
+				for s, g := range owner.Divide(now, quota.FixedLimit(limit), draw(sites)) {
+					reached := rapid.Bool().Draw(t, "reached")
+					if reached {
+						shares[s] = g
+					}
+					demands := draw(instances)
+					for _, inst := range dividers[s].Divide(now, shares[s].Share(now), demands) {
+						if rapid.Bool().Draw(t, "arrives") {
+							using[s][inst.Member] = inst
+							if rapid.Bool().Draw(t, "acknowledged") {
+								dividers[s].Ack(inst.Member, inst.Sequence)
+							}
+						}
+					}
+					if reached && dividers[s].Fits(now, shares[s].Share(now), demands) {
+						owner.Ack(g.Member, g.Sequence)
+					}
+				}
+				for s := range sites {
+					total += using[s].sum(now, instances, inner, floor)
+				}
+				if total > limit*(1+1e-6) {
+					t.Fatalf("instances use %.3f of %.0f", total, limit)
+				}
+			}
+		})
+	})
+
 	It("guards against shares that do not add up to the limit once grants arrive", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			members := rapid.IntRange(1, 6).Draw(t, "members")
@@ -77,7 +129,7 @@
 			sum := 0.0
 			for round := range 3 {
 				sum = 0
-				for _, g := range d.Divide(start.Add(time.Duration(round)*time.Second), 1000, time.Time{}, demands) {
+				for _, g := range d.Divide(start.Add(time.Duration(round)*time.Second), quota.FixedLimit(1000), demands) {
 					d.Ack(g.Member, g.Sequence)
 					sum += g.Rate
 				}
@@ -93,7 +145,7 @@
 		d := quota.NewDivider(cfg)
 		d.Resume(start, 2)
 		demands := []quota.Demand{{Member: "m0", Rate: 900}, {Member: "m1", Rate: 900}}
-		for _, g := range d.Divide(start.Add(cfg.TTL-1), 1000, time.Time{}, demands) {
+		for _, g := range d.Divide(start.Add(cfg.TTL-1), quota.FixedLimit(1000), demands) {
 			Expect(g.Rate).To(Equal(cfg.Floor(1000)))
 		}
 	})
