Run the properties with a fixed seed

Cause: rapid draws its seed from the clock, so that a verdict could differ between runs. Change: the tests set rapid.seed; the command line can override it. Conclusion: verdicts are decided by seeds.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -12,6 +13,13 @@
 	"knapweedhoist/engine"
 )
 
+// The properties run with a fixed seed; -rapid.seed on the command line overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func TestAdmission(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "admission")
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -1,6 +1,7 @@
 package capacity_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -13,6 +14,13 @@
 	"knapweedhoist/engine"
 )
 
+// The properties run with a fixed seed; -rapid.seed on the command line overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func TestCapacity(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "capacity")
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"flag"
 	"fmt"
 	"math"
 	"testing"
@@ -13,6 +14,13 @@
 	"knapweedhoist/quota"
 )
 
+// The properties run with a fixed seed; -rapid.seed on the command line overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func TestQuota(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "quota")
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"flag"
 	"math/rand"
 	"testing"
 	"time"
@@ -12,6 +13,13 @@
 	"knapweedhoist/retry"
 )
 
+// The properties run with a fixed seed; -rapid.seed on the command line overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func TestRetry(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "retry")
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -1,6 +1,7 @@
 package routing_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand"
 	"sync"
@@ -17,6 +18,13 @@
 	"knapweedhoist/routing"
 )
 
+// The properties run with a fixed seed; -rapid.seed on the command line overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func TestRouting(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "routing")
