Tell a re-attaching caller of a lost request in its stream

Cause: when the home of a request had died without notice, a streamed re-attach got 200 and then 'moved, re-attach' for ever, because the header is sent after 100 ms and the search takes 10 s (whole re-attach got 404). Change: such a stream ends with an error event that carries the 404 problem; 'moved' is sent only for moved or unreachable requests. Measured: the new table test fails without the change for a request that is not known, passes with it; seen in a fleet of daemons after kill -9 of the home. Conclusion: re-attaching ends.

--- a/gateway/event_stream.go
+++ b/gateway/event_stream.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"knapweedhoist/request"
@@ -73,8 +75,15 @@
 
 func (s *eventStream) end(err error) {
 	s.done = true
-	if !isEnd(err) {
+	switch {
+	case isEnd(err):
+	case errors.Is(err, request.ErrMoved), attachProblem("", err).Status == http.StatusServiceUnavailable:
 		s.out = append(s.out, movedComment...)
+	default:
+		// Re-attaching would not help, for example because the request is not known.
+		s.out = append(s.out, "event: error\ndata: "...)
+		s.out = append(s.out, attachProblem(s.encoder.identity.id, err).encode()...)
+		s.out = append(s.out, "\n\n"...)
 	}
 }
 
--- a/gateway/lifecycle_test.go
+++ b/gateway/lifecycle_test.go
@@ -24,6 +24,17 @@
 	return response, id
 }
 
+// lateRemote is a fleet that answers with err once it is asked to.
+type lateRemote struct {
+	err    error
+	answer chan struct{}
+}
+
+func (r lateRemote) Attach(context.Context, request.ID, string, uint64, func(request.Event) error) error {
+	<-r.answer
+	return r.err
+}
+
 var _ = Describe("the lifecycle of an instance", func() {
 	var (
 		s     *site
@@ -132,6 +143,29 @@
 		Expect(s.close()).To(Succeed())
 	})
 
+	DescribeTable("guards against a caller that re-attaches for ever to a request that is lost",
+		func(failure error, expected string) {
+			remote := lateRemote{err: failure, answer: make(chan struct{})}
+			far := newSite(gated, gateway.Config{HeaderDelay: time.Millisecond}, remote)
+			request := newRequest("GET", "/v1/requests/01J00000000000000000000000-1", "key-a", "")
+			request.Header.Set("Last-Event-ID", "7")
+			response, err := far.client.Do(request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusOK), "the header is sent before the fleet answers")
+			close(remote.answer)
+			body, err := io.ReadAll(response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(body)).To(ContainSubstring(expected))
+			Expect(string(body)).NotTo(ContainSubstring("[DONE]"))
+			close(gated.gate)
+			Expect(far.close()).To(Succeed())
+			Expect(s.close()).To(Succeed())
+		},
+		Entry("not known", request.ErrNotFound, "event: error\ndata: {\"type\":\"about:blank\",\"title\":\"Not Found\",\"status\":404"),
+		Entry("moved", request.ErrMoved, "re-attach with Last-Event-ID"),
+		Entry("not reachable", request.ErrUnavailable, "re-attach with Last-Event-ID"),
+	)
+
 	It("guards against a failure midway that looks like an end", func() {
 		response, id := s.open()
 		entry, _ := s.registry.Lookup(id)
