Find the end of a request that another instance has

Cause: a streamed re-attach at another instance with the id of the last event got no finish, which the search of the fleet takes for a move: keep-alives for 10 s, then 'moved, re-attach', for ever. Change: a remote source asks from one event earlier and drops that event. Conclusion: re-attaching after the last event ends at any instance.

--- a/gateway/lifecycle_test.go
+++ b/gateway/lifecycle_test.go
@@ -35,6 +35,24 @@
 	return r.err
 }
 
+// endedRemote is a fleet with one finished request of two events.
+type endedRemote struct{}
+
+func (endedRemote) Attach(_ context.Context, _ request.ID, _ string, after uint64, yield func(request.Event) error) error {
+	finish := &request.Finish{Outcome: request.OutcomeRan, Reason: "stop"}
+	for _, event := range []request.Event{{ID: 1, Token: []byte("t0")}, {ID: 2, Finish: finish}} {
+		if event.ID > after {
+			if err := yield(event); err != nil {
+				return err
+			}
+		}
+	}
+	if after >= 2 {
+		return request.ErrMoved // as the search of the fleet does when it gets no finish
+	}
+	return nil
+}
+
 var _ = Describe("the lifecycle of an instance", func() {
 	var (
 		s     *site
@@ -128,6 +146,21 @@
 		Expect(s.close()).To(Succeed())
 	})
 
+	It("guards against a caller that re-attaches elsewhere after the last event and is told to go on for ever", func() {
+		far := newSite(gated, gateway.Config{HeaderDelay: hangGuard}, endedRemote{})
+		for position, expected := range map[string]string{"0": "id: 1\n", "1": "id: 2\n", "2": "data: [DONE]\n\n"} {
+			request := newRequest("GET", "/v1/requests/01J00000000000000000000000-1", "key-a", "")
+			request.Header.Set("Last-Event-ID", position)
+			response, body := far.do(request)
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+			Expect(body).To(HavePrefix(expected))
+			Expect(body).To(HaveSuffix("data: [DONE]\n\n"))
+		}
+		close(gated.gate)
+		Expect(far.close()).To(Succeed())
+		Expect(s.close()).To(Succeed())
+	})
+
 	It("guards against a caller that re-attaches after a failure and gets no problem", func() {
 		response, id := s.open()
 		entry, _ := s.registry.Lookup(id)
--- a/gateway/remote_source.go
+++ b/gateway/remote_source.go
@@ -32,7 +32,13 @@
 }
 
 func (s *remoteSource) follow(ctx context.Context, remote request.Attacher, id request.ID, team string, after uint64) {
-	err := remote.Attach(ctx, id, team, after, func(event request.Event) error { return s.put(ctx, event) })
+	// From one event earlier: without any event, the fleet cannot tell the end of a request from its move.
+	err := remote.Attach(ctx, id, team, max(after, 1)-1, func(event request.Event) error {
+		if event.ID <= after {
+			return nil
+		}
+		return s.put(ctx, event)
+	})
 	if err == nil {
 		err = io.EOF
 	}
