Send heartbeats to leaving members of other data centres

Cause: members of other data centres sent no heartbeats to a leaving instance, which took them for dead after 6 s. When its successor then died, or none was left in its own data centre, it found no peer: its requests ended with 503 and outcome unknown although seven instances were alive. Change: leaving members get heartbeats like live ones and count when the gaps between signs of life are estimated.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -322,6 +322,21 @@
 		Expect(ids).To(Equal(map[string]int{"e00": 1, "e01": 1, "e02": 1, "e03": 1}))
 	})
 
+	It("guards against a leaving instance that takes the other data centres for dead and finds no successor", func() {
+		s := newSite(strict{GinkgoT()}, 2, 2)
+		s.run(20)
+		leaving := s.tables["e00:7"]
+		leaving.Notice(s.now, membership.Notice{ID: "e00", Incarnation: "01Je00", Left: time.Minute})
+		s.run(40)
+		states := make(map[string]membership.State)
+		for _, m := range leaving.View().Members {
+			states[m.ID] = m.State
+		}
+		Expect(states).To(Equal(map[string]membership.State{
+			"e00": membership.Leaving, "e01": membership.Live, "e02": membership.Live, "e03": membership.Live,
+		}))
+	})
+
 	It("guards against an interval that exceeds the budget in a large data centre", func() {
 		s := newSite(strict{GinkgoT()}, 1, 60)
 		Expect(s.tables["e00:7"].Interval()).To(Equal(2 * time.Second))
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -59,7 +59,7 @@
 		switch {
 		case m.Datacentre != t.cfg.Datacentre:
 			there[m.Datacentre]++
-		case m.State != Leaving && m.State != Dead:
+		case m.State != Dead:
 			here++
 		}
 	}
@@ -114,7 +114,8 @@
 	rank := 0
 	for _, m := range t.sorted() {
 		if m.Datacentre != t.cfg.Datacentre {
-			if m.DatagramAddress != "" && m.State != Leaving {
+			// A leaving member needs signs of life too: it chooses a successor for its requests.
+			if m.DatagramAddress != "" {
 				groups[m.Datacentre] = append(groups[m.Datacentre], m)
 			}
 		} else if m.Incarnation < t.cfg.Incarnation {
