Run control cores under random failures in one process

Cause: the packages are tested alone; nothing runs the joined control code of many instances while several failures are in force together. Change: package soak (test code only) runs 8 instances of control.Core in 4 data centres under a scripted clock, with pauses, deaths, cuts, lost, delayed and reordered messages, silent connections, platform outages, slowness and lost replies, reclaimed endpoints and racing operators. It checks the packages' invariants, that revisions never fall and spread within 6 s, and fences and overlaps of orders. make soak runs any number of seeds.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := tools/bin/golangci-lint
 # Packages with goroutines of their own also run under the race detector. The
-# decision packages left out are single-threaded by design.
-RACE := $(shell go list ./... | grep -v -E '/(cmd|bench|catalog|claim|control|distribution|lease|membership|quota|rendezvous)(/|$$)')
+# decision packages left out, and soak, are single-threaded by design.
+RACE := $(shell go list ./... | grep -v -E '/(cmd|bench|catalog|claim|control|distribution|lease|membership|quota|rendezvous|soak)(/|$$)')
 SEEDS ?= 200
 STEPS ?= 400
 export CGO_ENABLED := 1
@@ -45,3 +45,8 @@
 # Runs the main job on a sample deployment; fails when a promise broke.
 demo: build
 	bin/hoistdev demo
+
+# Runs the whole system under random failures: SEEDS runs of STEPS steps each.
+# A failing run prints the command that replays it.
+soak:
+	SOAK_SEEDS=$(SEEDS) SOAK_STEPS=$(STEPS) go test ./soak -count=1 -timeout 0 -run TestGuaranteesHold -v
--- /dev/null
+++ b/soak/disturb_test.go
@@ -0,0 +1,239 @@
+package soak
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"knapweedhoist/testutil"
+)
+
+// failure is one kind of failure with its weight among the others.
+type failure struct {
+	weight int
+	cause  func(w *world)
+}
+
+var failures = []failure{
+	{30, (*world).pauseOne},
+	{12, (*world).killOne},
+	{10, (*world).platformOutage},
+	{10, (*world).platformSlow},
+	{10, (*world).platformLoses},
+	{10, (*world).cutDatacentres},
+	{8, (*world).cutPlatform},
+	{6, (*world).isolate},
+	{10, (*world).loseMessages},
+	{10, (*world).delayMessages},
+	{10, (*world).silenceConnection},
+	{4, (*world).compact},
+	{14, (*world).reclaimEndpoint},
+	{3, (*world).reclaimDatacentre},
+	{30, func(w *world) { w.operators.both() }},
+	{20, func(w *world) { w.operators.again() }},
+}
+
+// Shares of the steps.
+const (
+	// failuresPerStep of 1000 steps get a failure; a second one may follow in the same step.
+	failuresPerStep = 450
+	// quietEvery ends a phase of failures: all of them are healed and a quiet time follows.
+	quietEvery = 60
+	quietSteps = 12
+)
+
+// disturb draws the failures of a step.
+func (w *world) disturb() {
+	if w.steps%quietEvery == 0 {
+		w.heal()
+	}
+	if w.steps%quietEvery < quietSteps {
+		return
+	}
+	for w.rng.Intn(1000) < failuresPerStep {
+		w.drawFailure()
+	}
+}
+
+func (w *world) drawFailure() {
+	total := 0
+	for _, f := range failures {
+		total += f.weight
+	}
+	draw := w.rng.Intn(total)
+	for _, f := range failures {
+		if draw -= f.weight; draw < 0 {
+			f.cause(w)
+			return
+		}
+	}
+}
+
+// heal ends all failures of the network and the platform.
+func (w *world) heal() {
+	clear(w.net.cuts)
+	clear(w.net.silent)
+	w.net.loss, w.net.slow = 0, 0
+	w.outages, w.slowness = 0, 0
+	w.generation++
+	w.site.store.SetOutage(false)
+	w.site.store.SetFaults(steadyPlatform)
+	w.count("heal")
+}
+
+// until runs end after a drawn time, unless everything was healed before.
+func (w *world) until(length time.Duration, end func()) {
+	generation := w.generation
+	w.after(length, func() {
+		if w.generation == generation {
+			end()
+		}
+	})
+}
+
+// span draws the length of a failure: mostly seconds.
+func (w *world) span() time.Duration { return w.between(time.Second, 30*time.Second) }
+
+func (w *world) pause(in *instance, length time.Duration) {
+	in.pausedUntil = latest(in.pausedUntil, w.now.Add(length))
+	in.resumedAt = in.pausedUntil
+}
+
+func (w *world) pauseOne() {
+	if in := w.anyInstance(); in != nil {
+		w.pause(in, w.between(100*time.Millisecond, 30*time.Second))
+		w.count("instance paused")
+	}
+}
+
+func (w *world) killOne() {
+	if in := w.anyInstance(); in != nil {
+		w.kill(in)
+		w.count("instance died without notice")
+	}
+}
+
+// kill ends an instance without a word, and starts a replacement at the same address or at a new one.
+func (w *world) kill(in *instance) {
+	in.dead = true
+	w.list.record()
+	address := in.address
+	if w.rng.Intn(2) == 0 {
+		address = ""
+	}
+	w.after(w.between(200*time.Millisecond, 15*time.Second), func() { w.start(in.dc, address) })
+}
+
+func (w *world) platformOutage() {
+	w.count("platform down")
+	w.outages++
+	w.site.store.SetOutage(true)
+	w.until(w.span(), func() {
+		w.outages--
+		w.site.store.SetOutage(w.outages > 0)
+	})
+}
+
+func (w *world) platformSlow() {
+	w.count("platform slow by 5 s")
+	w.disturbStore(testutil.Faults{MinDelay: 2 * time.Second, MaxDelay: 5 * time.Second})
+}
+
+func (w *world) platformLoses() {
+	w.count("platform loses replies")
+	w.disturbStore(testutil.Faults{
+		MinDelay: time.Millisecond, MaxDelay: 50 * time.Millisecond, LoseReply: 0.3, Drop: 0.1, Late: 0.1,
+		MaxLate: 10 * time.Second, Throttle: 0.1,
+	})
+}
+
+func (w *world) disturbStore(faults testutil.Faults) {
+	w.slowness++
+	w.site.store.SetFaults(faults)
+	w.until(w.span(), func() {
+		w.slowness--
+		if w.slowness == 0 {
+			w.site.store.SetFaults(steadyPlatform)
+		}
+	})
+}
+
+func (w *world) cutDatacentres() {
+	a, b := w.rng.Intn(len(datacentres)), w.rng.Intn(len(datacentres))
+	if a != b {
+		w.count("data centres cut from each other")
+		w.cut(w.span(), [2]string{datacentres[a], datacentres[b]})
+	}
+}
+
+func (w *world) cutPlatform() {
+	w.count("data centre cut from the platform")
+	w.cut(w.span(), [2]string{datacentres[w.rng.Intn(len(datacentres))], platformSite})
+}
+
+// isolate cuts a data centre from all other places.
+func (w *world) isolate() {
+	w.count("data centre cut from everything")
+	alone := datacentres[w.rng.Intn(len(datacentres))]
+	pairs := [][2]string{{alone, platformSite}}
+	for _, dc := range datacentres {
+		if dc != alone {
+			pairs = append(pairs, [2]string{alone, dc})
+		}
+	}
+	w.cut(w.span(), pairs...)
+}
+
+func (w *world) cut(length time.Duration, pairs ...[2]string) {
+	for _, p := range pairs {
+		w.net.cuts[pair(p[0], p[1])] = true
+	}
+	w.until(length, func() {
+		for _, p := range pairs {
+			delete(w.net.cuts, pair(p[0], p[1]))
+		}
+	})
+}
+
+func (w *world) loseMessages() {
+	w.count("lossy network")
+	w.net.loss = 0.3 * w.rng.Float64()
+	w.until(w.span(), func() { w.net.loss = 0 })
+}
+
+func (w *world) delayMessages() {
+	w.count("network that delays and reorders")
+	w.net.slow, w.net.late = 0.3, w.between(10*time.Millisecond, 4*time.Second)
+	w.until(w.span(), func() { w.net.slow = 0 })
+}
+
+func (w *world) silenceConnection() {
+	a, b := w.anyInstance(), w.anyInstance()
+	if a != nil && a != b {
+		w.count("connection went silent")
+		w.net.mute(a.address, b.address)
+	}
+}
+
+func (w *world) compact() {
+	w.count("watch history compacted")
+	w.site.store.Compact()
+}
+
+func (w *world) reclaimEndpoint() {
+	w.count("endpoint reclaimed")
+	w.endpoints[w.rng.Intn(len(w.endpoints))].reclaim(w.between(5*time.Second, 30*time.Second))
+}
+
+func (w *world) reclaimDatacentre() {
+	w.count("all endpoints of a data centre reclaimed")
+	dc := datacentres[w.rng.Intn(len(datacentres))]
+	notice := w.between(5*time.Second, 30*time.Second)
+	for _, e := range slices.Clone(w.endpoints) {
+		if e.dc == dc {
+			e.reclaim(notice)
+		}
+	}
+}
+
+func sortedNames[T any](values map[string]T) []string { return slices.Sorted(maps.Keys(values)) }
--- /dev/null
+++ b/soak/effects_test.go
@@ -0,0 +1,96 @@
+package soak
+
+import (
+	"time"
+
+	"knapweedhoist/control"
+	"knapweedhoist/membership"
+	"knapweedhoist/wire"
+)
+
+// broadcastTimeout bounds a call that tells a peer something.
+const broadcastTimeout = 2 * time.Second
+
+// perform carries an effect out as the root package does.
+func (in *instance) perform(effect control.Effect) {
+	switch e := effect.(type) {
+	case control.PlatformCall:
+		in.w.site.effect(in, e)
+	case control.SendHeartbeat:
+		for _, address := range e.Outgoing.To {
+			in.w.net.datagram(in, address, func(to *instance) { to.step(control.HeartbeatReceived{Beat: e.Outgoing.Beat}) })
+		}
+	case control.SendLeaves:
+		in.sendLeaves(e.Notice)
+	case control.RelayConfig:
+		in.tell(e.To, func(to *instance) { to.step(control.ConfigRelayed{From: in.incarnation, Relay: e.Relay}) })
+	case control.RelayRoster:
+		in.broadcast(func(to *instance) { to.step(control.RosterRelayed(e)) })
+	case control.FetchConfig:
+		in.fetchConfig(e)
+	case control.Publish:
+		in.publish(e.View)
+	case control.EditDone:
+		in.w.operators.done(in, e.Result)
+	case control.ConfigServed:
+		in.w.served(in, e)
+	}
+}
+
+func (in *instance) publish(view *control.View) {
+	view = in.w.plant.publish(in, view)
+	in.view = view
+	if view.Catalog == nil {
+		return
+	}
+	if view.Catalog.Revision() < in.revision {
+		in.w.fail("P7: %s went from revision %d back to %d", in.id, in.revision, view.Catalog.Revision())
+	}
+	in.revision = view.Catalog.Revision()
+}
+
+func (in *instance) sendLeaves(notice membership.Notice) {
+	leave := &wire.Leave{
+		Id: notice.ID, Incarnation: notice.Incarnation, Successor: notice.Successor, NoticeMs: notice.Left.Milliseconds(),
+	}
+	in.broadcast(func(to *instance) { to.step(control.LeavesReceived{Leaves: []*wire.Leave{leave}}) })
+}
+
+// broadcast tells all other live members of the data centre.
+func (in *instance) broadcast(handle func(to *instance)) {
+	for _, m := range in.view.Fleet.LiveIn(in.dc) {
+		if m != in.view.Fleet.Self {
+			in.tell(m.Incarnation, handle)
+		}
+	}
+}
+
+// tell makes a call whose answer does not matter.
+func (in *instance) tell(incarnation string, handle func(to *instance)) {
+	in.callPeer(incarnation, broadcastTimeout, func(to *instance, answer func(any)) {
+		handle(to)
+		answer(true)
+	}, func(any) {})
+}
+
+// callPeer calls the address of an incarnation; a later incarnation may have it by then.
+func (in *instance) callPeer(incarnation string, timeout time.Duration, handle func(*instance, func(any)), report func(any)) {
+	m := in.view.Fleet.Member(incarnation)
+	if m == nil || m.PeerAddress == "" {
+		in.w.after(0, func() { in.do(func() { report(nil) }) })
+		return
+	}
+	in.w.net.call(in, m.PeerAddress, timeout, handle, report)
+}
+
+func (in *instance) fetchConfig(e control.FetchConfig) {
+	in.callPeer(e.From, silence, func(to *instance, answer func(any)) {
+		to.w.documents++
+		ref := to.w.documents
+		to.w.waiting[ref] = answer
+		to.step(control.ConfigAsked{Ref: ref, Revision: e.Revision})
+	}, func(answer any) {
+		document, _ := answer.(*wire.ConfigDocument)
+		in.step(control.ConfigFetched{From: e.From, Document: document})
+	})
+}
--- /dev/null
+++ b/soak/endpoint_test.go
@@ -0,0 +1,77 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"knapweedhoist/catalog"
+	"knapweedhoist/engine"
+	"knapweedhoist/membership"
+)
+
+// endpoint is a model engine or a server of a plain service.
+type endpoint struct {
+	w           *world
+	id          string
+	incarnation string
+	dc          string
+	service     string
+	kind        catalog.ServiceKind
+	// checks: orders with an old fence are refused.
+	checks  bool
+	leaving bool
+	gone    bool
+	endsAt  time.Time
+	orders  orderBook
+}
+
+func (w *world) addEndpoint(dc, service string, kind catalog.ServiceKind, checks bool) {
+	w.endpointsMade++
+	e := &endpoint{
+		w: w, id: fmt.Sprintf("%s-%d", service, w.endpointsMade), dc: dc, service: service, kind: kind, checks: checks,
+		incarnation: ulid.MustNew(ulid.Timestamp(w.now), w.rng).String(),
+	}
+	w.endpoints = append(w.endpoints, e)
+	w.list.record()
+}
+
+// address is that of the endpoint's service; each endpoint has its own.
+func (e *endpoint) address() string { return "endpoint/" + e.id }
+
+func (e *endpoint) entry() membership.Entry {
+	return membership.Entry{
+		ID: e.id, Incarnation: e.incarnation, Kind: membership.KindEndpoint, Service: e.service,
+		Datacentre: e.dc, Address: e.address(), Reclaimable: true, Leaving: e.leaving,
+	}
+}
+
+func (e *endpoint) load() engine.LoadReport { return engine.LoadReport{Leaving: e.leaving} }
+
+// endpoint returns the endpoint with an address, nil when it is gone.
+func (w *world) endpoint(address string) *endpoint {
+	for _, e := range w.endpoints {
+		if !e.gone && e.address() == address {
+			return e
+		}
+	}
+	return nil
+}
+
+// reclaim announces the end of the endpoint; a replacement comes later.
+func (e *endpoint) reclaim(notice time.Duration) {
+	if e.leaving || e.gone {
+		return
+	}
+	e.leaving, e.endsAt = true, e.w.now.Add(notice)
+	e.w.notices = append(e.w.notices, cloudNotice{id: e.id, endsAt: e.endsAt})
+	e.w.list.record()
+	e.w.after(notice, e.end)
+	e.w.after(notice+e.w.between(0, 10*time.Second), func() { e.w.addEndpoint(e.dc, e.service, e.kind, e.checks) })
+}
+
+func (e *endpoint) end() {
+	e.gone = true
+	e.w.list.record()
+}
--- /dev/null
+++ b/soak/operators_test.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"knapweedhoist/catalog"
+	"knapweedhoist/control"
+	"knapweedhoist/distribution"
+	"knapweedhoist/platform"
+)
+
+// operators are two people who change the same presets.
+type operators struct {
+	w     *world
+	edits map[uint64]distribution.Edit
+	// repeat are edits of unknown outcome, to be sent again.
+	repeat  []distribution.Edit
+	results map[distribution.Outcome]int
+	// accepted are the revisions that operators were told, by operation.
+	accepted map[string]uint64
+	// revision is that of the stored document, storedAt when it was seen first.
+	revision uint64
+	storedAt time.Time
+	version  platform.Version
+	sequence uint64
+}
+
+func newOperators(w *world) *operators {
+	return &operators{
+		w: w, edits: make(map[uint64]distribution.Edit), results: make(map[distribution.Outcome]int),
+		accepted: make(map[string]uint64),
+	}
+}
+
+// both change one preset at the same moment, from the same base, at two instances.
+func (o *operators) both() {
+	preset := fmt.Sprintf("preset-%d", o.w.rng.Intn(3))
+	for _, operator := range []string{"ana", "bela"} {
+		in := o.w.anyInstance()
+		if in == nil || in.view.Catalog == nil {
+			continue
+		}
+		item, _ := json.Marshal(catalog.Preset{Name: preset, ShortTokens: 1 + o.w.rng.Intn(1000)})
+		o.submit(in, distribution.Edit{
+			OperationID: fmt.Sprintf("op-%d", o.sequence+1), Operator: operator, Kind: catalog.ItemPreset, Name: preset,
+			BaseRevision: in.view.Catalog.Revision(), Item: item,
+		})
+	}
+	o.w.count("two operators on one preset")
+}
+
+// again repeats an edit of unknown outcome through another instance.
+func (o *operators) again() {
+	in := o.w.anyInstance()
+	if len(o.repeat) == 0 || in == nil {
+		return
+	}
+	edit := o.repeat[0]
+	o.repeat = o.repeat[1:]
+	o.submit(in, edit)
+	o.w.count("edit repeated")
+}
+
+func (o *operators) submit(in *instance, edit distribution.Edit) {
+	o.sequence++
+	edit.Ref = o.sequence
+	edit.Deadline = o.w.now.Add(o.w.between(time.Second, 10*time.Second))
+	o.edits[edit.Ref] = edit
+	in.do(func() { in.step(control.EditAsked{Edit: edit}) })
+}
+
+func (o *operators) done(_ *instance, result distribution.Result) {
+	edit, found := o.edits[result.Ref]
+	if !found {
+		o.w.fail("configuration: edit %d has two results", result.Ref)
+		return
+	}
+	delete(o.edits, result.Ref)
+	o.results[result.Outcome]++
+	switch result.Outcome {
+	case distribution.Accepted:
+		o.accepted[edit.OperationID] = result.Revision
+		o.look()
+		if o.revision < result.Revision {
+			o.w.fail("P7: revision %d was accepted and %d is stored", result.Revision, o.revision)
+		}
+	case distribution.Unknown:
+		o.repeat = append(o.repeat, edit)
+	case distribution.Conflict, distribution.Invalid, distribution.Unavailable:
+	}
+}
+
+// look follows the stored document.
+func (o *operators) look() {
+	object, found := o.w.site.store.Object(platform.KindConfig, distribution.ObjectName)
+	if !found || object.Version == o.version {
+		return
+	}
+	o.version = object.Version
+	document, err := catalog.Decode(object.Value)
+	if err != nil {
+		o.w.fail("configuration: stored document: %v", err)
+		return
+	}
+	if document.Revision < o.revision {
+		o.w.fail("P7: the stored revision fell from %d to %d", o.revision, document.Revision)
+	}
+	for _, change := range document.Changes {
+		if told := o.accepted[change.OperationID]; told != 0 && told != change.Revision {
+			o.w.fail("P7: %s was accepted as %d and is stored as %d", change.OperationID, told, change.Revision)
+		}
+	}
+	if document.Revision > o.revision {
+		o.revision, o.storedAt = document.Revision, o.w.now
+	}
+}
+
+// spread is the time within which an accepted revision is in force everywhere.
+const spread = 6 * time.Second
+
+// check fails when a live instance lacks the stored revision for too long while nothing fails.
+func (o *operators) check() {
+	o.look()
+	for _, in := range o.w.instances {
+		if !in.awake() || !o.w.calm() {
+			continue
+		}
+		since := latest(o.storedAt, o.w.calmSince, in.startedAt, in.resumedAt)
+		if o.w.now.Sub(since) > spread && in.revision < o.revision {
+			o.w.fail("P7: %s of %s has revision %d, %d is stored, %v after the last failure", in.id, in.dc, in.revision, o.revision, o.w.now.Sub(since))
+		}
+	}
+}
+
+func latest(times ...time.Time) time.Time {
+	last := times[0]
+	for _, t := range times {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/soak/orders_test.go
@@ -0,0 +1,105 @@
+package soak
+
+import (
+	"time"
+
+	"knapweedhoist/control"
+	"knapweedhoist/lease"
+)
+
+// order is an order of the capacity duty at an endpoint.
+type order struct {
+	fence      uint64
+	start, end time.Time
+	// held is the time between the check of the lease and the first byte.
+	held time.Duration
+}
+
+// documentedPause is the pause between the check and the first byte above which package lease documents that
+// orders of two holders can overlap at an endpoint that ignores fences: two margins.
+const documentedPause = 2 * lease.DefaultMargin
+
+// orderBook is what an endpoint knows of orders.
+type orderBook struct {
+	highest uint64
+	last    []order
+}
+
+// giveOrder lets a holder of the lease give an order. Now and then the holder pauses right after the check.
+func (w *world) giveOrder(in *instance) {
+	if !in.awake() || w.rng.Intn(2) != 0 {
+		return
+	}
+	target := w.endpoints[w.rng.Intn(len(w.endpoints))]
+	if w.rng.Intn(2) == 0 {
+		target = w.endpoints[w.rng.Intn(2)]
+	}
+	permit, err := in.core.Permit(w.now, control.DutyCapacity, target.checks)
+	if err != nil || target.gone {
+		return
+	}
+	w.ordersGiven++
+	checked := w.now
+	if w.rng.Intn(20) == 0 {
+		w.pause(in, w.between(0, 45*time.Second))
+		w.count("pause between lease check and order")
+	}
+	in.do(func() { in.sendOrder(target, permit, checked) })
+}
+
+// sendOrder sends the first byte; the sender abandons an order that takes longer than the permit allows.
+func (in *instance) sendOrder(target *endpoint, permit lease.Permit, checked time.Time) {
+	w := in.w
+	held := w.now.Sub(checked)
+	abandoned := w.now.Add(permit.Timeout)
+	w.net.carry(in.dc, target.dc, func() {
+		if target.gone || !w.now.Before(abandoned) {
+			return
+		}
+		length := w.between(0, abandoned.Sub(w.now))
+		target.order(order{fence: permit.Fence, start: w.now, end: w.now.Add(length), held: held})
+	})
+}
+
+// order takes an order in.
+func (e *endpoint) order(o order) {
+	if e.checks && o.fence < e.orders.highest && !e.w.plant.ignoreFence {
+		e.w.count("stale order refused")
+		return
+	}
+	if e.checks && o.fence < e.orders.highest {
+		e.w.fail("fence: %s ran an order with fence %d after %d", e.id, o.fence, e.orders.highest)
+	}
+	e.orders.highest = max(e.orders.highest, o.fence)
+	if e.checks {
+		return
+	}
+	e.checkOverlap(o)
+	e.orders.last = append(e.orders.last, o)
+}
+
+// checkOverlap fails when orders of two holders overlap at an endpoint that ignores fences, outside of the window
+// that package lease documents.
+func (e *endpoint) checkOverlap(o order) {
+	recent := e.orders.last[:0]
+	for _, other := range e.orders.last {
+		if other.end.After(o.start) {
+			recent = append(recent, other)
+		}
+	}
+	e.orders.last = recent
+	for _, other := range recent {
+		if other.fence == o.fence {
+			continue
+		}
+		older := o
+		if other.fence < o.fence {
+			older = other
+		}
+		if older.held > documentedPause {
+			e.w.count("documented overlap of orders")
+			continue
+		}
+		e.w.fail("lease: orders with fences %d and %d overlap at %s", other.fence, o.fence, e.id)
+	}
+}
--- /dev/null
+++ b/soak/pollers_test.go
@@ -0,0 +1,105 @@
+package soak
+
+import (
+	"time"
+
+	"knapweedhoist/control"
+	"knapweedhoist/membership"
+)
+
+// Times between reads of the outside systems, as in the root package.
+const (
+	rosterInterval = 5 * time.Second
+	rosterBackstop = 5 * time.Minute
+	rosterRetry    = 200 * time.Millisecond
+	pollInterval   = time.Second
+)
+
+// poll reads the lagging list, the notices and the load reports when they are due.
+func (in *instance) poll() {
+	if in.w.now.Sub(in.listReadAt) >= in.listWait() {
+		in.listReadAt = in.w.now
+		in.readList()
+	}
+	if in.w.now.Sub(in.polledAt) < pollInterval {
+		return
+	}
+	in.polledAt = in.w.now
+	if in.view.Fleet.WatchesConfig() || in.view.Fleet.Self.State == membership.Leaving {
+		in.readNotices()
+	}
+	for _, endpoint := range in.view.Fleet.Watched() {
+		if !endpoint.Leaving {
+			in.readLoad(endpoint)
+		}
+	}
+}
+
+func (in *instance) listWait() time.Duration {
+	switch {
+	case !in.listed:
+		return rosterRetry
+	case in.view.Fleet.WatchesConfig():
+		return rosterInterval
+	default:
+		return rosterBackstop
+	}
+}
+
+func (in *instance) readList() {
+	entries := in.w.list.read(in.w.now)
+	in.w.net.carry(platformSite, in.dc, func() {
+		in.do(func() {
+			in.listed = true
+			in.step(control.RosterRead{Entries: entries})
+		})
+	})
+}
+
+// readNotices reads the cloud's notices from where the last read ended.
+func (in *instance) readNotices() {
+	notices := in.w.notices
+	in.w.net.carry(platformSite, in.dc, func() {
+		in.do(func() {
+			for ; in.noticeFrom < len(notices); in.noticeFrom++ {
+				in.noticed(notices[in.noticeFrom])
+			}
+		})
+	})
+}
+
+func (in *instance) noticed(notice cloudNotice) {
+	left := notice.endsAt.Sub(in.w.now)
+	if left <= 0 {
+		return
+	}
+	fleet := in.view.Fleet
+	if endpoint := fleet.Endpoint(notice.id); endpoint != nil && !endpoint.Leaving {
+		in.step(control.NoticeReceived{Notice: membership.Notice{ID: notice.id, Incarnation: endpoint.Incarnation, Left: left}})
+	}
+	if notice.id == in.id {
+		in.reclaim(left)
+		return
+	}
+	for _, m := range fleet.Live() {
+		if m.ID == notice.id {
+			in.step(control.NoticeReceived{Notice: membership.Notice{ID: notice.id, Incarnation: m.Incarnation, Left: left}})
+		}
+	}
+}
+
+func (in *instance) readLoad(endpoint *membership.Endpoint) {
+	target := in.w.endpoint(endpoint.Address)
+	if target == nil {
+		return
+	}
+	in.w.net.carry(in.dc, target.dc, func() {
+		if target.gone {
+			return
+		}
+		report := target.load()
+		in.w.net.carry(target.dc, in.dc, func() {
+			in.do(func() { in.step(control.LoadRead{Endpoint: endpoint.ID, Report: report}) })
+		})
+	})
+}
--- /dev/null
+++ b/soak/site_test.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"time"
+
+	"knapweedhoist/control"
+	"knapweedhoist/platform"
+	"knapweedhoist/testutil"
+)
+
+// Timeouts of the platform client.
+const (
+	platformTimeout = 5 * time.Second
+	watchSilence    = 5 * time.Second
+)
+
+// site connects the instances with the platform.
+type site struct {
+	w      *world
+	store  *testutil.Store
+	nextID uint64
+	calls  map[uint64]*platformCall
+}
+
+// platformCall is a call that has no result yet.
+type platformCall struct {
+	from *instance
+	done func(platform.Done)
+}
+
+func newSite(w *world) *site {
+	return &site{w: w, store: testutil.NewStore(w.rng, steadyPlatform), calls: make(map[uint64]*platformCall)}
+}
+
+// steadyPlatform answers in milliseconds.
+var steadyPlatform = testutil.Faults{MinDelay: time.Millisecond, MaxDelay: 4 * time.Millisecond}
+
+// effect carries a platform call of the control code out.
+func (s *site) effect(from *instance, e control.PlatformCall) {
+	id := e.Call.ID
+	s.do(from, e.Call.Request, func(done platform.Done) {
+		done.ID = id
+		from.step(control.PlatformDone{Component: e.Component, Done: done})
+	})
+}
+
+// do makes a call. One that gets no reply in time ends as unavailable, whether it took effect or not.
+func (s *site) do(from *instance, request platform.Request, done func(platform.Done)) {
+	s.nextID++
+	id := s.nextID
+	s.calls[id] = &platformCall{from: from, done: done}
+	timeout := platformTimeout
+	if request.Op == platform.OpWatch {
+		timeout = request.Wait + watchSilence
+	}
+	s.w.after(timeout, func() { s.end(id, platform.Done{Err: platform.ErrUnavailable}) })
+	if s.w.net.cut(from.dc, platformSite) {
+		s.w.count("platform call cut")
+		return
+	}
+	s.store.Submit(s.w.now, from.dc, platform.Call{ID: id, Request: request})
+}
+
+// advance lets the platform work, and brings its replies back.
+func (s *site) advance() {
+	for _, delivery := range s.store.Advance(s.w.now) {
+		if s.w.net.cut(delivery.To, platformSite) {
+			s.w.count("platform reply cut")
+			continue
+		}
+		s.end(delivery.Done.ID, delivery.Done)
+	}
+}
+
+func (s *site) end(id uint64, done platform.Done) {
+	call, found := s.calls[id]
+	if !found {
+		return
+	}
+	delete(s.calls, id)
+	call.from.do(func() { call.done(done) })
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// Size of what go test runs; SOAK_SEEDS, SOAK_STEPS and SOAK_SEED replace it.
+const (
+	defaultSeeds = 8
+	defaultSteps = 240
+)
+
+// Guards against any breach of the guarantees P1 to P7 in a long run in which all failures come at any moment,
+// together and twice.
+func TestGuaranteesHold(t *testing.T) {
+	first, seeds, steps := int64(1), number("SOAK_SEEDS", defaultSeeds), number("SOAK_STEPS", defaultSteps)
+	if one := number("SOAK_SEED", 0); one != 0 {
+		first, seeds = int64(one), 1
+	}
+	for seed := first; seed < first+int64(seeds); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(seed, plant{})
+			w.run(steps)
+			t.Logf("%d steps: %s", steps, w.summary())
+			if len(w.faults) > 0 {
+				t.Errorf("%s\nreplay: SOAK_SEED=%d SOAK_STEPS=%d go test ./soak -run TestGuaranteesHold -v", strings.Join(w.faults, "\n"), seed, steps)
+			}
+		})
+	}
+}
+
+// number reads a positive number from the environment.
+func number(name string, standard int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil && n > 0 {
+		return n
+	}
+	return standard
+}
+
+// summary lists what was injected and what happened.
+func (w *world) summary() string {
+	var b strings.Builder
+	for _, kind := range sortedNames(w.injected) {
+		fmt.Fprintf(&b, "%s %d, ", kind, w.injected[kind])
+	}
+	for _, kind := range sortedNames(w.site.store.Injected) {
+		fmt.Fprintf(&b, "platform %s %d, ", kind, w.site.store.Injected[kind])
+	}
+	fmt.Fprintf(&b, "orders %d, revision %d, edits %v", w.ordersGiven, w.operators.revision, w.operators.results)
+	return b.String()
+}
--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,243 @@
+package soak
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand"
+	"time"
+
+	"knapweedhoist/catalog"
+	"knapweedhoist/control"
+	"knapweedhoist/testutil"
+	"knapweedhoist/wire"
+)
+
+// Sizes of the deployment in a run.
+const (
+	shards         = 8
+	entryInstances = 8
+	engines        = 10
+	plainServers   = 4
+)
+
+var datacentres = []string{"quito-norte", "quito-sur", "ambato", "riobamba"}
+
+var discardLog = slog.New(slog.DiscardHandler)
+
+// world is one run: the deployment, its failures and what was found.
+type world struct {
+	seed    int64
+	rng     *rand.Rand
+	now     time.Time
+	steps   int
+	agenda  agenda
+	net     *network
+	site    *site
+	list    *list
+	checker *testutil.Checker
+	plant   plant
+
+	instances []*instance
+	endpoints []*endpoint
+	notices   []cloudNotice
+	operators *operators
+	// documents numbers the fetches of documents, waiting holds their answers.
+	documents uint64
+	waiting   map[uint64]func(any)
+
+	instancesMade, endpointsMade, ordersGiven int
+	calmSince                                 time.Time
+	outages, slowness                         int
+	// generation counts the times at which everything was healed.
+	generation int
+	injected   map[string]int
+	faults     []string
+}
+
+func newWorld(seed int64, planted plant) *world {
+	w := &world{
+		seed: seed, rng: rand.New(rand.NewSource(seed)), now: time.UnixMilli(1_800_000_000_000), plant: planted,
+		checker: testutil.NewChecker(), waiting: make(map[uint64]func(any)), injected: make(map[string]int),
+	}
+	w.calmSince = w.now
+	w.net = newNetwork(w)
+	w.site = newSite(w)
+	w.list = &list{w: w}
+	w.operators = newOperators(w)
+	for i := range engines {
+		w.addEndpoint(datacentres[i%len(datacentres)], modelService, catalog.KindModel, i%2 == 0)
+	}
+	for i := range plainServers {
+		w.addEndpoint(datacentres[i%len(datacentres)], plainService, catalog.KindPlain, false)
+	}
+	for i := range entryInstances {
+		w.start(datacentres[i%len(datacentres)], "")
+	}
+	return w
+}
+
+// Names of the services.
+const (
+	modelService = "asistente"
+	plainService = "reservas"
+)
+
+// start starts an instance, at the address of a former one or at its own.
+func (w *world) start(dc, address string) {
+	w.instancesMade++
+	id := fmt.Sprintf("entry-%d", w.instancesMade)
+	if address == "" {
+		address = "10.0.0." + id
+	}
+	in := newInstance(w, id, dc, address)
+	w.instances = append(w.instances, in)
+	w.list.record()
+}
+
+// at returns the live instance that has an address.
+func (w *world) at(address string) *instance {
+	for _, in := range w.instances {
+		if !in.dead && in.address == address {
+			return in
+		}
+	}
+	return nil
+}
+
+// anyInstance returns an instance that runs, nil without one.
+func (w *world) anyInstance() *instance {
+	return w.pick(func(in *instance) bool { return in.awake() && !in.leaving })
+}
+
+// pick draws one of the instances that match.
+func (w *world) pick(match func(*instance) bool) *instance {
+	var found []*instance
+	for _, in := range w.instances {
+		if match(in) {
+			found = append(found, in)
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	return found[w.rng.Intn(len(found))]
+}
+
+func (w *world) after(wait time.Duration, run func()) { w.agenda.add(w.now.Add(wait), run) }
+
+// between draws a time between two bounds.
+func (w *world) between(least, most time.Duration) time.Duration {
+	if most <= least {
+		return least
+	}
+	return least + time.Duration(w.rng.Int63n(int64(most-least)))
+}
+
+func (w *world) count(kind string) { w.injected[kind]++ }
+
+func (w *world) fail(format string, args ...any) {
+	if len(w.faults) < 10 {
+		w.faults = append(w.faults, fmt.Sprintf("step %d: ", w.steps)+fmt.Sprintf(format, args...))
+	}
+}
+
+// served passes the answer to a fetch on.
+func (w *world) served(_ *instance, e control.ConfigServed) {
+	answer := w.waiting[e.Ref]
+	delete(w.waiting, e.Ref)
+	if e.Document == nil {
+		answer((*wire.ConfigDocument)(nil))
+		return
+	}
+	answer(e.Document)
+}
+
+// calm reports whether no failure of the platform or the network is in force.
+func (w *world) calm() bool { return w.net.calm() && w.outages == 0 && w.slowness == 0 }
+
+// run makes a number of steps of one second, then heals everything and lets the rest finish.
+func (w *world) run(steps int) {
+	w.elapse(settleStart)
+	w.operators.setUp()
+	w.elapse(settleStart)
+	for range steps {
+		w.steps++
+		w.disturb()
+		w.elapse(stepLength)
+	}
+	w.heal()
+	w.elapse(settleEnd)
+	for _, name := range sortedNames(w.checker.First) {
+		v := w.checker.First[name]
+		w.fail("invariant %s: %s (%s, peer %s, request %s)", name, v.Detail, v.Step, v.Peer, v.Request)
+	}
+}
+
+// Lengths of scripted time.
+const (
+	stepLength  = time.Second
+	settleStart = 8 * time.Second
+	settleEnd   = 30 * time.Second
+)
+
+// elapse lets scripted time pass in turns of the control goroutines.
+func (w *world) elapse(length time.Duration) {
+	end := w.now.Add(length)
+	for w.now.Before(end) {
+		w.turn(control.TickInterval)
+	}
+}
+
+// turn runs what is due within one interval, and then each instance once.
+func (w *world) turn(length time.Duration) {
+	until := w.now.Add(length)
+	for {
+		at, run := w.agenda.next(until)
+		if run == nil {
+			break
+		}
+		w.now = latest(w.now, at)
+		run()
+	}
+	w.now = until
+	w.site.advance()
+	for _, in := range w.instances {
+		in.tick()
+	}
+	if !w.calm() {
+		w.calmSince = w.now
+	}
+	w.everySecond()
+}
+
+// everySecond makes the checks that need not be made in each turn.
+func (w *world) everySecond() {
+	if w.now.UnixMilli()%1000 >= control.TickInterval.Milliseconds() {
+		return
+	}
+	w.operators.check()
+	for _, in := range w.instances {
+		if !in.dead {
+			w.giveOrder(in)
+		}
+	}
+	w.forgetDead()
+}
+
+// forgetDead drops what is dead, so that a long run does not grow.
+func (w *world) forgetDead() {
+	live := w.instances[:0]
+	for _, in := range w.instances {
+		if !in.dead {
+			live = append(live, in)
+		}
+	}
+	w.instances = live
+	there := w.endpoints[:0]
+	for _, e := range w.endpoints {
+		if !e.gone {
+			there = append(there, e)
+		}
+	}
+	w.endpoints = there
+}
