Refuse a claim that is not durable to a request that moved

Cause: a successor that takes an unsent keyed call over asks for its claim. The shard answered in_progress with the request itself as the holder, which lets the successor send, also while the claim was queued or being written. A new owner of the shard granted the key to another request, and the call ran twice. Change: such an ask is answered with unavailable until the record is durable, and while a release is under way. soak also runs requests, claims, reclaims and handovers. Requests in progress, dirty requests, dead members and dropped reads are handled in a fixed order, so that a seed replays to the same run. The new claim test fails without it.

--- a/claim/evaluate.go
+++ b/claim/evaluate.go
@@ -22,6 +22,10 @@
 		out.answer(ask.Ref, Mismatch, e.requestID)
 	case e.state == StateDone:
 		s.answerFinished(ask, e, out)
+	case e.requestID == ask.RequestID && ask.From != Home(ask.RequestID) && (!e.durable || e.closing):
+		// The request moved here and sends its call on this answer, which names it as the holder. A claim that is
+		// not durable may never become so, and another owner may grant the key meanwhile.
+		out.answer(ask.Ref, Unavailable, "")
 	case e.requestID != ask.RequestID || ask.From != Home(ask.RequestID):
 		out.answer(ask.Ref, InProgress, e.requestID)
 	case e.closing:
--- a/claim/log_test.go
+++ b/claim/log_test.go
@@ -116,6 +116,19 @@
 		Expect(owner.Ask(b.now, again).Answers).To(ConsistOf(Answer{Ref: 3, Verdict: InProgress, Holder: "H-k"}))
 	})
 
+	It("guards against a moved request that takes a claim for its own before it is durable", func() {
+		owner := b.shard("F")
+		b.run(owner, owner.SetOwner(b.now, true))
+		b.ask(owner, "k", 1)
+		moved := Ask{Ref: 2, Key: KeyHash("t", "s", "k"), RequestID: "H-k", From: "Successor", Deadline: b.now.Add(time.Minute)}
+		Expect(owner.Ask(b.now, moved).Answers).To(ConsistOf(Answer{Ref: 2, Verdict: Unavailable}))
+		b.run(owner, owner.Tick(b.now))
+		Expect(owner.Ask(b.now, moved).Answers).To(ConsistOf(Answer{Ref: 2, Verdict: InProgress, Holder: "H-k"}))
+		release := Finish{Ref: 3, Key: KeyHash("t", "s", "k"), RequestID: "H-k", From: "H", Released: true}
+		Expect(owner.Finish(b.now, release).Acks).To(BeEmpty())
+		Expect(owner.Ask(b.now, moved).Answers).To(ConsistOf(Answer{Ref: 2, Verdict: Unavailable}))
+	})
+
 	It("guards against a report of an end that is lost at a former owner", func() {
 		former, owner := b.shard("F"), b.shard("N")
 		b.run(former, former.SetOwner(b.now, true))
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -16,6 +16,8 @@
 import (
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"knapweedhoist/platform"
@@ -248,8 +250,8 @@
 			out.ack(ref, Retry)
 		}
 	}
-	for _, r := range s.reads {
-		out.answer(r.ask.Ref, verdict, "")
+	for _, id := range slices.Sorted(maps.Keys(s.reads)) {
+		out.answer(s.reads[id].ask.Ref, verdict, "")
 	}
 	s.main, s.waiting, s.queue, s.flight, s.older = nil, nil, nil, nil, nil
 	s.index, s.reads, s.sweep, s.tail = nil, nil, sweep{}, tail{}
--- a/control/seen.go
+++ b/control/seen.go
@@ -79,7 +79,7 @@
 		case membership.Listed, membership.Live, membership.Suspect:
 		}
 	}
-	for incarnation := range s.leaving {
+	for _, incarnation := range sortedIDs(s.leaving) {
 		if view.Member(incarnation) == nil {
 			effects = append(effects, MemberGone{Incarnation: incarnation})
 		}
--- a/handover/home.go
+++ b/handover/home.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -139,6 +140,8 @@
 	}
 }
 
+// takeDirty returns the requests with changes in the order of their ids, so
+// that the messages to the peer do not depend on the map's order.
 func (h *Home) takeDirty() []request.ID {
 	h.dirtyMu.Lock()
 	defer h.dirtyMu.Unlock()
@@ -147,6 +150,7 @@
 		ids = append(ids, id)
 	}
 	clear(h.dirty)
+	slices.SortFunc(ids, request.ID.Compare)
 	return ids
 }
 
--- a/request/id.go
+++ b/request/id.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 
@@ -24,6 +25,11 @@
 	return id.Incarnation + "-" + strconv.FormatUint(id.Sequence, 10)
 }
 
+// Compare orders ids by incarnation and sequence.
+func (id ID) Compare(other ID) int {
+	return cmp.Or(cmp.Compare(id.Incarnation, other.Incarnation), cmp.Compare(id.Sequence, other.Sequence))
+}
+
 // ParseID reads the text form of an id. Only the form that String returns is
 // accepted, so that equal ids have equal texts. Errors wrap ErrInvalidID.
 func ParseID(text string) (ID, error) {
--- a/request/id_test.go
+++ b/request/id_test.go
@@ -26,3 +26,19 @@
 		}
 	})
 }
+
+// Guards against a handover whose messages come in another order each time the
+// same run is replayed.
+func TestInProgressIsInOrderOfIDs(t *testing.T) {
+	registry := NewRegistry(incarnation, newReporter(), Config{})
+	for range 50 {
+		if _, err := registry.Create(start, modelSpec(registry)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, entry := range registry.InProgress() {
+		if entry.Spec().ID.Sequence != uint64(i+1) {
+			t.Fatalf("position %d has request %s", i, entry.Spec().ID)
+		}
+	}
+}
--- a/request/registry.go
+++ b/request/registry.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,7 +100,8 @@
 	return entry, found
 }
 
-// InProgress returns the requests that are neither finished nor moved.
+// InProgress returns the requests that are neither finished nor moved, in the
+// order of their ids.
 func (r *Registry) InProgress() []*Entry {
 	r.mu.Lock()
 	all := make([]*Entry, 0, len(r.entries))
@@ -113,6 +115,7 @@
 			entries = append(entries, entry)
 		}
 	}
+	slices.SortFunc(entries, func(a, b *Entry) int { return a.spec.ID.Compare(b.spec.ID) })
 	return entries
 }
 
--- /dev/null
+++ b/soak/caller_test.go
@@ -0,0 +1,185 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"knapweedhoist/request"
+)
+
+// caller reads the events of a job, and re-attaches when its stream ends.
+type caller struct {
+	job *job
+	// front is the instance to which the caller is connected, nil without one.
+	front *instance
+	// owner is the instance whose events are read through front.
+	owner  *instance
+	reader *request.Subscription
+	seen   uint64
+	// stalledAt is since when the connection makes no progress, zero while it does.
+	stalledAt time.Time
+	// again is when the caller or the front tries again.
+	again time.Time
+	// patience is when the front gives the search up.
+	patience time.Time
+	tries    int
+}
+
+// Times of callers.
+const (
+	attachRetry    = 200 * time.Millisecond
+	attachPatience = 10 * time.Second
+	// callerTries bounds how often a caller re-attaches after the search of a front ended.
+	callerTries = 8
+)
+
+// turn reads what is there, or attaches again.
+func (c *caller) turn() {
+	w := c.job.w
+	switch {
+	case w.now.Before(c.again):
+	case c.front == nil:
+		c.connect()
+	case c.front.dead:
+		c.leave(w.between(100*time.Millisecond, 2*time.Second))
+	case c.reader == nil:
+		c.search()
+	default:
+		c.read()
+	}
+}
+
+// leave ends the connection; the caller comes back after a while.
+func (c *caller) leave(wait time.Duration) {
+	c.job.w.trace(c.job.about(), "caller leaves %s after %d, back in %v", c.front.id, c.seen, wait)
+	c.detach()
+	c.front = nil
+	c.again = c.job.w.now.Add(wait)
+}
+
+func (c *caller) detach() {
+	if c.reader != nil {
+		c.reader.Close()
+	}
+	c.reader, c.owner, c.stalledAt = nil, nil, time.Time{}
+}
+
+// connect attaches at any entry instance.
+func (c *caller) connect() {
+	w := c.job.w
+	c.front = w.pick(func(in *instance) bool { return in.awake() && in.view.Catalog != nil })
+	c.patience = w.now.Add(attachPatience)
+	if c.front == nil {
+		return
+	}
+	w.count("caller re-attached")
+	if w.rng.Intn(20) == 0 {
+		c.tryOtherTeam()
+	}
+	c.search()
+}
+
+// tryOtherTeam asks for the request with the credential of another team.
+func (c *caller) tryOtherTeam() {
+	w := c.job.w
+	w.count("attach with another team's credential")
+	for _, in := range w.instances {
+		if _, err := in.registry.Find(c.job.spec.ID, "team-x"); err == nil {
+			w.fail("P2: %s was given to another team", c.job.spec.ID)
+		}
+	}
+}
+
+// search looks for the owner of the request from the front.
+func (c *caller) search() {
+	w := c.job.w
+	if c.front.paused() {
+		c.stall()
+		return
+	}
+	owner, entry := c.front.find(c.job)
+	if entry == nil {
+		c.again = w.now.Add(attachRetry)
+		if w.now.After(c.patience) {
+			c.notFound()
+		}
+		return
+	}
+	reader, err := entry.Subscribe(c.seen)
+	if err != nil {
+		c.again = w.now.Add(attachRetry)
+		return
+	}
+	c.owner, c.reader, c.tries = owner, reader, 0
+	w.trace(c.job.about(), "caller reads from %s through %s after %d", owner.id, c.front.id, c.seen)
+}
+
+// notFound: the front answered that nobody has the request. The caller tries elsewhere some more times.
+func (c *caller) notFound() {
+	c.tries++
+	if c.tries < callerTries {
+		c.leave(2 * time.Second)
+		return
+	}
+	w := c.job.w
+	w.trace(c.job.about(), "not found through %s", c.front.id)
+	c.job.gone = true
+	c.job.endedAt = c.job.w.now
+}
+
+// stall notes that the connection makes no progress; it is given up at the limit.
+func (c *caller) stall() {
+	w := c.job.w
+	if c.stalledAt.IsZero() {
+		c.stalledAt = w.now
+	}
+	if w.now.Sub(c.stalledAt) >= silence {
+		c.leave(0)
+	}
+}
+
+// read passes events on to the caller.
+func (c *caller) read() {
+	w := c.job.w
+	switch {
+	case c.owner.dead:
+		c.detach()
+		c.patience = w.now.Add(attachPatience)
+		return
+	case c.owner.paused() || c.front.paused() || c.owner != c.front && w.net.blocked(c.owner, c.front):
+		c.stall()
+		return
+	}
+	c.stalledAt = time.Time{}
+	events, err := c.reader.Next(make([]request.Event, 0, 16))
+	for _, event := range events {
+		c.take(event)
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		c.detach()
+	case errors.Is(err, request.ErrMoved):
+		c.detach()
+		c.patience = w.now.Add(attachPatience)
+	case len(events) > 0 && w.rng.Intn(200) == 0:
+		w.count("caller went away")
+		c.leave(w.between(500*time.Millisecond, 20*time.Second))
+	}
+}
+
+// take checks one event.
+func (c *caller) take(event request.Event) {
+	j := c.job
+	if event.ID != c.seen+1 {
+		j.w.fail("P2: %s got event %d after %d", j.spec.ID, event.ID, c.seen)
+	}
+	c.seen = event.ID
+	if event.Finish != nil {
+		j.end(event.Finish)
+		return
+	}
+	if string(event.Token) != j.token(int(event.ID)-1) {
+		j.w.fail("P2: %s got token %q as event %d", j.spec.ID, event.Token, event.ID)
+	}
+}
--- /dev/null
+++ b/soak/claims_test.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"time"
+
+	"knapweedhoist/claim"
+	"knapweedhoist/control"
+	"knapweedhoist/request"
+)
+
+// peerClaimTimeout bounds how long a shard works on a peer's ask.
+const peerClaimTimeout = 5 * time.Second
+
+// claim asks the owner of the key's shard, here or at a peer.
+func (t *task) claim() {
+	in := t.in
+	if t.done || t.asking {
+		return
+	}
+	if in.w.plant.skipClaim {
+		_ = t.entry.Claimed()
+		t.begin()
+		return
+	}
+	ask := claim.Ask{
+		Key: t.key(), Body: t.job.spec.BodyHash, RequestID: t.job.spec.ID.String(), From: in.incarnation,
+		Deadline: t.job.spec.Deadline,
+	}
+	t.asking = true
+	in.atShard(ask.Key, func(to *instance, shard int, answer func(any)) {
+		if to != in {
+			ask.Deadline = in.w.now.Add(peerClaimTimeout)
+		}
+		to.ask(shard, ask, answer)
+	}, t.claimAnswered)
+}
+
+func (t *task) key() claim.Hash {
+	return claim.KeyHash(t.job.spec.Team, t.job.spec.Service, t.job.spec.Key)
+}
+
+// atShard passes a question to the owner of a key's shard; nil comes back without an answer.
+func (in *instance) atShard(key claim.Hash, handle func(*instance, int, func(any)), report func(any)) {
+	shard := claim.ShardOf(key, shards)
+	owner := in.view.Fleet.Owner(control.ShardKey(shard))
+	switch {
+	case owner == nil:
+		in.w.after(0, func() { in.do(func() { report(nil) }) })
+	case owner.Incarnation == in.incarnation:
+		handle(in, shard, report)
+	default:
+		in.callPeer(owner.Incarnation, silence, func(to *instance, answer func(any)) { handle(to, shard, answer) }, report)
+	}
+}
+
+// ask puts an ask to this instance's shard.
+func (in *instance) ask(shard int, ask claim.Ask, answer func(any)) {
+	in.w.refs++
+	ask.Ref = in.w.refs
+	in.claims[ask.Ref] = answer
+	in.step(control.ClaimAsked{Shard: shard, Ask: ask})
+}
+
+// claimAnswered decides on a verdict as package backend does.
+func (t *task) claimAnswered(result any) {
+	t.asking = false
+	answer, found := result.(claim.Answer)
+	if t.done {
+		return
+	}
+	t.inProgress = false
+	if !found {
+		answer.Verdict = claim.Unavailable
+	}
+	t.in.w.verdicts[answer.Verdict]++
+	t.in.w.trace(t.job.about(), "claim at %s: verdict %d, holder %s", t.in.id, answer.Verdict, answer.Holder)
+	switch {
+	case answer.Verdict == claim.Granted, answer.Verdict == claim.InProgress && answer.Holder == t.job.spec.ID.String():
+		if t.entry.Claimed() == nil {
+			t.begin()
+		}
+	case answer.Verdict == claim.Mismatch:
+		t.finish(request.Finish{Outcome: request.OutcomeNotRun, Status: 422, Step: "claim"})
+	case answer.Verdict == claim.Finished && answer.Kept:
+		t.conclude(request.Finish{Outcome: request.OutcomeRan, Status: answer.Status, Body: answer.Body})
+	case answer.Verdict == claim.Finished:
+		t.conclude(request.Finish{Outcome: request.OutcomeRan, Status: 409, Step: "claim"})
+	default:
+		t.inProgress = answer.Verdict == claim.InProgress
+		t.later(claimRetry, t.claim)
+	}
+}
+
+// conclude ends a request that sent nothing itself.
+func (t *task) conclude(finish request.Finish) {
+	if t.entry.Finish(t.in.w.now, finish) == nil {
+		t.done = true
+		t.in.w.trace(t.job.about(), "concluded at %s: %s %d", t.in.id, finish.Outcome, finish.Status)
+	}
+}
+
+// failClaim ends a request whose claim was not decided in time.
+func (t *task) failClaim() {
+	if t.inProgress {
+		t.conclude(request.Finish{Outcome: request.OutcomeUnknown, Status: 409, Step: "claim"})
+		return
+	}
+	t.conclude(request.Finish{Outcome: request.OutcomeNotRun, Status: 503, Step: "claim"})
+	t.in.report(claim.Finish{Key: t.key(), RequestID: t.job.spec.ID.String(), From: t.in.incarnation, Released: true})
+}
+
+// reportClaim tells how the claim of a finished request ended. With an unknown outcome nothing is reported.
+func (t *task) reportClaim(finish request.Finish) {
+	if !t.job.spec.NeedsClaim || finish.Outcome == request.OutcomeUnknown || finish.Status == 422 {
+		return
+	}
+	t.in.report(claim.Finish{
+		Key: t.key(), RequestID: t.job.spec.ID.String(), From: t.in.incarnation,
+		Released: finish.Outcome == request.OutcomeNotRun, Status: finish.Status, Answer: finish.Body, Kept: true,
+	})
+}
+
+// claimReportRetry is the time between two reports of the end of a claim.
+const claimReportRetry = time.Second
+
+// report repeats the report of the end of a claim until it is stored.
+func (in *instance) report(finish claim.Finish) {
+	in.atShard(finish.Key, func(to *instance, shard int, answer func(any)) {
+		in.w.refs++
+		finish.Ref = in.w.refs
+		to.acks[finish.Ref] = answer
+		to.step(control.ClaimFinished{Shard: shard, Finish: finish})
+	}, func(result any) {
+		in.w.trace(finish.RequestID, "end of claim reported from %s, released %v: %+v", in.id, finish.Released, result)
+		if ack, found := result.(claim.Ack); !found || ack.Result == claim.Retry {
+			in.w.after(claimReportRetry, func() { in.do(func() { in.report(finish) }) })
+		}
+	})
+}
--- /dev/null
+++ b/soak/departure_test.go
@@ -0,0 +1,187 @@
+package soak
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"knapweedhoist/control"
+	"knapweedhoist/handover"
+	"knapweedhoist/membership"
+	"knapweedhoist/platform"
+	"knapweedhoist/wire"
+)
+
+// Times of a departure, as in the root package.
+const (
+	drainTimeout   = 30 * time.Second
+	handoverMargin = 3 * time.Second
+	maxDeadline    = 30 * time.Minute
+	departureRetry = time.Second
+	handoverTick   = 100 * time.Millisecond
+	answerTimeout  = 5 * time.Second
+	assumedNotice  = 10 * time.Second
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// reclaim tells that the instance ends after left.
+func (in *instance) reclaim(left time.Duration) {
+	if left <= 0 {
+		left = assumedNotice
+	}
+	end := in.w.now.Add(left)
+	in.begin(end.Add(-min(handoverMargin, left/2)), end, true)
+}
+
+// stop starts a planned stop.
+func (in *instance) stop() {
+	release := in.w.now.Add(drainTimeout)
+	in.begin(release, release.Add(maxDeadline), false)
+}
+
+// begin starts the departure, or shortens one that has started.
+func (in *instance) begin(releaseAt, endAt time.Time, reclaimed bool) {
+	if in.leaving && !endAt.Before(in.endAt) {
+		return
+	}
+	in.releaseAt, in.endAt, in.reclaimed = releaseAt, endAt, reclaimed
+	if in.leaving {
+		return
+	}
+	in.leaving, in.leftAt = true, in.w.now
+	in.w.trace(in.incarnation, "%s leaves; releases in %v, ends in %v", in.id, releaseAt.Sub(in.w.now), endAt.Sub(in.w.now))
+	in.w.list.record()
+	in.host.SelfLeaving()
+	in.home.Depart(in.w.now, in.departure())
+}
+
+func (in *instance) departure() handover.Departure {
+	return handover.Departure{ReleaseAt: in.releaseAt, EndAt: in.endAt, Peers: in.peers()}
+}
+
+// handOver looks at a handover in progress.
+func (in *instance) handOver() {
+	w := in.w
+	select {
+	case <-in.home.Wake():
+		in.home.Poll(w.now)
+	default:
+	}
+	if w.now.Sub(in.handedAt) >= time.Second {
+		in.handedAt = w.now
+		in.host.Tick(w.now)
+	}
+	if !in.leaving || !in.stoppedAt.IsZero() || w.now.Sub(in.lookedAt) < handoverTick {
+		return
+	}
+	in.lookedAt = w.now
+	in.home.Depart(w.now, in.departure())
+	in.home.Tick(w.now)
+	if in.home.Done() || w.now.After(in.endAt) {
+		in.stoppedAt = w.now
+		w.trace(in.incarnation, "%s stopped, done %v", in.id, in.home.Done())
+		w.after(w.between(200*time.Millisecond, answerTimeout), func() { w.end(in) })
+	}
+}
+
+// peers returns the live peers as candidates for a handover.
+func (in *instance) peers() []handover.Peer {
+	var peers []handover.Peer
+	for _, m := range in.view.Fleet.Live() {
+		if m == in.view.Fleet.Self || m.PeerAddress == "" {
+			continue
+		}
+		peer := handover.Peer{Incarnation: m.Incarnation, Datacentre: m.Datacentre}
+		if m.Datacentre != in.dc {
+			peer.Distance = 2
+		}
+		peers = append(peers, peer)
+	}
+	return peers
+}
+
+// transport carries the calls of a handover.
+type transport struct{ in *instance }
+
+// Send implements handover.Transport.
+func (t transport) Send(incarnation string, call *wire.Call, report func(*wire.Answer, error)) {
+	call = proto.Clone(call).(*wire.Call)
+	t.in.callPeer(incarnation, silence, func(to *instance, answer func(any)) {
+		answer(to.host.Handle(to.w.now, t.in.incarnation, call))
+	}, func(result any) {
+		if report == nil {
+			return
+		}
+		if answer, found := result.(*wire.Answer); found {
+			report(answer, nil)
+			return
+		}
+		report(nil, errNoAnswer)
+	})
+}
+
+// Announce implements handover.Transport.
+func (t transport) Announce(successor string) {
+	in := t.in
+	in.w.after(0, func() {
+		in.do(func() {
+			notice := membership.Notice{ID: in.id, Incarnation: in.incarnation, Successor: successor}
+			if in.reclaimed {
+				notice.Left = max(time.Millisecond, in.endAt.Sub(in.w.now))
+			}
+			in.w.trace(in.incarnation, "announces successor %q", successor)
+			in.step(control.NoticeReceived{Notice: notice})
+			in.storeDeparture(successor)
+		})
+	})
+}
+
+// storeDeparture writes the departure record until it is stored.
+func (in *instance) storeDeparture(successor string) {
+	if in.home.Successor() != successor {
+		return
+	}
+	value, _ := json.Marshal(departureRecord{Successor: successor})
+	write := platform.Request{Op: platform.OpPut, Kind: platform.KindDeparture, Name: in.incarnation, Value: value}
+	in.w.site.do(in, write, func(done platform.Done) {
+		if done.Err != nil {
+			in.w.after(departureRetry, func() { in.do(func() { in.storeDeparture(successor) }) })
+		}
+	})
+}
+
+// fleetChanged passes changes of the fleet on.
+func (in *instance) fleetChanged(effect control.Effect) {
+	now := in.w.now
+	switch e := effect.(type) {
+	case control.EndpointLeaving:
+		in.endpointLeaving(e.Endpoint)
+	case control.MemberLeaving:
+		in.host.Announced(now, e.Incarnation, e.Successor)
+		in.home.PeerLost(now, e.Incarnation)
+	case control.MemberGone:
+		in.host.HomeDead(now, e.Incarnation)
+		in.home.PeerLost(now, e.Incarnation)
+	case control.SelfLeaving:
+		in.reclaim(e.Left)
+	case control.LeaseChanged:
+		in.w.leaseChanges++
+	}
+}
+
+func (in *instance) endpointLeaving(listed *membership.Endpoint) {
+	if _, known := in.told[listed.Incarnation]; !known {
+		in.told[listed.Incarnation] = in.w.now
+	}
+	for _, e := range in.w.endpoints {
+		if e.incarnation == listed.Incarnation {
+			if e.announcedAt.IsZero() {
+				e.announcedAt = in.w.now
+			}
+			in.runner.leaving(e)
+		}
+	}
+}
--- /dev/null
+++ b/soak/departures_test.go
@@ -0,0 +1,91 @@
+package soak
+
+import "time"
+
+// sessionsBreak tells the peers of an instance that has ended, as far as a reset reaches them.
+func (w *world) sessionsBreak(ended *instance) {
+	for _, peer := range w.instances {
+		if peer.dead || w.net.cut(peer.dc, ended.dc) || w.rng.Intn(4) == 0 {
+			continue
+		}
+		w.after(w.net.delay(), func() {
+			peer.do(func() { peer.host.SessionBroken(w.now, ended.incarnation) })
+		})
+	}
+}
+
+// reclaimed announces the end of an instance: the cloud ends it when the notice is over.
+func (w *world) reclaimed(in *instance, notice time.Duration) {
+	endsAt := w.now.Add(notice)
+	w.notices = append(w.notices, cloudNotice{id: in.id, endsAt: endsAt})
+	w.after(notice, func() {
+		if !in.dead {
+			in.killed = in.killed || !in.leaving
+			w.end(in)
+		}
+	})
+}
+
+func (w *world) notice() time.Duration { return w.between(6*time.Second, 40*time.Second) }
+
+func (w *world) reclaimInstance() {
+	if in := w.anyInstance(); in != nil {
+		w.count("entry instance reclaimed")
+		w.reclaimed(in, w.notice())
+	}
+}
+
+func (w *world) leavingInstance() *instance {
+	return w.pick(func(in *instance) bool { return in.awake() && in.leaving && in.stoppedAt.IsZero() })
+}
+
+// reclaimSuccessor reclaims the peer that holds the copies of a leaving instance.
+func (w *world) reclaimSuccessor() {
+	in := w.leavingInstance()
+	if in == nil {
+		return
+	}
+	successor := w.pick(func(other *instance) bool { return other.incarnation == in.home.Successor() && other.awake() })
+	if successor != nil && !successor.leaving {
+		w.count("successor reclaimed")
+		w.reclaimed(successor, w.notice())
+	}
+}
+
+// killLeaving ends an instance partway through its handover.
+func (w *world) killLeaving() {
+	if in := w.leavingInstance(); in != nil {
+		w.count("instance died partway through its handover")
+		w.kill(in)
+	}
+}
+
+func (w *world) stopInstance() {
+	if in := w.anyInstance(); in != nil {
+		w.count("planned stop")
+		in.stop()
+	}
+}
+
+func (w *world) secondSignal() {
+	if in := w.leavingInstance(); in != nil {
+		w.count("second signal")
+		in.secondSignal = true
+		in.home.SecondSignal(w.now)
+	}
+}
+
+// replaceAll reclaims every instance within a minute.
+func (w *world) replaceAll() {
+	w.count("all instances replaced within a minute")
+	for _, in := range w.instances {
+		if in.dead || in.leaving {
+			continue
+		}
+		w.after(w.between(0, 30*time.Second), func() {
+			if !in.dead && !in.leaving {
+				w.reclaimed(in, w.between(10*time.Second, 30*time.Second))
+			}
+		})
+	}
+}
--- a/soak/disturb_test.go
+++ b/soak/disturb_test.go
@@ -28,6 +28,12 @@
 	{10, (*world).silenceConnection},
 	{4, (*world).compact},
 	{14, (*world).reclaimEndpoint},
+	{14, (*world).reclaimInstance},
+	{6, (*world).reclaimSuccessor},
+	{6, (*world).killLeaving},
+	{8, (*world).stopInstance},
+	{3, (*world).secondSignal},
+	{1, (*world).replaceAll},
 	{3, (*world).reclaimDatacentre},
 	{30, func(w *world) { w.operators.both() }},
 	{20, func(w *world) { w.operators.again() }},
@@ -113,10 +119,21 @@
 	}
 }
 
-// kill ends an instance without a word, and starts a replacement at the same address or at a new one.
+// kill ends an instance without a word.
 func (w *world) kill(in *instance) {
+	in.killed = true
+	w.end(in)
+}
+
+// end ends an instance, and starts a replacement at the same address or at a new one.
+func (w *world) end(in *instance) {
+	if in.dead {
+		return
+	}
 	in.dead = true
+	w.trace(in.incarnation, "%s is dead, killed %v", in.id, in.killed)
 	w.list.record()
+	w.sessionsBreak(in)
 	address := in.address
 	if w.rng.Intn(2) == 0 {
 		address = ""
--- a/soak/effects_test.go
+++ b/soak/effects_test.go
@@ -34,12 +34,19 @@
 		in.w.operators.done(in, e.Result)
 	case control.ConfigServed:
 		in.w.served(in, e)
+	case control.ClaimAnswered:
+		in.answer(in.claims, e.Answer.Ref, e.Answer)
+	case control.ClaimAcked:
+		in.answer(in.acks, e.Ack.Ref, e.Ack)
+	default:
+		in.fleetChanged(effect)
 	}
 }
 
 func (in *instance) publish(view *control.View) {
 	view = in.w.plant.publish(in, view)
 	in.view = view
+	in.home.Peers(in.w.now, in.peers())
 	if view.Catalog == nil {
 		return
 	}
@@ -49,6 +56,17 @@
 	in.revision = view.Catalog.Revision()
 }
 
+// answer passes the one answer of a shard on.
+func (in *instance) answer(waiting map[uint64]func(any), ref uint64, answer any) {
+	waiter, found := waiting[ref]
+	if !found {
+		in.w.fail("claim: reference %d was answered twice", ref)
+		return
+	}
+	delete(waiting, ref)
+	waiter(answer)
+}
+
 func (in *instance) sendLeaves(notice membership.Notice) {
 	leave := &wire.Leave{
 		Id: notice.ID, Incarnation: notice.Incarnation, Successor: notice.Successor, NoticeMs: notice.Left.Milliseconds(),
--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -25,6 +25,10 @@
 	gone    bool
 	endsAt  time.Time
 	orders  orderBook
+	// announcedAt is when an instance learnt of the leave first.
+	announcedAt time.Time
+	// open are the attempts that were accepted.
+	open []stream
 }
 
 func (w *world) addEndpoint(dc, service string, kind catalog.ServiceKind, checks bool) {
@@ -73,5 +77,6 @@
 
 func (e *endpoint) end() {
 	e.gone = true
+	e.breakStreams()
 	e.w.list.record()
 }
--- /dev/null
+++ b/soak/find_test.go
@@ -0,0 +1,74 @@
+package soak
+
+import (
+	"encoding/json"
+
+	"knapweedhoist/platform"
+	"knapweedhoist/request"
+)
+
+// maxSuccessors bounds the chain of instances that handed a request on, as in the root package.
+const maxSuccessors = 16
+
+// find asks the home of a request and then its successors, as the root package's attacher does. It returns nil while
+// nobody that can be asked has the request.
+func (in *instance) find(j *job) (*instance, *request.Entry) {
+	owner := j.spec.ID.Incarnation
+	for range maxSuccessors {
+		if at := in.reach(owner); at != nil {
+			if entry, err := at.registry.Find(j.spec.ID, j.spec.Team); err == nil {
+				return at, entry
+			}
+		}
+		next, found := in.successorOf(owner)
+		if !found || next == owner {
+			return nil, nil
+		}
+		owner = next
+	}
+	return nil, nil
+}
+
+// reach returns the instance with an incarnation, nil when it cannot be asked now.
+func (in *instance) reach(incarnation string) *instance {
+	if incarnation == in.incarnation {
+		return in
+	}
+	m := in.view.Fleet.Member(incarnation)
+	if m == nil || m.PeerAddress == "" {
+		return nil
+	}
+	at := in.w.at(m.PeerAddress)
+	if at == nil || at.paused() || in.w.net.blocked(in, at) {
+		return nil
+	}
+	return at
+}
+
+func (in *instance) successorOf(incarnation string) (string, bool) {
+	if next, found := in.view.Fleet.Successor(incarnation); found && next != "" {
+		return next, true
+	}
+	if in.w.net.cut(in.dc, platformSite) || in.w.outages > 0 {
+		return "", false
+	}
+	object, found := in.w.site.store.Object(platform.KindDeparture, incarnation)
+	if !found {
+		return "", false
+	}
+	var record departureRecord
+	if err := json.Unmarshal(object.Value, &record); err != nil {
+		return "", false
+	}
+	return record.Successor, record.Successor != ""
+}
+
+// departureRecord is the stored value of a departure.
+type departureRecord struct {
+	Successor string `json:"successor"`
+}
+
+// blocked reports whether nothing passes between two instances.
+func (n *network) blocked(a, b *instance) bool {
+	return n.cut(a.dc, b.dc) || n.muted(a.address, b.address)
+}
--- /dev/null
+++ b/soak/outcome_test.go
@@ -0,0 +1,76 @@
+package soak
+
+import (
+	"time"
+
+	"knapweedhoist/catalog"
+	"knapweedhoist/request"
+)
+
+// end notes what the caller got, and checks that it is the right answer.
+func (j *job) end(finish *request.Finish) {
+	if j.finish != nil {
+		j.w.fail("P2: %s got two ends", j.spec.ID)
+	}
+	j.finish, j.endedAt = finish, j.w.now
+	j.w.outcomes[string(j.spec.Kind)+" "+string(finish.Outcome)+" "+finish.Step]++
+	if finish.Outcome != request.OutcomeRan || finish.Step != "" {
+		return
+	}
+	if j.spec.Kind == catalog.KindModel && j.caller.seen != uint64(j.tokens)+1 {
+		j.w.fail("P2: %s got %d of %d tokens", j.spec.ID, j.caller.seen-1, j.tokens)
+	}
+	if j.spec.Kind == catalog.KindPlain && string(finish.Body) != j.answer() {
+		j.w.fail("P2: %s got %q, want %q", j.spec.ID, finish.Body, j.answer())
+	}
+}
+
+// check looks at a job at the end of the run.
+func (j *job) check() {
+	w := j.w
+	switch {
+	case j.finish != nil && j.finish.Outcome == request.OutcomeNotRun && j.runs > 0:
+		w.fail("P3: %s was reported as not_run and ran %d times", j.spec.ID, j.runs)
+	case j.finish != nil && j.finish.Outcome == request.OutcomeRan:
+	case j.finish == nil && !j.gone:
+		w.fail("P1: %s has no end; owners %s", j.spec.ID, j.history())
+	case j.spec.Repeatable() && !j.excused():
+		w.fail("P1: %s %s: %s; owners %s", j.spec.Kind, j.spec.ID, j.result(), j.history())
+	}
+}
+
+func (j *job) result() string {
+	if j.finish == nil {
+		return "not found"
+	}
+	return string(j.finish.Outcome) + " at " + j.finish.Step
+}
+
+// excused reports whether more than announced reclaims befell the request: its deadline passed, or an instance that
+// had it died without notice, or was cut off, paused or slowed down while it handed over.
+func (j *job) excused() bool {
+	if j.finish != nil && j.finish.Step == "deadline" {
+		return true
+	}
+	for _, owner := range j.owners {
+		if owner.killed || owner.troubled {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *job) history() string {
+	text := ""
+	for _, owner := range j.owners {
+		text += owner.id + "@" + owner.dc
+		switch {
+		case owner.killed:
+			text += " (killed)"
+		case owner.leaving:
+			text += " (left after " + owner.leftAt.Sub(j.spec.Received).Round(time.Millisecond).String() + ")"
+		}
+		text += " "
+	}
+	return text
+}
--- a/soak/plant_test.go
+++ b/soak/plant_test.go
@@ -5,6 +5,8 @@
 // plant is a planted fault.
 type plant struct {
 	ignoreFence   bool
+	skipClaim     bool
+	dropAttempt   bool
 	olderRevision bool
 }
 
--- a/soak/planted_test.go
+++ b/soak/planted_test.go
@@ -10,6 +10,8 @@
 const plantedSteps = defaultSteps
 
 var plants = map[string]plant{
+	"skip the claim":          {skipClaim: true},
+	"drop the attempt number": {dropAttempt: true},
 	"ignore the fence":        {ignoreFence: true},
 	"apply an older revision": {olderRevision: true},
 }
--- /dev/null
+++ b/soak/replay_test.go
@@ -0,0 +1,17 @@
+package soak
+
+import "testing"
+
+// Guards against decisions that depend on the order of a map: a failing run could then not be replayed.
+func TestSameSeedGivesSameRun(t *testing.T) {
+	const seed = 3
+	first, second := newWorld(seed, plant{}), newWorld(seed, plant{})
+	first.run(defaultSteps / 2)
+	second.run(defaultSteps / 2)
+	if a, b := first.summary(), second.summary(); a != b {
+		t.Fatalf("two runs of seed %d differ:\n%s\n%s", seed, a, b)
+	}
+	if first.rng.Int63() != second.rng.Int63() {
+		t.Fatalf("two runs of seed %d drew different numbers", seed)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,7 @@
 	for _, kind := range sortedNames(w.site.store.Injected) {
 		fmt.Fprintf(&b, "platform %s %d, ", kind, w.site.store.Injected[kind])
 	}
+	fmt.Fprintf(&b, "outcomes %v, verdicts %v, jobs %d, ", w.outcomes, w.verdicts, len(w.all))
 	fmt.Fprintf(&b, "orders %d, revision %d, edits %v", w.ordersGiven, w.operators.revision, w.operators.results)
 	return b.String()
 }
