Keep handed-over requests findable and not_run provable

(4) The departure record lost the peer that owns what was released, once that peer left. Change: a release of a missing copy is answered with not_found and the copy is sent again; finished requests are copied to each chosen peer; attach follows View.NextSuccessor; a lost peer that owns everything stays announced; a peer lost with a copy makes not_run unknown, also in a finish nobody has seen. TestNearestPeerIsChosenFirst expects the added action, the rest is unchanged.

--- a/attacher.go
+++ b/attacher.go
@@ -126,10 +126,11 @@
 	}
 }
 
-// successor returns who took the requests of a departed instance over: from
-// the heartbeats, else from the departure record on the platform.
+// successor returns who is to be asked after an instance that has not got the
+// request any more: from the heartbeats, else from the departure record on the
+// platform.
 func (a *attacher) successor(ctx context.Context, incarnation string) (string, bool) {
-	if next, found := a.instance.view.Load().Fleet.Successor(incarnation); found && next != "" {
+	if next, found := a.instance.view.Load().Fleet.NextSuccessor(incarnation); found && next != "" {
 		return next, true
 	}
 	reply, err := a.instance.store.Do(ctx, platform.Get(platform.KindDeparture, incarnation))
--- a/handover/action.go
+++ b/handover/action.go
@@ -66,6 +66,9 @@
 	IDs  []request.ID
 }
 
+// Doubt marks a request with Entry.MayRunElsewhere: a lost peer may own it.
+type Doubt struct{ ID request.ID }
+
 // End finishes the request here with the outcome that is proved, and shows all
 // its events to the callers.
 type End struct{ ID request.ID }
@@ -87,5 +90,6 @@
 func (Move) action()        {}
 func (SendRelease) action() {}
 func (SendDrop) action()    {}
+func (Doubt) action()       {}
 func (End) action()         {}
 func (TakeOver) action()    {}
--- a/handover/event.go
+++ b/handover/event.go
@@ -71,8 +71,11 @@
 type Released struct {
 	Epoch uint64
 	IDs   []request.ID
-	// OK: the peer owns the requests. Otherwise there was no answer.
+	// OK: the peer owns the requests. Otherwise there was no answer, or the peer
+	// lacks a copy.
 	OK bool
+	// Missing: the peer lacks a copy and needs a new one.
+	Missing bool
 }
 
 // PeersChanged gives the live peers that are not leaving.
--- a/handover/home.go
+++ b/handover/home.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// Depart starts the handover of all requests in progress. The gateway must
+// Depart starts the handover of all requests in progress and finished ones. The gateway must
 // have been told to drain before. A second call can only shorten the times.
 func (h *Home) Depart(now time.Time, departure Departure) {
 	h.mu.Lock()
@@ -109,11 +109,12 @@
 	return h.leaver.Successor()
 }
 
-// scan tracks requests in progress that are not tracked yet. The caller holds mu.
+// scan tracks requests that are not tracked yet: those in progress, and the
+// finished ones, whose callers may be on the way to re-attach. The caller holds mu.
 func (h *Home) scan(now time.Time) {
-	for _, entry := range h.registry.InProgress() {
+	for _, entry := range h.registry.Readable() {
 		id := entry.Spec().ID
-		if h.entries[id] != nil || entry.State() != request.StateAdmitted {
+		if h.entries[id] != nil {
 			continue
 		}
 		h.entries[id] = entry
--- a/handover/home_actions.go
+++ b/handover/home_actions.go
@@ -36,6 +36,8 @@
 		h.transport.Send(a.Peer, &wire.Call{Body: &wire.Call_HandoverDrop{
 			HandoverDrop: &wire.HandoverDrop{Ids: texts(a.IDs)},
 		}}, nil)
+	case Doubt:
+		h.entries[a.ID].MayRunElsewhere()
 	case End:
 		h.end(now, a)
 	}
@@ -72,7 +74,8 @@
 		HandoverRelease: &wire.HandoverRelease{From: h.leaver.self, Ids: texts(a.IDs)},
 	}}
 	h.transport.Send(a.Peer, call, func(answer *wire.Answer, err error) {
-		h.report(Released{Epoch: a.Epoch, IDs: a.IDs, OK: copyError(answer, err) == CopyTaken})
+		result := copyError(answer, err)
+		h.report(Released{Epoch: a.Epoch, IDs: a.IDs, OK: result == CopyTaken, Missing: result == CopyGap})
 	})
 }
 
--- a/handover/host.go
+++ b/handover/host.go
@@ -43,7 +43,7 @@
 	case *wire.Call_HandoverEvents:
 		return h.finish(h.receiver.Events(now, from, body.HandoverEvents))
 	case *wire.Call_HandoverRelease:
-		return h.finish(CopyTaken, h.receiver.Release(now, body.HandoverRelease))
+		return h.finish(h.receiver.Release(now, body.HandoverRelease))
 	case *wire.Call_HandoverDrop:
 		h.receiver.Drop(from, body.HandoverDrop)
 		return answerOf(CopyTaken)
--- a/handover/leaver.go
+++ b/handover/leaver.go
@@ -36,6 +36,8 @@
 	lost map[string]bool
 	// peer is the incarnation of the current peer, "" without one.
 	peer string
+	// peerGone: the current peer is lost, and nothing was left to copy.
+	peerGone bool
 	// epoch numbers the choices of a peer, so that late reports of a former one are ignored.
 	epoch uint64
 	// announced is the successor that was announced last.
@@ -88,12 +90,7 @@
 
 // Done reports whether nothing is left to hand over.
 func (l *Leaver) Done() bool {
-	for _, t := range l.requests {
-		if !t.done {
-			return false
-		}
-	}
-	return l.started
+	return l.started && !l.open()
 }
 
 // Successor returns the peer that has the copies, "" without one.
@@ -140,6 +137,10 @@
 	t := &tracked{id: e.ID, repeatable: e.Repeatable, events: e.Events}
 	l.requests[e.ID] = t
 	l.order = append(l.order, e.ID)
+	if l.peerGone {
+		l.choosePeer()
+		return
+	}
 	l.copyTo(t)
 }
 
--- a/handover/leaver_peer.go
+++ b/handover/leaver_peer.go
@@ -10,11 +10,15 @@
 func (l *Leaver) choosePeer() {
 	peer, found := nearest(l.self, l.peers, l.lost)
 	l.peer = peer.Incarnation
+	l.peerGone = false
 	l.epoch++
 	if !found {
 		l.retryAt = l.now.Add(peerRetry)
 	}
 	l.announce("")
+	if found {
+		l.reopenFinished()
+	}
 	l.each(func(t *tracked) {
 		if found && !t.moved {
 			l.emit(Hold{ID: t.id})
@@ -72,11 +76,57 @@
 	l.each(func(t *tracked) {
 		if t.copied || t.inFlight {
 			ids = append(ids, t.id)
+			l.doubt(t)
 		}
 		t.resetPeer()
 	})
 	if len(ids) > 0 {
 		l.emit(SendDrop{Peer: peer, IDs: ids})
 	}
-	l.choosePeer()
+	if l.needsPeer() {
+		l.choosePeer()
+		return
+	}
+	// Everything was released to this peer, and callers find it there or through
+	// its own successor: the announcement stays.
+	l.peerGone = true
+}
+
+// reopenFinished makes the finished requests go to the next peer too: callers
+// look for them only there.
+func (l *Leaver) reopenFinished() {
+	for _, id := range l.order {
+		if t := l.requests[id]; t.done && t.readable() {
+			t.resetPeer()
+			t.done = false
+		}
+	}
+}
+
+// needsPeer reports whether there is something that a next peer must get.
+func (l *Leaver) needsPeer() bool {
+	for _, t := range l.requests {
+		if !t.done || t.readable() {
+			return true
+		}
+	}
+	return false
+}
+
+// doubt notes that the lost peer may take the request over and run it. A call
+// that must not be repeated is sent by nobody who has only such a copy.
+func (l *Leaver) doubt(t *tracked) {
+	if t.repeatable && !t.moved {
+		l.emit(Doubt{ID: t.id})
+	}
+}
+
+// open reports whether a request is not done.
+func (l *Leaver) open() bool {
+	for _, t := range l.requests {
+		if !t.done {
+			return true
+		}
+	}
+	return false
 }
--- a/handover/leaver_release.go
+++ b/handover/leaver_release.go
@@ -96,6 +96,10 @@
 		// A release without an answer is repeated at the next Tick: the peer has
 		// the final copy, and a second release changes nothing.
 		t.done = t.done || e.OK
+		if e.Missing && !t.done {
+			t.copied = false
+			l.copyTo(t)
+		}
 	}
 }
 
--- a/handover/leaver_test.go
+++ b/handover/leaver_test.go
@@ -37,7 +37,7 @@
 	l := NewLeaver(homeName, newReporter())
 	expect(t, depart(l, far, Peer{Incarnation: homeName}, near), Announce{})
 	expect(t, l.Handle(start, Track{ID: modelID, Repeatable: true}), SendCopy{ID: modelID, Peer: peerName, Epoch: 1})
-	expect(t, l.Handle(start, PeerLost{Peer: peerName}),
+	expect(t, l.Handle(start, PeerLost{Peer: peerName}), Doubt{ID: modelID},
 		SendDrop{Peer: peerName, IDs: []request.ID{modelID}}, Hold{ID: modelID},
 		SendCopy{ID: modelID, Peer: otherName, Epoch: 2})
 }
@@ -103,3 +103,52 @@
 	l.Handle(start, Departure{ReleaseAt: start.Add(time.Second), EndAt: start.Add(time.Hour)})
 	expect(t, l.Handle(start.Add(time.Second), Tick{}), Move{ID: modelID})
 }
+
+// Guards against a release that a peer acknowledges without a copy: a late
+// announcement of another successor made it forget the copy.
+func TestReleaseWithoutCopySendsTheCopyAgain(t *testing.T) {
+	l := NewLeaver(homeName, newReporter())
+	depart(l, near)
+	l.Handle(start, Track{ID: modelID, Repeatable: true})
+	l.Handle(start, Copied{ID: modelID, Epoch: 1, UpTo: 3})
+	l.Handle(start.Add(drainEnd), Tick{})
+	l.Handle(start.Add(drainEnd), Moved{ID: modelID, OK: true})
+	expect(t, l.Handle(start.Add(drainEnd), Released{Epoch: 1, IDs: []request.ID{modelID}, Missing: true}),
+		SendCopy{ID: modelID, Peer: peerName, Epoch: 1})
+	expect(t, l.Handle(start.Add(drainEnd), Copied{ID: modelID, Epoch: 1, UpTo: 3}),
+		SendRelease{Peer: peerName, Epoch: 1, IDs: []request.ID{modelID}})
+}
+
+// Guards against a finished answer that callers cannot find: it goes to a peer
+// that appears later, and to the next peer when one is lost.
+func TestFinishedRequestGoesToEachPeer(t *testing.T) {
+	l := NewLeaver(homeName, newReporter())
+	depart(l)
+	l.Handle(start, Track{ID: modelID, Repeatable: true})
+	expect(t, l.Handle(start, Progress{ID: modelID, Events: 3, Finished: true}), Unhold{ID: modelID})
+	expect(t, l.Handle(start, PeersChanged{Peers: []Peer{near, far}}),
+		Hold{ID: modelID}, SendCopy{ID: modelID, Peer: peerName, Epoch: 2})
+	expect(t, l.Handle(start, Copied{ID: modelID, Epoch: 2, UpTo: 3}),
+		Announce{Successor: peerName}, Deliver{ID: modelID, UpTo: 3})
+	if !l.Done() {
+		t.Fatal("the handover does not end")
+	}
+	expect(t, l.Handle(start, PeerLost{Peer: peerName}),
+		Announce{}, Hold{ID: modelID}, SendCopy{ID: modelID, Peer: otherName, Epoch: 3})
+}
+
+// Guards against a departure record that no longer names the peer to which
+// everything was released.
+func TestLostPeerStaysTheSuccessorOfWhatItOwns(t *testing.T) {
+	l := NewLeaver(homeName, newReporter())
+	depart(l, near, far)
+	l.Handle(start, Track{ID: modelID, Repeatable: true})
+	l.Handle(start, Copied{ID: modelID, Epoch: 1})
+	l.Handle(start.Add(drainEnd), Tick{})
+	l.Handle(start.Add(drainEnd), Moved{ID: modelID, OK: true})
+	l.Handle(start.Add(drainEnd), Released{Epoch: 1, IDs: []request.ID{modelID}, OK: true})
+	expect(t, l.Handle(start.Add(drainEnd), PeerLost{Peer: peerName}))
+	other := request.ID{Incarnation: homeName, Sequence: 3}
+	expect(t, l.Handle(start.Add(drainEnd), Track{ID: other, Repeatable: true}),
+		Announce{}, Hold{ID: other}, SendCopy{ID: other, Peer: otherName, Epoch: 2})
+}
--- a/handover/receiver.go
+++ b/handover/receiver.go
@@ -154,16 +154,21 @@
 	}
 }
 
-// Release makes this instance the owner of copied requests.
-func (r *Receiver) Release(now time.Time, message *wire.HandoverRelease) []Action {
+// Release makes this instance the owner of copied requests. It returns CopyGap
+// when one of them is neither here as a copy nor taken over: a late announcement
+// of another successor makes the copies of a home stale.
+func (r *Receiver) Release(now time.Time, message *wire.HandoverRelease) (CopyError, []Action) {
 	r.begin(now)
 	r.heard(message.GetFrom())
+	result := CopyTaken
 	for _, id := range message.GetIds() {
 		if copied := r.copies[id]; copied != nil && copied.home == message.GetFrom() {
 			r.takeOver(now, id)
+		} else if _, taken := r.taken[id]; !taken {
+			result = CopyGap
 		}
 	}
-	return r.actions
+	return result, r.actions
 }
 
 // Drop discards copies of the home.
--- a/handover/tracked.go
+++ b/handover/tracked.go
@@ -33,6 +33,12 @@
 	t.acked = 0
 }
 
+// readable reports whether the request finished here, so that callers look for
+// its answer at the peer that was announced last.
+func (t *tracked) readable() bool {
+	return t.finished && !t.moved
+}
+
 // behind reports whether the current peer's copy lacks events.
 func (t *tracked) behind() bool {
 	return !t.moved && t.acked < t.events
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -277,6 +277,23 @@
 		Expect(last).To(Equal("01Je05"))
 	})
 
+	It("guards against skipping a successor that is leaving and still has requests", func() {
+		s := newSite(strict{GinkgoT()}, 1, 4)
+		s.run(10)
+		table := s.tables["e00:7"]
+		table.Notice(s.now, membership.Notice{ID: "e01", Incarnation: "01Je01", Successor: "01Je02"})
+		table.Notice(s.now, membership.Notice{ID: "e02", Incarnation: "01Je02", Successor: "01Je03"})
+		next, ok := table.View().NextSuccessor("01Je01")
+		Expect(ok).To(BeTrue())
+		Expect(next).To(Equal("01Je02"))
+		s.down["e02:7"] = true
+		s.run(20)
+		next, _ = table.View().NextSuccessor("01Je01")
+		Expect(next).To(Equal("01Je03"))
+		_, ok = table.View().NextSuccessor("01Je03")
+		Expect(ok).To(BeFalse())
+	})
+
 	It("guards against a relayed leave that replaces a successor chosen since", func() {
 		s := newSite(strict{GinkgoT()}, 1, 2)
 		table := s.tables["e00:7"]
--- a/membership/view.go
+++ b/membership/view.go
@@ -131,6 +131,25 @@
 	return lastSuccessor(v.successors, incarnation)
 }
 
+// NextSuccessor returns the first instance in the chain of successors of a
+// departed incarnation that may still run, else the last one. An instance that
+// is leaving itself still has the requests that it has not released yet and the
+// finished ones.
+func (v *View) NextSuccessor(incarnation string) (string, bool) {
+	next := incarnation
+	for range maxHops {
+		successor, ok := v.successors[next]
+		if !ok {
+			break
+		}
+		next = successor
+		if m := v.members[next]; m != nil && m.State != Dead {
+			break
+		}
+	}
+	return next, next != incarnation
+}
+
 // Settled reports whether this instance has listened long enough to know who is live.
 func (v *View) Settled(now time.Time) bool {
 	return now.Sub(v.StartedAt) >= SuspectIntervals*v.Interval
--- a/request/hold.go
+++ b/request/hold.go
@@ -33,6 +33,22 @@
 	}
 }
 
+// MayRunElsewhere tells that a peer that cannot be asked any more may have taken
+// the request over and run it. From then on not_run is not proved, also by a
+// finish that no caller has seen.
+func (e *Entry) MayRunElsewhere() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := e.machine
+	m.elsewhere = true
+	if m.finish == nil || m.finish.Outcome != OutcomeNotRun || e.visible == m.Events() {
+		return
+	}
+	corrected := *m.finish
+	corrected.Outcome, corrected.RetryAfter = OutcomeUnknown, 0
+	m.finish = &corrected
+}
+
 // Move gives the request to a peer: nothing more is sent or delivered here,
 // and readers get ErrMoved.
 func (e *Entry) Move() error {
--- a/request/machine.go
+++ b/request/machine.go
@@ -38,11 +38,13 @@
 	// everSent: a byte may have reached an endpoint, also when it was refused.
 	everSent bool
 	// refused: an endpoint got a request and refused it.
-	refused  bool
-	log      tokenLog
-	late     int
-	finish   *Finish
-	finished time.Time
+	refused bool
+	log     tokenLog
+	late    int
+	// elsewhere: a peer that holds a copy may run the request, so that nothing proves that it did not run.
+	elsewhere bool
+	finish    *Finish
+	finished  time.Time
 }
 
 // NewMachine returns the lifecycle of a received request.
@@ -198,6 +200,9 @@
 		m.violated(InvariantNotRun, "finish", m.last)
 		finish.Outcome = OutcomeUnknown
 	}
+	if finish.Outcome == OutcomeNotRun && m.elsewhere {
+		finish.Outcome = OutcomeUnknown
+	}
 	m.state = StateFinished
 	m.finish = &finish
 	m.finished = now
@@ -226,7 +231,7 @@
 // Unfinished returns the outcome that can be reported when the request stops
 // now without an answer.
 func (m *Machine) Unfinished() Outcome {
-	if m.sends == 0 {
+	if m.sends == 0 && !m.elsewhere {
 		return OutcomeNotRun
 	}
 	return OutcomeUnknown
--- a/request/registry.go
+++ b/request/registry.go
@@ -103,6 +103,16 @@
 // InProgress returns the requests that are neither finished nor moved, in the
 // order of their ids.
 func (r *Registry) InProgress() []*Entry {
+	return r.inState(StateReceived, StateAdmitted)
+}
+
+// Readable returns the admitted requests and the finished ones that callers can
+// still re-attach to, in the order of their ids.
+func (r *Registry) Readable() []*Entry {
+	return r.inState(StateAdmitted, StateFinished)
+}
+
+func (r *Registry) inState(states ...State) []*Entry {
 	r.mu.Lock()
 	all := make([]*Entry, 0, len(r.entries))
 	for _, entry := range r.entries {
@@ -111,7 +121,7 @@
 	r.mu.Unlock()
 	entries := all[:0]
 	for _, entry := range all {
-		if state := entry.State(); state == StateReceived || state == StateAdmitted {
+		if slices.Contains(states, entry.State()) {
 			entries = append(entries, entry)
 		}
 	}
--- a/request/registry_test.go
+++ b/request/registry_test.go
@@ -173,3 +173,36 @@
 		Expect([]int{<-got, <-got}).To(ConsistOf(51, 50))
 	})
 }
+
+// Guards against not_run for a request that a peer took over and ran, because
+// it believed the leaving home dead.
+func TestNotRunIsNotProvedWhileAPeerMayRun(t *testing.T) {
+	for _, seen := range []bool{false, true} {
+		registry := NewRegistry(incarnation, newReporter(), Config{})
+		entry, err := registry.Create(start, modelSpec(registry))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = entry.Admit()
+		entry.Hold(nil)
+		_ = entry.Finish(start, Finish{Outcome: OutcomeNotRun, Step: "deadline"})
+		if seen {
+			entry.Unhold()
+		}
+		entry.MayRunElsewhere()
+		want := OutcomeUnknown
+		if seen {
+			want = OutcomeNotRun
+		}
+		if got := entry.Result().Outcome; got != want {
+			t.Fatalf("outcome %s, want %s (seen %v)", got, want, seen)
+		}
+	}
+	machine := NewMachine(modelSpec(NewRegistry(incarnation, newReporter(), Config{})), newReporter())
+	_ = machine.Admit()
+	machine.elsewhere = true
+	_ = machine.Finish(start, Finish{Outcome: OutcomeNotRun, Step: "deadline"})
+	if machine.finish.Outcome != OutcomeUnknown || machine.Unfinished() != OutcomeUnknown {
+		t.Fatalf("outcome %s, want unknown", machine.finish.Outcome)
+	}
+}
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -124,6 +124,11 @@
 	}
 	w := c.job.w
 	w.trace(c.job.about(), "not found through %s", c.front.id)
+	for _, in := range w.instances {
+		if entry, found := in.registry.Lookup(c.job.spec.ID); found && in.awake() {
+			w.trace(c.job.about(), "is at %s, %s", in.id, entry.State())
+		}
+	}
 	c.job.gone = true
 	c.job.endedAt = c.job.w.now
 }
--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -109,12 +109,14 @@
 // Send implements handover.Transport.
 func (t transport) Send(incarnation string, call *wire.Call, report func(*wire.Answer, error)) {
 	call = proto.Clone(call).(*wire.Call)
+	t.in.w.trace(t.in.incarnation, "to %s: %.90s", incarnation, call.String())
 	t.in.callPeer(incarnation, silence, func(to *instance, answer func(any)) {
 		answer(to.host.Handle(to.w.now, t.in.incarnation, call))
 	}, func(result any) {
 		if report == nil {
 			return
 		}
+		t.in.w.trace(t.in.incarnation, "answer of %s: %v", incarnation, result)
 		if answer, found := result.(*wire.Answer); found {
 			report(answer, nil)
 			return
--- a/soak/disturb_test.go
+++ b/soak/disturb_test.go
@@ -131,6 +131,7 @@
 		return
 	}
 	in.dead = true
+	w.noteHeld(in)
 	w.trace(in.incarnation, "%s is dead, killed %v", in.id, in.killed)
 	w.list.record()
 	w.sessionsBreak(in)
--- a/soak/job_test.go
+++ b/soak/job_test.go
@@ -21,6 +21,8 @@
 	caller caller
 	// owners are the instances that ran it, in order.
 	owners []*instance
+	// holders are the instances that had it when they ended.
+	holders []*instance
 	// runs counts the endpoints that ran it, or began to.
 	runs int
 	// finish is what the caller got.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -121,6 +121,16 @@
 	return nil
 }
 
+// incarnation returns an instance, nil when it has ended.
+func (w *world) incarnation(name string) *instance {
+	for _, in := range w.instances {
+		if in.incarnation == name {
+			return in
+		}
+	}
+	return nil
+}
+
 // anyInstance returns an instance that runs, nil without one.
 func (w *world) anyInstance() *instance {
 	return w.pick(func(in *instance) bool { return in.awake() && !in.leaving })
