Send heartbeats of other data centres to leaving instances

Cause: a leaving instance was left out of the datagrams between data centres. Change: leaving members stay in the rotation between data centres until they fall silent, and count in the gap that receivers expect. soak checks that a request at a live instance is found in a calm network. Both new membership tests fail without the change. Conclusion: handovers of a whole data centre find peers elsewhere.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -277,6 +277,25 @@
 		Expect(last).To(Equal("01Je05"))
 	})
 
+	It("guards against a leaving instance that loses sight of the other data centres during its handover", func() {
+		s := newSite(strict{GinkgoT()}, 2, 1)
+		s.run(10)
+		leaver := s.tables["e00:7"]
+		s.deliver(leaver.Notice(s.now, membership.Notice{ID: "e00", Incarnation: "01Je00", Left: time.Minute}))
+		s.run(30)
+		Expect(leaver.View().Member("01Je01").State).To(Equal(membership.Live))
+		Expect(s.tables["e01:7"].View().Member("01Je00").State).To(Equal(membership.Leaving))
+	})
+
+	It("guards against a notice that does not reach the instance it is about", func() {
+		s := newSite(strict{GinkgoT()}, 2, 1)
+		s.run(10)
+		out := s.tables["e01:7"].Notice(s.now, membership.Notice{ID: "e00", Incarnation: "01Je00", Left: time.Minute})
+		Expect(out).To(HaveLen(1)) // the immediate datagram is lost
+		s.run(2)
+		Expect(s.tables["e00:7"].View().Self.State).To(Equal(membership.Leaving))
+	})
+
 	It("guards against skipping a successor that is leaving and still has requests", func() {
 		s := newSite(strict{GinkgoT()}, 1, 4)
 		s.run(10)
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -59,7 +59,7 @@
 		switch {
 		case m.Datacentre != t.cfg.Datacentre:
 			there[m.Datacentre]++
-		case m.State != Leaving && m.State != Dead:
+		case m.State != Dead:
 			here++
 		}
 	}
@@ -108,13 +108,14 @@
 
 // far returns one member of each other data centre. The rounds of the senders
 // are about the same and their ranks differ, so that each receiver is reached
-// by about one of them per interval.
+// by about one of them per interval. Leaving members are among the receivers:
+// they need live peers for their handover, and may not know yet that they leave.
 func (t *Table) far(now time.Time) []string {
 	groups := make(map[string][]*Member)
 	rank := 0
 	for _, m := range t.sorted() {
 		if m.Datacentre != t.cfg.Datacentre {
-			if m.DatagramAddress != "" && m.State != Leaving {
+			if m.DatagramAddress != "" {
 				groups[m.Datacentre] = append(groups[m.Datacentre], m)
 			}
 		} else if m.Incarnation < t.cfg.Incarnation {
--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -80,6 +80,7 @@
 	in.lookedAt = w.now
 	in.home.Depart(w.now, in.departure())
 	in.home.Tick(w.now)
+	w.trace(in.incarnation, "%d peers, successor %q, calm %v, resumed %v, troubled %v", len(in.peers()), in.home.Successor(), w.calm(), in.resumedAt.Format("04:05.000"), in.troubled)
 	if in.home.Done() || w.now.After(in.endAt) {
 		in.stoppedAt = w.now
 		w.trace(in.incarnation, "%s stopped, done %v", in.id, in.home.Done())
--- a/soak/find_test.go
+++ b/soak/find_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"knapweedhoist/platform"
 	"knapweedhoist/request"
@@ -13,6 +14,9 @@
 // find asks the home of a request and then its successors, as the root package's attacher does. It returns nil while
 // nobody that can be asked has the request.
 func (in *instance) find(j *job) (*instance, *request.Entry) {
+	if entry, err := in.registry.Find(j.spec.ID, j.spec.Team); err == nil {
+		return in, entry
+	}
 	owner := j.spec.ID.Incarnation
 	for range maxSuccessors {
 		if at := in.reach(owner); at != nil {
@@ -72,3 +76,12 @@
 func (n *network) blocked(a, b *instance) bool {
 	return n.cut(a.dc, b.dc) || n.muted(a.address, b.address)
 }
+
+// knows describes what an instance knows of another one.
+func (in *instance) knows(other *instance) string {
+	m := in.view.Fleet.Member(other.incarnation)
+	if m == nil {
+		return "nothing"
+	}
+	return fmt.Sprintf("%s at %q, heard %v ago", m.State, m.PeerAddress, in.w.now.Sub(m.LastHeard))
+}
--- a/soak/job_test.go
+++ b/soak/job_test.go
@@ -28,8 +28,14 @@
 	// finish is what the caller got.
 	finish *request.Finish
 	// gone: no instance knows the request any more.
-	gone    bool
+	gone bool
+	// hindered: it was at an instance that failures kept the caller from.
+	hindered bool
+	// missed: it was reported that the search does not find it.
+	missed  bool
 	endedAt time.Time
+	// answeredAt is when an owner finished it.
+	answeredAt time.Time
 }
 
 // Shares of the kinds of work.
--- a/soak/task_test.go
+++ b/soak/task_test.go
@@ -152,6 +152,7 @@
 	}
 	t.in.w.trace(t.job.about(), "finished at %s: %s %d %s", t.in.id, finish.Outcome, finish.Status, finish.Step)
 	t.done = true
+	t.job.answeredAt = t.in.w.now
 	t.reportClaim(finish)
 }
 
