--- a/handover/home.go
+++ b/handover/home.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +38,7 @@
 	}
 }
 
-// Depart starts the handover of all requests in progress. The gateway must
+// Depart starts the handover of all requests in progress and finished ones. The gateway must
 // have been told to drain before. A second call can only shorten the times.
 func (h *Home) Depart(now time.Time, departure Departure) {
 	h.mu.Lock()
@@ -108,11 +109,12 @@
 	return h.leaver.Successor()
 }
 
-// scan tracks requests in progress that are not tracked yet. The caller holds mu.
+// scan tracks requests that are not tracked yet: those in progress, and the
+// finished ones, whose callers may be on the way to re-attach. The caller holds mu.
 func (h *Home) scan(now time.Time) {
-	for _, entry := range h.registry.InProgress() {
+	for _, entry := range h.registry.Readable() {
 		id := entry.Spec().ID
-		if h.entries[id] != nil || entry.State() != request.StateAdmitted {
+		if h.entries[id] != nil {
 			continue
 		}
 		h.entries[id] = entry
@@ -139,6 +141,8 @@
 	}
 }
 
+// takeDirty returns the requests with changes in the order of their ids, so
+// that the messages to the peer do not depend on the map's order.
 func (h *Home) takeDirty() []request.ID {
 	h.dirtyMu.Lock()
 	defer h.dirtyMu.Unlock()
@@ -147,6 +151,7 @@
 		ids = append(ids, id)
 	}
 	clear(h.dirty)
+	slices.SortFunc(ids, request.ID.Compare)
 	return ids
 }
 
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -108,7 +108,8 @@
 
 // far returns one member of each other data centre. The rounds of the senders
 // are about the same and their ranks differ, so that each receiver is reached
-// by about one of them per interval.
+// by about one of them per interval. Leaving members are among the receivers:
+// they need live peers for their handover, and may not know yet that they leave.
 func (t *Table) far(now time.Time) []string {
 	groups := make(map[string][]*Member)
 	rank := 0
--- /dev/null
+++ b/soak/instance_test.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"math/rand"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"knapweedhoist/catalog"
+	"knapweedhoist/control"
+	"knapweedhoist/handover"
+	"knapweedhoist/membership"
+	"knapweedhoist/request"
+	"knapweedhoist/timeline"
+)
+
+// instance is one incarnation of an entry instance: what the root package wires, without its sockets.
+type instance struct {
+	w           *world
+	id          string
+	incarnation string
+	dc          string
+	address     string
+	core        *control.Core
+	view        *control.View
+
+	dead        bool
+	pausedUntil time.Time
+	resumedAt   time.Time
+	startedAt   time.Time
+	inbox       []func()
+	// revision is the highest that readers have seen here.
+	revision uint64
+
+	listReadAt time.Time
+	listed     bool
+	polledAt   time.Time
+	noticeFrom int
+
+	registry *request.Registry
+	home     *handover.Home
+	host     *handover.Host
+	runner   *runner
+	claims   map[uint64]func(any)
+	acks     map[uint64]func(any)
+	// told is when this instance learnt of the leave of an endpoint, by incarnation.
+	told map[string]time.Time
+
+	leaving, reclaimed       bool
+	releaseAt, endAt, leftAt time.Time
+	lookedAt, handedAt       time.Time
+	stoppedAt                time.Time
+	// killed: it died without a departure, or before the departure ended.
+	killed       bool
+	secondSignal bool
+	// troubled: something else failed around it while it was leaving.
+	troubled bool
+	// older is a former catalogue, for a planted fault.
+	older *catalog.Snapshot
+}
+
+func newInstance(w *world, id, dc, address string) *instance {
+	in := &instance{
+		w: w, id: id, dc: dc, address: address, startedAt: w.now, resumedAt: w.now,
+		incarnation: ulid.MustNew(ulid.Timestamp(w.now), w.rng).String(),
+	}
+	in.core = control.New(control.Config{
+		Member: membership.Config{
+			ID: id, Incarnation: in.incarnation, Datacentre: dc,
+			PeerAddress: address, DatagramAddress: address, OperatorAddress: address,
+		},
+		Shards: shards, Rand: rand.New(rand.NewSource(w.rng.Int63())), Logger: discardLog,
+		Recorder: timeline.Discard, Checker: w.checker,
+	}, w.now)
+	in.view = in.core.View()
+	in.claims, in.acks = make(map[uint64]func(any)), make(map[uint64]func(any))
+	in.told = make(map[string]time.Time)
+	in.runner = &runner{in: in}
+	in.registry = request.NewRegistry(in.incarnation, w.checker, request.Config{})
+	in.home = handover.NewHome(in.incarnation, in.registry, transport{in}, w.checker)
+	in.host = handover.NewHost(in.incarnation, handover.ReceiverConfig{}, in.registry, in.runner, w.checker)
+	return in
+}
+
+// do runs an action in the instance; a paused one runs it in order when it goes on, a dead one never.
+func (in *instance) do(action func()) {
+	switch {
+	case in.dead:
+	case in.paused(), len(in.inbox) > 0:
+		in.inbox = append(in.inbox, action)
+	default:
+		action()
+	}
+}
+
+func (in *instance) paused() bool { return in.w.now.Before(in.pausedUntil) }
+
+// awake reports whether the instance runs.
+func (in *instance) awake() bool { return !in.dead && !in.paused() }
+
+// tick is one turn of the instance's loops.
+func (in *instance) tick() {
+	if !in.awake() {
+		return
+	}
+	for len(in.inbox) > 0 && !in.dead {
+		first := in.inbox[0]
+		in.inbox = in.inbox[1:]
+		first()
+	}
+	if in.dead {
+		return
+	}
+	in.step(control.Ticked{Stamp: timeline.Stamp{WallMs: in.w.now.UnixMilli()}})
+	in.poll()
+	in.runner.turn()
+	in.handOver()
+	in.noteTrouble()
+}
+
+// step passes an event to the control code and carries the effects out.
+func (in *instance) step(event control.Event) {
+	for _, effect := range in.core.Step(in.w.now, event) {
+		in.perform(effect)
+	}
+}
+
+// hasPeer reports whether another instance is there that could take copies and has had the time to be heard.
+func (in *instance) hasPeer() bool {
+	return in.w.pick(func(other *instance) bool {
+		return other != in && other.awake() && !other.leaving && in.w.now.Sub(latest(other.startedAt, other.resumedAt)) > silence
+	}) != nil
+}
+
+// noteTrouble notes that more than its departure befalls a leaving instance.
+func (in *instance) noteTrouble() {
+	if in.leaving && (!in.w.calm() || in.w.now.Sub(in.resumedAt) < silence || !in.hasPeer()) {
+		in.troubled = true
+	}
+	if name := in.home.Successor(); in.leaving && name != "" {
+		successor := in.w.incarnation(name)
+		in.troubled = in.troubled || successor == nil || !successor.awake()
+	}
+}
--- /dev/null
+++ b/soak/outcome_test.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"knapweedhoist/catalog"
+	"knapweedhoist/request"
+)
+
+// end notes what the caller got, and checks that it is the right answer.
+func (j *job) end(finish *request.Finish) {
+	if j.finish != nil {
+		j.w.fail("P2: %s got two ends", j.spec.ID)
+	}
+	j.finish, j.endedAt = finish, j.w.now
+	j.w.outcomes[string(j.spec.Kind)+" "+string(finish.Outcome)+" "+finish.Step]++
+	if finish.Outcome != request.OutcomeRan || finish.Step != "" {
+		return
+	}
+	if j.spec.Kind == catalog.KindModel && j.caller.seen != uint64(j.tokens)+1 {
+		j.w.fail("P2: %s got %d of %d tokens", j.spec.ID, j.caller.seen-1, j.tokens)
+	}
+	if j.spec.Kind == catalog.KindPlain && string(finish.Body) != j.answer() {
+		j.w.fail("P2: %s got %q, want %q", j.spec.ID, finish.Body, j.answer())
+	}
+}
+
+// check looks at a job at the end of the run.
+func (j *job) check() {
+	w := j.w
+	switch {
+	case j.finish != nil && j.finish.Outcome == request.OutcomeNotRun && j.runs > 0:
+		w.fail("P3: %s was reported as not_run and ran %d times", j.spec.ID, j.runs)
+	case j.finish != nil && j.finish.Outcome == request.OutcomeRan:
+	case j.finish == nil && !j.gone:
+		w.fail("P1: %s has no end; owners %s", j.spec.ID, j.history())
+	case j.spec.Repeatable() && !j.excused():
+		w.fail("P1: %s %s: %s; owners %s", j.spec.Kind, j.spec.ID, j.result(), j.history())
+	}
+}
+
+func (j *job) result() string {
+	if j.finish == nil {
+		return "not found"
+	}
+	return string(j.finish.Outcome) + " at " + j.finish.Step
+}
+
+// noteHeld notes the open requests that an instance has when it ends.
+func (w *world) noteHeld(in *instance) {
+	for _, j := range w.jobs {
+		if _, found := in.registry.Lookup(j.spec.ID); found {
+			j.holders = append(j.holders, in)
+		}
+	}
+}
+
+// excused reports whether more than announced reclaims befell the request: its deadline passed, an instance that had
+// it died without notice, or was cut off, paused, slowed down or without any peer while it handed over, or failures
+// kept the caller from a finished answer until the time for which it stays readable was over.
+func (j *job) excused() bool {
+	if j.finish != nil && j.finish.Step == "deadline" {
+		return true
+	}
+	if j.finish == nil && j.hindered && j.kept() {
+		return true
+	}
+	return j.disturbed()
+}
+
+// disturbed reports whether an instance that had the request died without notice, or met other failures while it left.
+func (j *job) disturbed() bool {
+	for _, owner := range slices.Concat(j.owners, j.holders) {
+		if owner.killed || owner.troubled {
+			return true
+		}
+	}
+	return false
+}
+
+// kept reports whether the request finished with an answer at an owner.
+func (j *job) kept() bool {
+	return !j.answeredAt.IsZero() && j.endedAt.Sub(j.answeredAt) >= request.DefaultKeep
+}
+
+func (j *job) history() string {
+	text := ""
+	for _, owner := range slices.Concat(j.owners, j.holders) {
+		text += owner.id + "@" + owner.dc
+		switch {
+		case owner.killed:
+			text += " (killed)"
+		case owner.leaving:
+			text += fmt.Sprintf(" (left after %v, troubled %v)", owner.leftAt.Sub(j.spec.Received).Round(time.Millisecond), owner.troubled)
+		}
+		text += " "
+	}
+	return text
+}
--- /dev/null
+++ b/soak/planted_test.go
@@ -0,0 +1,31 @@
+package soak
+
+import "testing"
+
+var plants = map[string]plant{
+	"skip the claim":          {skipClaim: true},
+	"drop the attempt number": {dropAttempt: true},
+	"ignore the fence":        {ignoreFence: true},
+	"apply an older revision": {olderRevision: true},
+}
+
+// Guards against checks that cannot fail: each planted fault must be caught by the seeds that go test runs.
+func TestPlantedFaultsAreCaught(t *testing.T) {
+	for name, planted := range plants {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			caught := 0
+			for seed := range int64(defaultSeeds) {
+				w := newWorld(seed+1, planted)
+				w.run(defaultSteps)
+				if len(w.faults) > 0 {
+					caught++
+				}
+			}
+			t.Logf("caught by %d of %d seeds", caught, defaultSeeds)
+			if caught == 0 {
+				t.Error("not caught")
+			}
+		})
+	}
+}
--- a/tools/capacity.sh
+++ b/tools/capacity.sh
@@ -1,15 +1,16 @@
 #!/usr/bin/env bash
-# Measures the cost of entry daemons as separate processes in one data centre.
-# Usage: tools/capacity.sh OUT.csv "1 2 4 8" ENGINES SECONDS RATE
+# Measures the cost of entry daemons as separate processes.
+# Usage: tools/capacity.sh OUT.csv "1 2 4 8" ENGINES SECONDS RATE [DATACENTRES [CHANGES]]
+# CHANGES is the number of configuration changes during the measurement, one a second.
 set -eu
 cd "$(dirname "$0")/.."
-out=$1 sizes=$2 engines=$3 seconds=$4 rate=$5
+out=$1 sizes=$2 engines=$3 seconds=$4 rate=$5 datacentres=${6:-1} changes=${7:-0}
 header=--header
 : > "$out"
 for n in $sizes; do
   dir=$(mktemp -d)
   pids=()
-  bin/hoistdev standins --dir "$dir" --entries "$n" --datacentres 1 --engines "$engines" --services 4 \
+  bin/hoistdev standins --dir "$dir" --entries "$n" --datacentres "$datacentres" --engines "$engines" --services 4 \
     > "$dir/standins.out" 2> "$dir/standins.err" &
   standins=$!
   until [ "$(grep -c . "$dir/standins.out")" -eq "$n" ]; do sleep 0.1; done
@@ -20,6 +21,14 @@
   done
   # Membership settles, shards and watchers are assigned, and endpoints are read.
   sleep 15
+  if [ "$changes" -gt 0 ]; then
+    operators=$(awk '$1 == "operators:" && $2 != "" {print $2; exit}' "$dir/entry-1.yaml")
+    for c in $(seq 1 "$changes"); do
+      HOISTCTL_ADDRESS=$operators HOISTCTL_KEY=dev-operator bin/hoistctl preset edit peak \
+        "headroom_percent=$((20 + c))" > "$dir/change-$c.out" 2>&1
+      sleep 1
+    done &
+  fi
   bin/hoistdev load --dir "$dir" --seconds "$seconds" --rate "$rate" $header | tee -a "$out"
   header=
   kill "${pids[@]}" 2> /dev/null || true
