Record choices, first tokens, handovers, presets and platform outages

Cause: five kinds of timeline events were defined and never recorded, and a change of a lease was logged twice. Change: the policy adapter, the handover transport, the view and the platform calls record them; the effect LeaseChanged, which only logged, is gone. Conclusion: the timeline shows each step of a request.

--- a/control/effect.go
+++ b/control/effect.go
@@ -5,7 +5,6 @@
 
 	"knapweedhoist/claim"
 	"knapweedhoist/distribution"
-	"knapweedhoist/lease"
 	"knapweedhoist/membership"
 	"knapweedhoist/platform"
 	"knapweedhoist/wire"
@@ -112,12 +111,6 @@
 	Left time.Duration
 }
 
-// LeaseChanged tells that a duty was acquired, lost or released.
-type LeaseChanged struct {
-	Duty  string
-	Event lease.Event
-}
-
 func (PlatformCall) effect()    {}
 func (SendHeartbeat) effect()   {}
 func (SendLeaves) effect()      {}
@@ -135,4 +128,3 @@
 func (MemberGone) effect()      {}
 func (MemberLeaving) effect()   {}
 func (SelfLeaving) effect()     {}
-func (LeaseChanged) effect()    {}
--- a/departure.go
+++ b/departure.go
@@ -8,6 +8,7 @@
 	"knapweedhoist/control"
 	"knapweedhoist/membership"
 	"knapweedhoist/platform"
+	"knapweedhoist/timeline"
 	"knapweedhoist/wire"
 )
 
@@ -43,6 +44,7 @@
 func (t *handoverTransport) Announce(successor string) {
 	i := t.instance
 	notice := membership.Notice{ID: i.cfg.Instance, Incarnation: i.incarnation, Successor: successor, Left: i.drain.left()}
+	i.ring.Record(timeline.Event{Kind: timeline.KindHandover, Peer: successor, Step: "handover/announce"})
 	go i.hub.post(i.drain.alive(), control.NoticeReceived{Notice: notice})
 	go t.store(successor)
 }
--- a/feedback.go
+++ b/feedback.go
@@ -8,15 +8,17 @@
 	"knapweedhoist/engine"
 	"knapweedhoist/membership"
 	"knapweedhoist/routing"
+	"knapweedhoist/timeline"
 )
 
 // feedback passes the progress of one attempt to the routing.
 type feedback struct {
-	policy *policy
-	choice routing.Choice
-	work   routing.Work
-	team   string
-	flight routing.Flight
+	policy  *policy
+	choice  routing.Choice
+	work    routing.Work
+	request string
+	attempt int
+	flight  routing.Flight
 	// sentAt is zero until the attempt was sent.
 	sentAt time.Time
 }
@@ -30,6 +32,10 @@
 // FirstToken implements backend.Feedback.
 func (f *feedback) FirstToken(now time.Time) {
 	f.policy.table.FirstToken(now, &f.flight)
+	f.policy.instance.ring.Record(timeline.Event{
+		Kind: timeline.KindFirstToken, Request: f.request, Attempt: f.attempt, Endpoint: f.choice.Endpoint.ID,
+		Detail: now.Sub(f.sentAt).Round(time.Millisecond).String(),
+	})
 	if f.work.Short {
 		f.policy.retries.FirstToken(f.work.Service, now.Sub(f.sentAt))
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -24,12 +24,27 @@
 // publish gives a view to the traffic goroutines.
 func (i *Instance) publish(view *control.View) {
 	before := i.view.Swap(view)
+	i.recordPreset(before, view)
 	i.policy.update(before, view)
 	i.quotas.follow(view)
 	i.gateway.SetReady(view.Catalog != nil && len(view.Fleet.Endpoints) > 0)
 	i.home.Peers(time.Now(), i.peersOf(view.Fleet))
 }
 
+// recordPreset puts a change of the preset in force on the timeline.
+func (i *Instance) recordPreset(before, view *control.View) {
+	if view.Catalog == nil || before.Catalog == view.Catalog {
+		return
+	}
+	preset := view.Catalog.InForce().Name
+	if before.Catalog != nil && before.Catalog.InForce().Name == preset {
+		return
+	}
+	i.ring.Record(timeline.Event{
+		Kind: timeline.KindPreset, Preset: preset, Revision: view.Catalog.Revision(), Step: "preset/in_force",
+	})
+}
+
 // peersOf returns the live peers as candidates for a handover.
 func (i *Instance) peersOf(view *membership.View) []handover.Peer {
 	var peers []handover.Peer
@@ -67,8 +82,6 @@
 		i.home.PeerLost(now, e.Incarnation)
 	case control.SelfLeaving:
 		i.Reclaim(e.Left)
-	case control.LeaseChanged:
-		i.lg.Info("lease changed", "step", "lease", "duty", e.Duty, "fence", e.Event.Fence, "kind", e.Event.Kind)
 	}
 }
 
--- a/hub.go
+++ b/hub.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"knapweedhoist/claim"
 	"knapweedhoist/control"
 	"knapweedhoist/distribution"
 	"knapweedhoist/platform"
+	"knapweedhoist/timeline"
 	"knapweedhoist/wire"
 )
 
@@ -23,6 +26,8 @@
 	events   chan control.Event
 	// calls count the platform calls in flight.
 	calls sync.WaitGroup
+	// platformDown: the last call had no answer.
+	platformDown atomic.Bool
 
 	claims    waiters[claim.Answer]
 	acks      waiters[claim.Ack]
@@ -113,7 +118,21 @@
 // callPlatform makes a call; a call that the end of ctx abandons is reported as unavailable.
 func (h *hub) callPlatform(ctx context.Context, call control.PlatformCall) {
 	reply, err := h.instance.store.Do(ctx, call.Call.Request)
+	h.notePlatform(ctx, err)
 	h.post(ctx, control.PlatformDone{
 		Component: call.Component, Done: platform.Done{ID: call.Call.ID, Reply: reply, Err: err},
 	})
 }
+
+// notePlatform puts the beginning and the end of a platform outage on the timeline.
+func (h *hub) notePlatform(ctx context.Context, err error) {
+	down := errors.Is(err, platform.ErrUnavailable)
+	if ctx.Err() != nil || h.platformDown.Swap(down) == down {
+		return
+	}
+	step := "platform/up"
+	if down {
+		step = "platform/down"
+	}
+	h.instance.ring.Record(timeline.Event{Kind: timeline.KindPlatformDown, Step: step})
+}
--- a/peer_handler.go
+++ b/peer_handler.go
@@ -11,6 +11,7 @@
 	"knapweedhoist/operator"
 	"knapweedhoist/peer"
 	"knapweedhoist/request"
+	"knapweedhoist/timeline"
 	"knapweedhoist/wire"
 )
 
@@ -45,6 +46,7 @@
 	case *wire.Call_RequestStatus:
 		return h.requestStatus(body.RequestStatus)
 	default:
+		h.recordHandover(call)
 		if answer := h.instance.host.Handle(time.Now(), call.GetFrom(), call); answer != nil {
 			return answer, nil
 		}
@@ -52,6 +54,15 @@
 	}
 }
 
+// recordHandover puts the requests that this instance takes over on the timeline.
+func (h *peerHandler) recordHandover(call *wire.Call) {
+	for _, id := range call.GetHandoverRelease().GetIds() {
+		h.instance.ring.Record(timeline.Event{
+			Kind: timeline.KindHandover, Request: id, Peer: call.GetFrom(), Step: "handover/release",
+		})
+	}
+}
+
 func ackAnswer() *wire.Answer {
 	return &wire.Answer{Body: &wire.Answer_Ack{Ack: &wire.Ack{}}}
 }
--- a/policy.go
+++ b/policy.go
@@ -15,6 +15,7 @@
 	"knapweedhoist/membership"
 	"knapweedhoist/retry"
 	"knapweedhoist/routing"
+	"knapweedhoist/timeline"
 )
 
 // policy joins the policy packages for the gateway and the backend.
@@ -141,8 +142,12 @@
 	}
 	choice := backend.Choice{
 		Endpoint: chosen.Endpoint.ID, Address: endpoint.Address, Priority: estimate.Priority,
-		Feedback: &feedback{policy: p, choice: chosen, work: work, team: query.Team},
+		Feedback: &feedback{policy: p, choice: chosen, work: work, request: query.RequestID, attempt: query.Attempt},
 	}
+	p.instance.ring.Record(timeline.Event{
+		Kind: timeline.KindChoose, Request: query.RequestID, Attempt: query.Attempt, Team: query.Team,
+		Endpoint: chosen.Endpoint.ID, Detail: "first token expected in " + chosen.FirstToken.Round(time.Millisecond).String(),
+	})
 	if query.Kind == catalog.KindModel {
 		choice.Engine = p.engine(endpoint)
 	}
