--- a/control/core.go
+++ b/control/core.go
@@ -248,7 +248,11 @@
 }
 
 func (c *Core) leased(duty string, out lease.Output) []Effect {
-	return calls(Component{Kind: ComponentLease, Duty: duty}, out.Calls)
+	effects := calls(Component{Kind: ComponentLease, Duty: duty}, out.Calls)
+	for _, event := range out.Events {
+		effects = append(effects, LeaseChanged{Duty: duty, Event: event})
+	}
+	return effects
 }
 
 // Permit is the check immediately before an order of a duty.
--- a/control/effect.go
+++ b/control/effect.go
@@ -5,6 +5,7 @@
 
 	"knapweedhoist/claim"
 	"knapweedhoist/distribution"
+	"knapweedhoist/lease"
 	"knapweedhoist/membership"
 	"knapweedhoist/platform"
 	"knapweedhoist/wire"
@@ -111,6 +112,12 @@
 	Left time.Duration
 }
 
+// LeaseChanged tells that a duty was acquired, lost or released.
+type LeaseChanged struct {
+	Duty  string
+	Event lease.Event
+}
+
 func (PlatformCall) effect()    {}
 func (SendHeartbeat) effect()   {}
 func (SendLeaves) effect()      {}
@@ -128,3 +135,4 @@
 func (MemberGone) effect()      {}
 func (MemberLeaving) effect()   {}
 func (SelfLeaving) effect()     {}
+func (LeaseChanged) effect()    {}
