--- a/handover/home.go
+++ b/handover/home.go
@@ -112,7 +112,7 @@
 // scan tracks requests that are not tracked yet: those in progress, and the
 // finished ones, whose callers may be on the way to re-attach. The caller holds mu.
 func (h *Home) scan(now time.Time) {
-	for _, entry := range h.registry.Readable() {
+	for _, entry := range h.registry.Readable(now) {
 		id := entry.Spec().ID
 		if h.entries[id] != nil {
 			continue
--- a/request/registry.go
+++ b/request/registry.go
@@ -107,9 +107,13 @@
 }
 
 // Readable returns the admitted requests and the finished ones that callers can
-// still re-attach to, in the order of their ids.
-func (r *Registry) Readable() []*Entry {
-	return r.inState(StateAdmitted, StateFinished)
+// still re-attach to, in the order of their ids. A finished request that was
+// handed over more than once is kept anew each time; the end of its deadline
+// bounds this.
+func (r *Registry) Readable(now time.Time) []*Entry {
+	return slices.DeleteFunc(r.inState(StateAdmitted, StateFinished), func(e *Entry) bool {
+		return e.State() == StateFinished && now.After(e.spec.Deadline.Add(r.cfg.Keep))
+	})
 }
 
 func (r *Registry) inState(states ...State) []*Entry {
--- a/request/registry_test.go
+++ b/request/registry_test.go
@@ -206,3 +206,22 @@
 		t.Fatalf("outcome %s, want unknown", machine.finish.Outcome)
 	}
 }
+
+// Guards against finished requests that are handed from instance to instance
+// without an end.
+func TestReadableEndsAfterTheDeadline(t *testing.T) {
+	registry := NewRegistry(incarnation, newReporter(), Config{})
+	entry, err := registry.Create(start, modelSpec(registry))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = entry.Admit()
+	end := entry.Spec().Deadline.Add(DefaultKeep)
+	if len(registry.Readable(end.Add(time.Second))) != 1 {
+		t.Fatal("a request in progress is not readable")
+	}
+	_ = entry.Finish(end, Finish{Outcome: OutcomeUnknown, Step: "deadline"})
+	if len(registry.Readable(end)) != 1 || len(registry.Readable(end.Add(time.Second))) != 0 {
+		t.Fatal("a finished request is readable for a time that is not its deadline and Keep")
+	}
+}
--- a/soak/planted_test.go
+++ b/soak/planted_test.go
@@ -17,6 +17,7 @@
 			caught := 0
 			for seed := range int64(defaultSeeds) {
 				w := newWorld(seed+1, planted)
+				w.brief = true
 				w.run(defaultSteps)
 				if len(w.faults) > 0 {
 					caught++
--- a/soak/replay_test.go
+++ b/soak/replay_test.go
@@ -6,6 +6,7 @@
 func TestSameSeedGivesSameRun(t *testing.T) {
 	const seed = 3
 	first, second := newWorld(seed, plant{}), newWorld(seed, plant{})
+	first.brief, second.brief = true, true
 	first.run(defaultSteps / 2)
 	second.run(defaultSteps / 2)
 	if a, b := first.summary(), second.summary(); a != b {
