Send heartbeats every N/20 s in large data centres, and plot the measurements

Cause: with 60 instances in a data centre a node spends 10.3 KB/s on heartbeats within it (measured with 60 processes) and by calculation about 21 KB/s on all control, over the budget of 17 KB/s. Ruled out: larger datagrams (170 to 283 bytes measured), the platform (0.05 calls a second a node). Change: max(1 s, N/20 s) in place of N/30 s.

--- a/internal/devtool/main.go
+++ b/internal/devtool/main.go
@@ -24,6 +24,7 @@
 	mustAdd(parser, "demo", "Show the main job on a sample deployment and check the outcomes", &demoCommand{stdout: stdout, stderr: stderr})
 	mustAdd(parser, "load", "Send load to entry daemons and measure what each process costs", &loadCommand{stdout: stdout})
 	mustAdd(parser, "bench", "Measure policies", &benchCommand{Policy: benchPolicyCommand{stdout: stdout}})
+	mustAdd(parser, "plot", "Draw columns of a measurement table as an SVG file", &plotCommand{})
 	mustAdd(parser, "standins", "Run stand-ins and write settings files for entry daemons", &standinsCommand{stdout: stdout, stderr: stderr})
 	_, err := parser.ParseArgs(args)
 	return report(err, stdout, stderr)
--- a/membership/config.go
+++ b/membership/config.go
@@ -11,8 +11,9 @@
 	// MinInterval is the shortest heartbeat interval.
 	MinInterval = time.Second
 	// MembersPerSecond is how many datagrams an instance sends a second to its
-	// data centre once that has more members: the interval is N/30 s.
-	MembersPerSecond = 30
+	// data centre once that has more members: the interval is N/20 s. With N/30 s a
+	// node of a data centre of 60 spent about 21 KB/s on control, over its 17 KB/s.
+	MembersPerSecond = 20
 	// SuspectIntervals and DeadIntervals are counted since the last sign of life.
 	SuspectIntervals = 3
 	DeadIntervals    = 6
