Share the command line code of the daemon and hoistdev

Cause: both programs had their own copy of parsing and of exit statuses (duplicates: internal/daemon/main.go and internal/devtool/main.go). Change: package internal/commandline runs a list of commands. Conclusion: one place decides exit statuses.

--- a/internal/configdoc/configdoc_test.go
+++ b/internal/configdoc/configdoc_test.go
@@ -16,6 +16,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"knapweedhoist/catalog"
+	"knapweedhoist/internal/commandline"
 	"knapweedhoist/internal/daemon"
 	"knapweedhoist/settings"
 )
@@ -122,7 +123,7 @@
 		path := filepath.Join(GinkgoT().TempDir(), "hoist.yaml")
 		Expect(os.WriteFile(path, []byte(Example), 0o600)).To(Succeed())
 		var out, fault bytes.Buffer
-		Expect(daemon.Main([]string{"check-config", "-c", path}, &out, &fault)).To(Equal(daemon.ExitOK), fault.String())
+		Expect(daemon.Main([]string{"check-config", "-c", path}, &out, &fault)).To(Equal(commandline.ExitOK), fault.String())
 		all, err := parseStructs(filepath.Join(root, "settings"), "yaml")
 		Expect(err).NotTo(HaveOccurred())
 		for _, typeName := range []string{"Settings", "Listen", "Remote", "OptionalRemote", "Operator", "Limits", "Shutdown", "Log"} {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"knapweedhoist"
+	"knapweedhoist/internal/commandline"
 	"knapweedhoist/settings"
 )
 
@@ -16,23 +17,15 @@
 	Config string `short:"c" long:"config" description:"Settings file (YAML)" required:"true" value-name:"FILE"`
 }
 
-// load reads the settings; a fault in them is a settingsError.
+// load reads the settings; a fault in them is a UsageError.
 func (f configFlag) load() (settings.Settings, error) {
 	loaded, err := settings.Load(f.Config)
 	if err != nil {
-		return settings.Settings{}, &settingsError{err: err}
+		return settings.Settings{}, &commandline.UsageError{Err: err}
 	}
 	return loaded, nil
 }
 
-// settingsError is a fault in the settings file, found before anything started.
-type settingsError struct {
-	err error
-}
-
-func (e *settingsError) Error() string { return e.err.Error() }
-func (e *settingsError) Unwrap() error { return e.err }
-
 type serveCommand struct {
 	configFlag
 	stderr io.Writer
