Repeat the release of a claim that has not arrived yet

Cause: a home that gave a claim up was told that its release was taken when the shard knew no claim yet; one that arrived later kept the key claimed for the whole retention, though the call never ran. Change: the acknowledgement says that there is no claim, and the home repeats the release for a minute. An ask carries the time left to its deadline. The late ask itself was not caused over real sessions. Conclusion: a key is not blocked by a call that gave up.

--- a/claim_messages.go
+++ b/claim_messages.go
@@ -10,17 +10,21 @@
 func askMessage(shard int, ask claim.Ask) *wire.ClaimRequest {
 	return &wire.ClaimRequest{
 		Shard: uint32(shard), KeyHash: ask.Key[:], BodyHash: ask.Body[:], RequestId: ask.RequestID,
-		RetentionMs: ask.Retention.Milliseconds(),
+		RetentionMs: ask.Retention.Milliseconds(), RemainingMs: time.Until(ask.Deadline).Milliseconds(),
 	}
 }
 
 // peerClaimTimeout bounds how long a shard works on a peer's ask; the peer asks again.
 const peerClaimTimeout = 5 * time.Second
 
+func claimDeadline(remainingMs int64) time.Time {
+	return time.Now().Add(min(peerClaimTimeout, time.Duration(remainingMs)*time.Millisecond))
+}
+
 // askFromMessage reads a peer's ask; from is the authenticated sender.
 func askFromMessage(from string, message *wire.ClaimRequest) claim.Ask {
 	ask := claim.Ask{
-		RequestID: message.GetRequestId(), From: from, Deadline: time.Now().Add(peerClaimTimeout),
+		RequestID: message.GetRequestId(), From: from, Deadline: claimDeadline(message.GetRemainingMs()),
 		Retention: time.Duration(message.GetRetentionMs()) * time.Millisecond,
 	}
 	copy(ask.Key[:], message.GetKeyHash())
--- a/claimer.go
+++ b/claimer.go
@@ -102,6 +102,10 @@
 const (
 	claimReportTimeout = 5 * time.Second
 	claimReportRetry   = time.Second
+	// lateClaim is how long a claim that was given up may still arrive at the
+	// shard: an ask lives for peerClaimTimeout there, and its message for as
+	// long as a session may be silent. Until then the release is repeated.
+	lateClaim = time.Minute
 )
 
 // Finish implements backend.Claimer. It repeats the report until it is stored
@@ -109,13 +113,21 @@
 func (c *claimer) Finish(end backend.ClaimEnd) {
 	go func() {
 		ctx := c.instance.drain.alive()
-		for ctx.Err() == nil && !c.report(ctx, end) {
+		for ctx.Err() == nil {
+			result := c.report(ctx, end)
+			if result == claim.Stored || result == claim.Refused {
+				return
+			}
+			if result == claim.NoClaim && time.Since(end.At) > lateClaim {
+				return
+			}
 			pause(ctx, claimReportRetry)
 		}
 	}()
 }
 
-func (c *claimer) report(ctx context.Context, end backend.ClaimEnd) bool {
+// report tells the owner of the shard how a claim ended; no answer is a Retry.
+func (c *claimer) report(ctx context.Context, end backend.ClaimEnd) claim.AckResult {
 	bounded, cancel := context.WithTimeout(ctx, claimReportTimeout)
 	defer cancel()
 	i := c.instance
@@ -124,16 +136,26 @@
 	finish := finishOf(key, i.incarnation, end)
 	owner := i.view.Load().Fleet.Owner(control.ShardKey(shard))
 	if owner == nil {
-		return false
+		return claim.Retry
 	}
 	if owner.Incarnation == i.incarnation {
 		ack, err := i.finishAtShard(bounded, shard, finish)
-		return err == nil && ack.Result != claim.Retry
+		if err != nil {
+			return claim.Retry
+		}
+		return ack.Result
 	}
-	_, err := i.callPeer(bounded, owner.Incarnation, &wire.Call{
+	answer, err := i.callPeer(bounded, owner.Incarnation, &wire.Call{
 		Body: &wire.Call_ClaimFinish{ClaimFinish: finishMessage(shard, finish)},
 	})
-	return err == nil
+	switch {
+	case err != nil:
+		return claim.Retry
+	case answer.GetClaimAck().GetNoClaim():
+		return claim.NoClaim
+	default:
+		return claim.Stored
+	}
 }
 
 func finishOf(key claim.Hash, from string, end backend.ClaimEnd) claim.Finish {
--- a/peer_handler.go
+++ b/peer_handler.go
@@ -89,7 +89,7 @@
 	if ack.Result == claim.Retry {
 		return nil, &peer.RemoteError{Code: peer.CodeNotOwner, Step: "claim_finish", Message: "the shard changed hands"}
 	}
-	return ackAnswer(), nil
+	return &wire.Answer{Body: &wire.Answer_ClaimAck{ClaimAck: &wire.ClaimAck{NoClaim: ack.Result == claim.NoClaim}}}, nil
 }
 
 func (h *peerHandler) config(ctx context.Context, fetch *wire.ConfigFetch) (*wire.Answer, error) {
