--- a/departure.go
+++ b/departure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"knapweedhoist/control"
@@ -22,6 +23,10 @@
 // handoverTransport carries the calls of a handover.
 type handoverTransport struct {
 	instance *Instance
+
+	// storing is held during a write of the departure record, so that an older
+	// successor is not stored after a newer one.
+	storing sync.Mutex
 }
 
 // handoverTimeout bounds one call of a handover. It is the silence limit of
@@ -54,6 +59,8 @@
 
 // store writes the departure record until it is stored or the instance ends.
 func (t *handoverTransport) store(successor string) {
+	t.storing.Lock()
+	defer t.storing.Unlock()
 	i := t.instance
 	ctx := i.drain.alive()
 	value, err := json.Marshal(departureRecord{
