Choose owners by one rendezvous hash

Cause: membership and package rendezvous had the same algorithm twice, and distribution.Watchers chose watchers for its tests only, under another key than the daemon. Conclusion: one choice of owners.

--- a/distribution/world_test.go
+++ b/distribution/world_test.go
@@ -9,9 +9,13 @@
 
 	"knapweedhoist/catalog"
 	"knapweedhoist/platform"
+	"knapweedhoist/rendezvous"
 	"knapweedhoist/testutil"
 )
 
+// watchersPerDatacentre is the number that the design page gives.
+const watchersPerDatacentre = 2
+
 // seat is one instance: a Follower and an Editor behind one control loop. Call ids are even for the Follower.
 type seat struct {
 	w          *world
@@ -117,7 +121,9 @@
 			s.others = append(s.others, other.name)
 		}
 	}
-	s.watcher = slices.Contains(Watchers(s.dc, append([]string{s.name}, s.others...)), s.name)
+	near := append([]string{s.name}, s.others...)
+	watchers := rendezvous.Choose("config-watch/"+s.dc, near, watchersPerDatacentre, func(name string) string { return name })
+	s.watcher = slices.Contains(watchers, s.name)
 	return s.others
 }
 
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -3,30 +3,47 @@
 package rendezvous
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/zeebo/xxh3"
 )
 
-// Top returns the n members with the highest weight for key, highest first.
-// It returns fewer when there are fewer members. The order of members does not matter.
-func Top(key string, members []string, n int) []string {
-	type weighted struct {
-		member string
-		weight uint64
-	}
+// Choose returns the n members with the highest weight for key, highest first.
+// It returns fewer when there are fewer members. The order of members does not
+// matter; id gives a member's unique name.
+func Choose[T any](key string, members []T, n int, id func(T) string) []T {
 	seed := xxh3.HashString(key)
-	all := make([]weighted, 0, len(members))
+	best := make([]weighted[T], 0, n+1)
 	for _, member := range members {
-		all = append(all, weighted{member: member, weight: xxh3.HashStringSeed(member, seed)})
+		name := id(member)
+		candidate := weighted[T]{member: member, name: name, weight: xxh3.HashStringSeed(name, seed)}
+		if len(best) == n && !candidate.before(best[n-1]) {
+			continue
+		}
+		at := 0
+		for at < len(best) && !candidate.before(best[at]) {
+			at++
+		}
+		best = slices.Insert(best, at, candidate)
+		best = best[:min(n, len(best))]
+	}
+	chosen := make([]T, len(best))
+	for i, w := range best {
+		chosen[i] = w.member
 	}
-	slices.SortFunc(all, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.member, b.member))
-	})
-	top := make([]string, 0, n)
-	for _, w := range all[:min(n, len(all))] {
-		top = append(top, w.member)
+	return chosen
+}
+
+// weighted is a member with its weight for a key.
+type weighted[T any] struct {
+	member T
+	name   string
+	weight uint64
+}
+
+func (w weighted[T]) before(other weighted[T]) bool {
+	if w.weight != other.weight {
+		return w.weight > other.weight
 	}
-	return top
+	return w.name < other.name
 }
--- a/rendezvous/rendezvous_test.go
+++ b/rendezvous/rendezvous_test.go
@@ -11,6 +11,10 @@
 	"knapweedhoist/rendezvous"
 )
 
+func top(key string, members []string, n int) []string {
+	return rendezvous.Choose(key, members, n, func(member string) string { return member })
+}
+
 func TestRendezvous(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "rendezvous")
@@ -25,19 +29,19 @@
 	It("guards against a choice that depends on the order of members or moves keys of live owners", func() {
 		for key := range 200 {
 			name := fmt.Sprint(key)
-			top := rendezvous.Top(name, members, 2)
+			chosen := top(name, members, 2)
 			reversed := slices.Clone(members)
 			slices.Reverse(reversed)
-			Expect(rendezvous.Top(name, reversed, 2)).To(Equal(top))
-			without := slices.DeleteFunc(reversed, func(m string) bool { return m == top[0] })
-			Expect(rendezvous.Top(name, without, 1)).To(Equal(top[1:]))
+			Expect(top(name, reversed, 2)).To(Equal(chosen))
+			without := slices.DeleteFunc(reversed, func(m string) bool { return m == chosen[0] })
+			Expect(top(name, without, 1)).To(Equal(chosen[1:]))
 		}
 	})
 
 	It("guards against a choice that loads few members", func() {
 		owned := map[string]int{}
 		for key := range 6000 {
-			owned[rendezvous.Top(fmt.Sprint(key), members, 1)[0]]++
+			owned[top(fmt.Sprint(key), members, 1)[0]]++
 		}
 		Expect(owned).To(HaveLen(60))
 		for _, n := range owned {
@@ -46,6 +50,6 @@
 	})
 
 	It("guards against a panic with fewer members than owners", func() {
-		Expect(rendezvous.Top("k", []string{"a"}, 2)).To(Equal([]string{"a"}))
+		Expect(top("k", []string{"a"}, 2)).To(Equal([]string{"a"}))
 	})
 })
