Look endpoints up by a map when an attempt is placed

Cause: after each routing decision the daemon searched the endpoint by building the key of every endpoint until it matched, so that the decision grew with the fleet. Change: the keys are built once for each view and published as a map.

--- a/policy.go
+++ b/policy.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"knapweedhoist/admission"
@@ -25,6 +26,8 @@
 	estimator *admission.Estimator
 	admission *admission.Controller
 	retries   *retry.Policy
+	// endpoints are those of the last view by their keys; the map is never modified.
+	endpoints atomic.Pointer[map[string]*membership.Endpoint]
 
 	mu sync.Mutex // guards the fields below
 	// engines and cursors are by endpoint key.
@@ -36,7 +39,7 @@
 func newPolicy(i *Instance) *policy {
 	cfg := routing.DefaultConfig(i.cfg.Datacentre)
 	cfg.Distance = i.cfg.DistanceTable()
-	return &policy{
+	p := &policy{
 		instance:  i,
 		table:     routing.NewTable(cfg, i.checker, rand.New(rand.NewSource(time.Now().UnixNano()))),
 		estimator: admission.NewEstimator(admission.DefaultConfig()),
@@ -45,6 +48,8 @@
 		engines:   make(map[string]*engine.Client), cursors: make(map[string]uint64),
 		loadAt: make(map[string]time.Time),
 	}
+	p.endpoints.Store(&map[string]*membership.Endpoint{})
+	return p
 }
 
 // update takes a new view in. It runs on the control goroutine.
@@ -52,8 +57,13 @@
 	if before == nil || before.Catalog != view.Catalog || before.Fleet != view.Fleet {
 		p.table.SetEndpoints(time.Now(), routingEndpoints(view))
 	}
-	p.reportLoads(view.Fleet)
-	p.forget(view.Fleet)
+	known := make(map[string]*membership.Endpoint, len(view.Fleet.Endpoints))
+	for _, e := range view.Fleet.Endpoints {
+		known[endpointKey(e)] = e
+	}
+	p.endpoints.Store(&known)
+	p.reportLoads(known)
+	p.forget(known)
 }
 
 func routingEndpoints(view *control.View) []routing.Endpoint {
@@ -72,12 +82,11 @@
 	return endpoints
 }
 
-func (p *policy) reportLoads(fleet *membership.View) {
+func (p *policy) reportLoads(known map[string]*membership.Endpoint) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, e := range fleet.Endpoints {
-		key := endpointKey(e)
+	for key, e := range known {
 		if e.LoadAt.After(p.loadAt[key]) {
 			p.loadAt[key] = e.LoadAt
 			p.table.Report(now, key, e.Load)
@@ -86,11 +95,7 @@
 }
 
 // forget drops what is kept of endpoints that are no longer in the fleet.
-func (p *policy) forget(fleet *membership.View) {
-	known := make(map[string]struct{}, len(fleet.Endpoints))
-	for _, e := range fleet.Endpoints {
-		known[endpointKey(e)] = struct{}{}
-	}
+func (p *policy) forget(known map[string]*membership.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for key, client := range p.engines {
@@ -136,7 +141,7 @@
 	if err != nil {
 		return backend.Choice{}, errors.Join(backend.ErrNoEndpoint, err)
 	}
-	endpoint := p.endpoint(chosen.Endpoint.ID)
+	endpoint := (*p.endpoints.Load())[chosen.Endpoint.ID]
 	if endpoint == nil {
 		return backend.Choice{}, backend.ErrNoEndpoint
 	}
@@ -154,15 +159,6 @@
 	return choice, nil
 }
 
-func (p *policy) endpoint(key string) *membership.Endpoint {
-	for _, e := range p.instance.view.Load().Fleet.Endpoints {
-		if endpointKey(e) == key {
-			return e
-		}
-	}
-	return nil
-}
-
 // work describes an attempt for the routing.
 func (p *policy) work(query backend.Query) (routing.Work, admission.Estimate) {
 	work := routing.Work{Service: query.Service, PromptTokens: query.PromptTokens, DecodeTokens: 1}
