Find a leaving instance again after a cut

Cause: a leaving instance that was silent for six intervals is forgotten, and a heartbeat of a forgotten incarnation that has left was ignored for good. Ruled out: the departure record (no successor had been named), the registry (the call was there). Change: such a heartbeat adds the instance again in state leaving, never live.

--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -30,10 +30,10 @@
 // hear updates the sender of a heartbeat.
 func (t *Table) hear(now time.Time, beat *wire.Heartbeat) {
 	old, known := t.members[beat.GetIncarnation()]
-	if t.left.has(beat.GetIncarnation()) && !known {
-		return
-	}
-	if !known && !t.supersedes(beat) {
+	// A leaving instance that was cut off for a while is forgotten, and has to be
+	// found again when the cut ends: it may still own requests.
+	left := t.left.has(beat.GetIncarnation())
+	if !known && !left && !t.supersedes(beat) {
 		return
 	}
 	m := Member{State: Live}
@@ -45,7 +45,7 @@
 	m.OperatorAddress = beat.GetOperatorAddress()
 	m.Revision, m.RevisionSince = beat.GetRevision(), now.Add(-milliseconds(beat.GetRevisionAgeMs()))
 	m.LastHeard, m.State = now, Live
-	if t.left.has(m.Incarnation) {
+	if left {
 		m.State = Leaving
 	}
 	if beat.GetSuccessor() != "" {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -373,6 +373,24 @@
 		}))
 	})
 
+	It("guards against a leaving instance that is not found again after a cut, with the requests that it still owns", func() {
+		table := membership.NewTable(membership.Config{ID: "s", Incarnation: "01Js", Datacentre: "x"},
+			strict{GinkgoT()}, timeline.Discard, start)
+		beat := &wire.Heartbeat{
+			Instance: "e", Incarnation: "01Je", Datacentre: "x", PeerAddress: "10.0.0.1:1", DatagramAddress: "10.0.0.1:2",
+			Leaving: true,
+		}
+		table.Heartbeat(start, beat)
+		now := start
+		for range 20 {
+			now = now.Add(time.Second)
+			table.Tick(now, membership.Local{})
+		}
+		Expect(table.View().Member("01Je")).To(BeNil())
+		table.Heartbeat(now, beat)
+		Expect(table.View().Member("01Je").State).To(Equal(membership.Leaving))
+	})
+
 	It("guards against an interval that exceeds the budget in a large data centre", func() {
 		s := newSite(strict{GinkgoT()}, 1, 60)
 		Expect(s.tables["e00:7"].Interval()).To(Equal(3 * time.Second))
