--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,7 +11,7 @@
 // Size of what go test runs; SOAK_SEEDS, SOAK_STEPS and SOAK_SEED replace it. SOAK_BRIEF=1 leaves out the failures
 // that last for minutes.
 const (
-	defaultSeeds = 6
+	defaultSeeds = 24
 	defaultSteps = 240
 )
 
