Publish endpoints before they can be chosen, and drop hand-made defaults

The teams' limits were worked through with each view, five times a second, although they follow the configuration alone. Change: the map is stored first; cmp.Or, Team.Allowed and catalog.DefaultMaxBodyBytes are called; the dead pieces are gone; limits are adapted when the catalogue changes. The moment between list and map was found by reading and not caused in a test.

--- a/backend/config.go
+++ b/backend/config.go
@@ -1,6 +1,9 @@
 package backend
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Config holds the times and limits of a Runner.
 type Config struct {
@@ -34,21 +37,13 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDuration(&c.MoveMargin, DefaultMoveMargin)
-	setDuration(&c.ExportTimeout, DefaultExportTimeout)
-	setDuration(&c.ExportMargin, DefaultExportMargin)
-	setDuration(&c.CancelTimeout, DefaultCancelTimeout)
-	setDuration(&c.MinBackoff, DefaultMinBackoff)
-	setDuration(&c.MaxBackoff, DefaultMaxBackoff)
-	setDuration(&c.ClaimRetry, DefaultClaimRetry)
-	if c.MaxAnswerBytes == 0 {
-		c.MaxAnswerBytes = DefaultMaxAnswerBytes
-	}
+	c.MoveMargin = cmp.Or(c.MoveMargin, DefaultMoveMargin)
+	c.ExportTimeout = cmp.Or(c.ExportTimeout, DefaultExportTimeout)
+	c.ExportMargin = cmp.Or(c.ExportMargin, DefaultExportMargin)
+	c.CancelTimeout = cmp.Or(c.CancelTimeout, DefaultCancelTimeout)
+	c.MinBackoff = cmp.Or(c.MinBackoff, DefaultMinBackoff)
+	c.MaxBackoff = cmp.Or(c.MaxBackoff, DefaultMaxBackoff)
+	c.ClaimRetry = cmp.Or(c.ClaimRetry, DefaultClaimRetry)
+	c.MaxAnswerBytes = cmp.Or(c.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	return c
 }
-
-func setDuration(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/control/quota.go
+++ b/control/quota.go
@@ -9,15 +9,15 @@
 	"knapweedhoist/wire"
 )
 
-// QuotaOwnerKey is the key by which the owner that divides a data centre's
+// quotaOwnerKey is the key by which the owner that divides a data centre's
 // grants over its instances is chosen.
-func QuotaOwnerKey(datacentre string) string {
+func quotaOwnerKey(datacentre string) string {
 	return "quota/" + datacentre
 }
 
 // QuotaOwner returns the owner of a data centre's grants, nil when nobody is live there.
 func QuotaOwner(fleet *membership.View, datacentre string) *membership.Member {
-	chosen := membership.Choose(fleet.LiveIn(datacentre), QuotaOwnerKey(datacentre), 1)
+	chosen := membership.Choose(fleet.LiveIn(datacentre), quotaOwnerKey(datacentre), 1)
 	if len(chosen) == 0 {
 		return nil
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -26,7 +26,9 @@
 	before := i.view.Swap(view)
 	i.recordPreset(before, view)
 	i.policy.update(before, view)
-	i.quotas.follow(view)
+	if before.Catalog != view.Catalog {
+		i.quotas.follow(view)
+	}
 	i.gateway.SetReady(view.Catalog != nil && len(view.Fleet.Endpoints) > 0)
 	i.home.Peers(time.Now(), i.peersOf(view.Fleet))
 }
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -28,14 +28,10 @@
 
 // permit checks that the team may call the service with a body of this size.
 func permit(team *catalog.Team, service *catalog.Service, bodyBytes int) *problem {
-	if !slices.Contains(team.Services, service.Name) {
+	if !team.Allowed(service.Name) {
 		return notRun(http.StatusForbidden, "authorise", "the team may not call this service")
 	}
-	limit := service.MaxBodyBytes
-	if limit == 0 {
-		limit = defaultServiceBodyBytes
-	}
-	if bodyBytes > limit {
+	if bodyBytes > cmp.Or(service.MaxBodyBytes, catalog.DefaultMaxBodyBytes) {
 		return notRun(http.StatusRequestEntityTooLarge, "read", "the body exceeds the limit of the service")
 	}
 	return nil
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Config holds the limits of the callers' HTTP side.
 type Config struct {
@@ -44,27 +47,17 @@
 	DefaultKeepAlive      = 2 * time.Second
 )
 
-// defaultServiceBodyBytes applies to services without MaxBodyBytes.
-const defaultServiceBodyBytes = 1 << 20
-
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxConnections, DefaultMaxConnections)
-	setDefault(&c.MaxHeaderBytes, DefaultMaxHeaderBytes)
-	setDefault(&c.MaxHeaders, DefaultMaxHeaders)
-	setDefault(&c.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&c.ReadTimeout, DefaultReadTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.Deadline, DefaultDeadline)
-	setDefault(&c.MaxDeadline, DefaultMaxDeadline)
-	setDefault(&c.HeaderDelay, DefaultHeaderDelay)
-	setDefault(&c.KeepAlive, DefaultKeepAlive)
+	c.MaxConnections = cmp.Or(c.MaxConnections, DefaultMaxConnections)
+	c.MaxHeaderBytes = cmp.Or(c.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	c.MaxHeaders = cmp.Or(c.MaxHeaders, DefaultMaxHeaders)
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, DefaultMaxBodyBytes)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, DefaultReadTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+	c.Deadline = cmp.Or(c.Deadline, DefaultDeadline)
+	c.MaxDeadline = cmp.Or(c.MaxDeadline, DefaultMaxDeadline)
+	c.HeaderDelay = cmp.Or(c.HeaderDelay, DefaultHeaderDelay)
+	c.KeepAlive = cmp.Or(c.KeepAlive, DefaultKeepAlive)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/hub.go
+++ b/hub.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,8 +23,6 @@
 	instance *Instance
 	core     *control.Core
 	events   chan control.Event
-	// calls count the platform calls in flight.
-	calls sync.WaitGroup
 	// platformDown: the last call had no answer.
 	platformDown atomic.Bool
 
@@ -85,7 +82,7 @@
 	i := h.instance
 	switch e := effect.(type) {
 	case control.PlatformCall:
-		h.calls.Go(func() { h.callPlatform(ctx, e) })
+		go h.callPlatform(ctx, e)
 	case control.SendHeartbeat:
 		_ = i.beats.Send(e.Outgoing.To, e.Outgoing.Beat)
 	case control.SendLeaves:
--- a/internal/devtool/demo.go
+++ b/internal/devtool/demo.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
 	"sync"
 	"time"
 )
@@ -122,8 +121,3 @@
 	defer c.mu.Unlock()
 	return c.passed, append([]string(nil), c.failed...)
 }
-
-// createFile opens a file for writing.
-func createFile(path string) (*os.File, error) {
-	return os.Create(path)
-}
--- a/internal/devtool/demo_operator.go
+++ b/internal/devtool/demo_operator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"knapweedhoist/operator"
@@ -90,7 +91,7 @@
 	if page == "" {
 		return nil
 	}
-	file, err := createFile(page)
+	file, err := os.Create(page)
 	if err != nil {
 		return err
 	}
--- a/policy.go
+++ b/policy.go
@@ -54,14 +54,15 @@
 
 // update takes a new view in. It runs on the control goroutine.
 func (p *policy) update(before, view *control.View) {
-	if before == nil || before.Catalog != view.Catalog || before.Fleet != view.Fleet {
-		p.table.SetEndpoints(time.Now(), routingEndpoints(view))
-	}
 	known := make(map[string]*membership.Endpoint, len(view.Fleet.Endpoints))
 	for _, e := range view.Fleet.Endpoints {
 		known[endpointKey(e)] = e
 	}
+	// The map comes first, so that each endpoint that the table chooses is found in it.
 	p.endpoints.Store(&known)
+	if before == nil || before.Catalog != view.Catalog || before.Fleet != view.Fleet {
+		p.table.SetEndpoints(time.Now(), routingEndpoints(view))
+	}
 	p.reportLoads(known)
 	p.forget(known)
 }
--- a/request/config.go
+++ b/request/config.go
@@ -1,6 +1,9 @@
 package request
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Config bounds a Registry.
 type Config struct {
@@ -29,20 +32,10 @@
 const tokenOverhead = 4
 
 func (c Config) withDefaults() Config {
-	if c.MaxInProgress == 0 {
-		c.MaxInProgress = DefaultMaxInProgress
-	}
-	if c.MaxBytes == 0 {
-		c.MaxBytes = DefaultMaxBytes
-	}
-	if c.MaxRequestBytes == 0 {
-		c.MaxRequestBytes = DefaultMaxRequestBytes
-	}
-	if c.MaxReaders == 0 {
-		c.MaxReaders = DefaultMaxReaders
-	}
-	if c.Keep == 0 {
-		c.Keep = DefaultKeep
-	}
+	c.MaxInProgress = cmp.Or(c.MaxInProgress, DefaultMaxInProgress)
+	c.MaxBytes = cmp.Or(c.MaxBytes, DefaultMaxBytes)
+	c.MaxRequestBytes = cmp.Or(c.MaxRequestBytes, DefaultMaxRequestBytes)
+	c.MaxReaders = cmp.Or(c.MaxReaders, DefaultMaxReaders)
+	c.Keep = cmp.Or(c.Keep, DefaultKeep)
 	return c
 }
