--- a/attacher.go
+++ b/attacher.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"knapweedhoist/peer"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/request"
 	"knapweedhoist/wire"
 )
@@ -133,7 +133,7 @@
 	if next, found := a.instance.view.Load().Fleet.NextSuccessor(incarnation); found && next != "" {
 		return next, true
 	}
-	reply, err := a.instance.store.Do(ctx, platform.Get(platform.KindDeparture, incarnation))
+	reply, err := a.instance.store.Do(ctx, objectapi.Get(objectapi.KindDeparture, incarnation))
 	if err != nil {
 		return "", false
 	}
--- a/catalog/codec.go
+++ b/catalog/codec.go
@@ -10,11 +10,11 @@
 
 	"github.com/samber/oops"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // MaxDocumentBytes bounds the encoded document: the largest value of the object API.
-const MaxDocumentBytes = platform.MaxValueBytes
+const MaxDocumentBytes = objectapi.MaxValueBytes
 
 // Decode reads a document strictly: unknown fields, data after the document and an oversized document are errors.
 // It does not validate the document.
--- a/claim/append.go
+++ b/claim/append.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // append starts the next write when the previous one has ended and the rate allows it.
@@ -16,13 +16,13 @@
 	s.lastWrite = now
 	if value, n := s.fill(s.tail.value); n > 0 {
 		s.fly(s.tail.number, value, n)
-		request := platform.Update(platform.KindClaim, name(s.cfg.Shard, s.tail.number), s.tail.version, value)
+		request := objectapi.Update(objectapi.KindClaim, name(s.cfg.Shard, s.tail.number), s.tail.version, value)
 		s.issue(stageAppend, request, out)
 		return
 	}
 	value, n := s.fill(Slot{Epoch: s.tail.epoch, Owner: s.cfg.Incarnation}.encode())
 	s.fly(s.tail.number+1, value, n)
-	s.issue(stageRoll, platform.Create(platform.KindClaim, name(s.cfg.Shard, s.flightNumber), value), out)
+	s.issue(stageRoll, objectapi.Create(objectapi.KindClaim, name(s.cfg.Shard, s.flightNumber), value), out)
 }
 
 // fill appends the records of the queue that fit into the slot and returns their number.
@@ -48,7 +48,7 @@
 
 // appended takes the result of an append. After a lost reply the same bytes
 // were sent again: a conflict with exactly these bytes is this append's own effect.
-func (s *Shard) appended(now time.Time, done platform.Done, out *Output) {
+func (s *Shard) appended(now time.Time, done objectapi.Done, out *Output) {
 	object := done.Reply.Object
 	if done.Err != nil && !bytes.Equal(object.Value, s.flightValue) {
 		s.stepDown(now, "append refused", out)
@@ -58,7 +58,7 @@
 	s.commit(now, out)
 }
 
-func (s *Shard) rolled(now time.Time, done platform.Done, out *Output) {
+func (s *Shard) rolled(now time.Time, done objectapi.Done, out *Output) {
 	object := done.Reply.Object
 	if done.Err != nil && !bytes.Equal(object.Value, s.flightValue) {
 		s.stepDown(now, "next slot refused", out)
@@ -68,7 +68,7 @@
 	s.issue(stageVerifyRoll, s.listAfter(s.flightNumber), out)
 }
 
-func (s *Shard) rollVerified(now time.Time, done platform.Done, out *Output) {
+func (s *Shard) rollVerified(now time.Time, done objectapi.Done, out *Output) {
 	if done.Err != nil || len(done.Reply.Objects) > 0 {
 		s.stepDown(now, "a later slot exists", out)
 		return
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // usual returns the records of call i: a claim, and an end with an answer of 200 bytes.
@@ -22,14 +22,14 @@
 // BenchmarkReplay measures what a takeover takes for each key: decoding full slots and indexing their records.
 func BenchmarkReplay(b *testing.B) {
 	const keysPerSlot = 10
-	slots := make([]platform.Object, b.N/keysPerSlot+1)
+	slots := make([]objectapi.Object, b.N/keysPerSlot+1)
 	for n := range slots {
 		slot := Slot{Epoch: 1, Owner: "01J0000000000000000000000A"}
 		for i := range keysPerSlot {
 			claim, done := usual(n*keysPerSlot + i)
 			slot.Records = append(slot.Records, claim, done)
 		}
-		slots[n] = platform.Object{Name: name(0, uint64(n+1)), Version: 1, Value: slot.encode()}
+		slots[n] = objectapi.Object{Name: name(0, uint64(n+1)), Version: 1, Value: slot.encode()}
 	}
 	s := NewShard(discardLog, Config{})
 	s.index = make(map[Hash]*entry)
--- a/claim/entry.go
+++ b/claim/entry.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // entry is the state of one key in memory. Answers stay on the platform. An owner keeps one for each key of the
@@ -35,7 +35,7 @@
 // slotInfo is what is kept in memory of a slot that is full or sealed.
 type slotInfo struct {
 	number  uint64
-	version platform.Version
+	version objectapi.Version
 	expiry  time.Time
 	keys    []Hash
 }
--- a/claim/log_test.go
+++ b/claim/log_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/testutil"
 )
 
@@ -16,8 +16,8 @@
 type bench struct {
 	store  *testutil.Store
 	now    time.Time
-	held   []platform.Call // calls that are held back instead of being answered
-	hold   func(platform.Call) bool
+	held   []objectapi.Call // calls that are held back instead of being answered
+	hold   func(objectapi.Call) bool
 	starts []time.Time
 }
 
@@ -35,7 +35,7 @@
 			b.held = append(b.held, call)
 			continue
 		}
-		if call.Request.Op == platform.OpPut {
+		if call.Request.Op == objectapi.OpPut {
 			b.starts = append(b.starts, b.now)
 		}
 		b.store.Submit(b.now, "x", call)
@@ -68,7 +68,7 @@
 		former := b.shard("F")
 		Expect(b.run(former, former.SetOwner(b.now, true)).Events).To(ConsistOf(TookOver))
 		// Fill the first slot, and hold back the create of the next one.
-		b.hold = func(c platform.Call) bool { return c.Request.Condition.IfAbsent }
+		b.hold = func(c objectapi.Call) bool { return c.Request.Condition.IfAbsent }
 		for i := 0; len(b.held) == 0; i++ {
 			b.now = b.now.Add(time.Second)
 			b.ask(former, fmt.Sprint(i), uint64(i))
@@ -83,7 +83,7 @@
 			b.ask(next, fmt.Sprint("later", i), uint64(i))
 			b.run(next, next.Tick(b.now))
 		}
-		_, exists := b.store.Object(platform.KindClaim, b.held[0].Request.Name)
+		_, exists := b.store.Object(objectapi.KindClaim, b.held[0].Request.Name)
 		Expect(exists).To(BeFalse(), "the slot number is free again")
 		out := b.run(former, Output{Calls: b.held})
 		Expect(out.Events).To(ConsistOf(SteppedDown))
--- a/claim/main_call.go
+++ b/claim/main_call.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // stage is the step that a main call belongs to.
@@ -24,12 +24,12 @@
 type mainCall struct {
 	id       uint64
 	stage    stage
-	request  platform.Request
+	request  objectapi.Request
 	inFlight bool
 	retryAt  time.Time
 }
 
-func (s *Shard) issue(st stage, request platform.Request, out *Output) {
+func (s *Shard) issue(st stage, request objectapi.Request, out *Output) {
 	s.main = &mainCall{stage: st, request: request}
 	s.sendMain(out)
 }
@@ -38,7 +38,7 @@
 	s.checkWrite()
 	s.main.id = s.newID()
 	s.main.inFlight = true
-	out.Calls = append(out.Calls, platform.Call{ID: s.main.id, Request: s.main.request})
+	out.Calls = append(out.Calls, objectapi.Call{ID: s.main.id, Request: s.main.request})
 }
 
 func (s *Shard) newID() uint64 {
@@ -55,7 +55,7 @@
 	s.sendMain(out)
 }
 
-func (s *Shard) mainDone(now time.Time, done platform.Done, out *Output) {
+func (s *Shard) mainDone(now time.Time, done objectapi.Done, out *Output) {
 	if transient(done.Err) {
 		s.lg.Debug("claim call failed", "step", s.main.request.Op.String(), "error", done.Err)
 		s.main.inFlight = false
@@ -85,10 +85,10 @@
 }
 
 // listAfter reads the first slot after a number; 0 reads the first slot.
-func (s *Shard) listAfter(number uint64) platform.Request {
+func (s *Shard) listAfter(number uint64) objectapi.Request {
 	after := ""
 	if number > 0 {
 		after = name(s.cfg.Shard, number)
 	}
-	return platform.Request{Op: platform.OpList, Kind: platform.KindClaim, Name: prefix(s.cfg.Shard), After: after, Limit: 1}
+	return objectapi.Request{Op: objectapi.OpList, Kind: objectapi.KindClaim, Name: prefix(s.cfg.Shard), After: after, Limit: 1}
 }
--- a/claim/output.go
+++ b/claim/output.go
@@ -1,10 +1,10 @@
 package claim
 
-import "knapweedhoist/platform"
+import "knapweedhoist/objectapi"
 
 // Output is what a step of a Shard wants done.
 type Output struct {
-	Calls   []platform.Call
+	Calls   []objectapi.Call
 	Answers []Answer
 	Acks    []Ack
 	Events  []Event
--- a/claim/read.go
+++ b/claim/read.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // read is an ask that waits for a stored answer.
@@ -25,16 +25,16 @@
 	}
 	id := s.newID()
 	s.reads[id] = read{ask: ask, holder: e.requestID, status: int(e.status)}
-	out.Calls = append(out.Calls, platform.Call{ID: id, Request: platform.Get(platform.KindClaim, name(s.cfg.Shard, e.slot))})
+	out.Calls = append(out.Calls, objectapi.Call{ID: id, Request: objectapi.Get(objectapi.KindClaim, name(s.cfg.Shard, e.slot))})
 }
 
-func (s *Shard) readDone(done platform.Done, out *Output) {
+func (s *Shard) readDone(done objectapi.Done, out *Output) {
 	r, ok := s.reads[done.ID]
 	if !ok {
 		return
 	}
 	delete(s.reads, done.ID)
-	if done.Err != nil && !errors.Is(done.Err, platform.ErrNotFound) {
+	if done.Err != nil && !errors.Is(done.Err, objectapi.ErrNotFound) {
 		out.answer(r.ask.Ref, Unavailable, r.holder)
 		return
 	}
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -20,7 +20,7 @@
 	"slices"
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // phase is what the instance does about the shard.
@@ -60,7 +60,7 @@
 	// flightNumber, flightValue and flightVersion are the slot as it is after the append in flight.
 	flightNumber  uint64
 	flightValue   []byte
-	flightVersion platform.Version
+	flightVersion objectapi.Version
 	lastWrite     time.Time
 	// confirmed: the platform has confirmed the batch being settled; set where its reply is read, for the assertions.
 	confirmed bool
@@ -73,7 +73,7 @@
 type tail struct {
 	number  uint64
 	epoch   uint64
-	version platform.Version
+	version objectapi.Version
 	value   []byte
 	expiry  time.Time
 	keys    []Hash
@@ -153,7 +153,7 @@
 
 // Done accepts the result of a call. Each Call needs exactly one Done; a call
 // that was abandoned ends with ErrUnavailable.
-func (s *Shard) Done(now time.Time, done platform.Done) Output {
+func (s *Shard) Done(now time.Time, done objectapi.Done) Output {
 	var out Output
 	switch {
 	case s.main != nil && s.main.id == done.ID:
@@ -285,5 +285,5 @@
 
 // transient reports whether the call's outcome is unknown or refused before any effect.
 func transient(err error) bool {
-	return err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound)
+	return err != nil && !errors.Is(err, objectapi.ErrConflict) && !errors.Is(err, objectapi.ErrNotFound)
 }
--- a/claim/shard_test.go
+++ b/claim/shard_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/testutil"
 )
 
@@ -94,8 +94,8 @@
 
 // plantOptimism takes an append of unknown outcome as stored.
 func plantOptimism(s *seat) {
-	s.before = func(_ time.Time, d platform.Done) platform.Done {
-		if s.main != nil && s.main.id == d.ID && s.main.stage == stageAppend && errors.Is(d.Err, platform.ErrUnavailable) {
+	s.before = func(_ time.Time, d objectapi.Done) objectapi.Done {
+		if s.main != nil && s.main.id == d.ID && s.main.stage == stageAppend && errors.Is(d.Err, objectapi.ErrUnavailable) {
 			d.Err = nil
 			d.Reply.Object.Version = s.tail.version
 		}
@@ -105,10 +105,10 @@
 
 // plantIgnoreFence repeats a refused append at the version that refused it.
 func plantIgnoreFence(s *seat) {
-	s.before = func(_ time.Time, d platform.Done) platform.Done {
-		if s.main != nil && s.main.id == d.ID && s.main.stage == stageAppend && errors.Is(d.Err, platform.ErrConflict) {
+	s.before = func(_ time.Time, d objectapi.Done) objectapi.Done {
+		if s.main != nil && s.main.id == d.ID && s.main.stage == stageAppend && errors.Is(d.Err, objectapi.ErrConflict) {
 			s.main.request.Condition.IfVersion = d.Reply.Object.Version
-			d.Err = platform.ErrUnavailable
+			d.Err = objectapi.ErrUnavailable
 		}
 		return d
 	}
@@ -122,7 +122,7 @@
 		}
 		out.Calls = nil
 		version := s.take.last.Version
-		next := s.Shard.Done(now, platform.Done{ID: s.main.id, Reply: platform.Reply{Object: platform.Object{Version: version}}})
+		next := s.Shard.Done(now, objectapi.Done{ID: s.main.id, Reply: objectapi.Reply{Object: objectapi.Object{Version: version}}})
 		out.Calls = append(out.Calls, next.Calls...)
 	}
 }
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // sweep deletes expired slots, oldest first, one at a time and at most one a second.
@@ -29,21 +29,21 @@
 
 func (s *Shard) deleteSlot(slot slotInfo, out *Output) {
 	s.sweep.id = s.newID()
-	request := platform.Request{
-		Op: platform.OpDelete, Kind: platform.KindClaim, Name: name(s.cfg.Shard, slot.number),
-		Condition: platform.Condition{IfVersion: slot.version},
+	request := objectapi.Request{
+		Op: objectapi.OpDelete, Kind: objectapi.KindClaim, Name: name(s.cfg.Shard, slot.number),
+		Condition: objectapi.Condition{IfVersion: slot.version},
 	}
-	out.Calls = append(out.Calls, platform.Call{ID: s.sweep.id, Request: request})
+	out.Calls = append(out.Calls, objectapi.Call{ID: s.sweep.id, Request: request})
 }
 
-func (s *Shard) swept(done platform.Done) {
+func (s *Shard) swept(done objectapi.Done) {
 	s.sweep.id = 0
-	if done.Reply.Object.Version != 0 && errors.Is(done.Err, platform.ErrConflict) {
+	if done.Reply.Object.Version != 0 && errors.Is(done.Err, objectapi.ErrConflict) {
 		// Another instance sealed the slot again; its records are the same.
 		s.older[0].version = done.Reply.Object.Version
 		return
 	}
-	gone := done.Err == nil || errors.Is(done.Err, platform.ErrNotFound) || errors.Is(done.Err, platform.ErrConflict)
+	gone := done.Err == nil || errors.Is(done.Err, objectapi.ErrNotFound) || errors.Is(done.Err, objectapi.ErrConflict)
 	if !gone {
 		return
 	}
--- a/claim/takeover.go
+++ b/claim/takeover.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/timeline"
 )
 
@@ -14,7 +14,7 @@
 	// low is the highest slot found; no slot is after high, when high is set. probe is the number last asked for.
 	low, high, probe, step uint64
 	bounded                bool
-	last                   platform.Object
+	last                   objectapi.Object
 	cursor                 string
 	read                   bool
 	epoch                  uint64
@@ -30,7 +30,7 @@
 
 // located searches for the last slot: steps that double, then bisection. Slots
 // may be missing between the first and the last one, because expired slots are deleted.
-func (s *Shard) located(now time.Time, done platform.Done, out *Output) {
+func (s *Shard) located(now time.Time, done objectapi.Done, out *Output) {
 	t := &s.take
 	if len(done.Reply.Objects) > 0 {
 		t.last = done.Reply.Objects[0]
@@ -78,10 +78,10 @@
 	}
 	value := bytes.Clone(s.take.last.Value)
 	value[sealedOffset] = 1
-	s.issue(stageSeal, platform.Update(platform.KindClaim, s.take.last.Name, s.take.last.Version, value), out)
+	s.issue(stageSeal, objectapi.Update(objectapi.KindClaim, s.take.last.Name, s.take.last.Version, value), out)
 }
 
-func (s *Shard) sealed(now time.Time, done platform.Done, out *Output) {
+func (s *Shard) sealed(now time.Time, done objectapi.Done, out *Output) {
 	object := done.Reply.Object
 	switch {
 	case done.Err == nil:
@@ -109,13 +109,13 @@
 }
 
 func (s *Shard) readPage(out *Output) {
-	request := platform.Request{
-		Op: platform.OpList, Kind: platform.KindClaim, Name: prefix(s.cfg.Shard), After: s.take.cursor, Limit: pageSlots,
+	request := objectapi.Request{
+		Op: objectapi.OpList, Kind: objectapi.KindClaim, Name: prefix(s.cfg.Shard), After: s.take.cursor, Limit: pageSlots,
 	}
 	s.issue(stageRead, request, out)
 }
 
-func (s *Shard) pageRead(now time.Time, done platform.Done, out *Output) {
+func (s *Shard) pageRead(now time.Time, done objectapi.Done, out *Output) {
 	ended := done.Reply.Next == ""
 	for _, object := range done.Reply.Objects {
 		if object.Name >= s.take.last.Name {
@@ -138,7 +138,7 @@
 }
 
 // replay applies a final slot to the index.
-func (s *Shard) replay(now time.Time, object platform.Object, out *Output) bool {
+func (s *Shard) replay(now time.Time, object objectapi.Object, out *Output) bool {
 	slot, err := DecodeSlot(object.Value)
 	number, nameErr := slotNumber(s.cfg.Shard, object.Name)
 	if err != nil || nameErr != nil {
@@ -171,10 +171,10 @@
 	epoch := s.take.epoch + 1
 	value := Slot{Epoch: epoch, Owner: s.cfg.Incarnation}.encode()
 	s.tail = tail{number: number, epoch: epoch, value: value}
-	s.issue(stageCreate, platform.Create(platform.KindClaim, name(s.cfg.Shard, number), value), out)
+	s.issue(stageCreate, objectapi.Create(objectapi.KindClaim, name(s.cfg.Shard, number), value), out)
 }
 
-func (s *Shard) created(now time.Time, done platform.Done, out *Output) {
+func (s *Shard) created(now time.Time, done objectapi.Done, out *Output) {
 	object := done.Reply.Object
 	if done.Err == nil || bytes.Equal(object.Value, s.tail.value) {
 		s.tail.version = object.Version
@@ -191,7 +191,7 @@
 	s.seal(now, out)
 }
 
-func (s *Shard) verified(now time.Time, done platform.Done, out *Output) {
+func (s *Shard) verified(now time.Time, done objectapi.Done, out *Output) {
 	if done.Err != nil || len(done.Reply.Objects) > 0 {
 		s.stepDown(now, "a later slot exists", out)
 		return
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -5,7 +5,7 @@
 	"math/rand"
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/testutil"
 )
 
@@ -53,20 +53,20 @@
 	*Shard
 	w      *world
 	name   string
-	before func(now time.Time, d platform.Done) platform.Done
+	before func(now time.Time, d objectapi.Done) objectapi.Done
 	after  func(now time.Time, out *Output)
 }
 
-func (s *seat) Tick(now time.Time) []platform.Call { return s.collect(now, s.Shard.Tick(now)) }
+func (s *seat) Tick(now time.Time) []objectapi.Call { return s.collect(now, s.Shard.Tick(now)) }
 
-func (s *seat) Done(now time.Time, d platform.Done) []platform.Call {
+func (s *seat) Done(now time.Time, d objectapi.Done) []objectapi.Call {
 	if s.before != nil {
 		d = s.before(now, d)
 	}
 	return s.collect(now, s.Shard.Done(now, d))
 }
 
-func (s *seat) collect(now time.Time, out Output) []platform.Call {
+func (s *seat) collect(now time.Time, out Output) []objectapi.Call {
 	if s.after != nil {
 		s.after(now, &out)
 	}
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -8,7 +8,7 @@
 	"knapweedhoist/catalog"
 	"knapweedhoist/distribution"
 	"knapweedhoist/membership"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/wire"
 )
 
@@ -69,7 +69,7 @@
 // which the follower closes by fetching the document.
 func (c *configuration) relayed(now time.Time, from string, message *wire.ConfigRelay) []Effect {
 	relay := distribution.Relay{
-		Revision: message.GetRevision(), Version: platform.Version(message.GetVersion()), Sum: message.GetSum(),
+		Revision: message.GetRevision(), Version: objectapi.Version(message.GetVersion()), Sum: message.GetSum(),
 	}
 	for _, encoded := range message.GetChanges() {
 		var change catalog.Change
@@ -84,7 +84,7 @@
 
 func (c *configuration) fetched(now time.Time, fetched ConfigFetched) []Effect {
 	stored := distribution.Stored{
-		Revision: fetched.Document.GetRevision(), Version: platform.Version(fetched.Document.GetVersion()),
+		Revision: fetched.Document.GetRevision(), Version: objectapi.Version(fetched.Document.GetVersion()),
 		Value: fetched.Document.GetDocument(),
 	}
 	return c.followed(c.follower.Fetched(now, fetched.From, stored, fetched.Document != nil))
--- a/control/core.go
+++ b/control/core.go
@@ -7,7 +7,7 @@
 	"knapweedhoist/claim"
 	"knapweedhoist/lease"
 	"knapweedhoist/membership"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/wire"
 )
 
@@ -260,7 +260,7 @@
 	return c.keepers[duty].Permit(now, checksFence)
 }
 
-func calls(component Component, made []platform.Call) []Effect {
+func calls(component Component, made []objectapi.Call) []Effect {
 	effects := make([]Effect, 0, len(made))
 	for _, call := range made {
 		effects = append(effects, PlatformCall{Component: component, Call: call})
--- a/control/effect.go
+++ b/control/effect.go
@@ -7,7 +7,7 @@
 	"knapweedhoist/distribution"
 	"knapweedhoist/lease"
 	"knapweedhoist/membership"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/wire"
 )
 
@@ -19,7 +19,7 @@
 // PlatformCall is a call of the object API; its result returns as PlatformDone.
 type PlatformCall struct {
 	Component Component
-	Call      platform.Call
+	Call      objectapi.Call
 }
 
 // SendHeartbeat sends a datagram to peers.
--- a/control/event.go
+++ b/control/event.go
@@ -7,7 +7,7 @@
 	"knapweedhoist/distribution"
 	"knapweedhoist/engine"
 	"knapweedhoist/membership"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/timeline"
 	"knapweedhoist/wire"
 )
@@ -60,7 +60,7 @@
 // PlatformDone is the result of a PlatformCall; each needs exactly one.
 type PlatformDone struct {
 	Component Component
-	Done      platform.Done
+	Done      objectapi.Done
 }
 
 // ClaimAsked asks for the claim of a key at this instance's shard.
--- a/departure.go
+++ b/departure.go
@@ -8,7 +8,7 @@
 
 	"knapweedhoist/control"
 	"knapweedhoist/membership"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/timeline"
 	"knapweedhoist/wire"
 )
@@ -70,7 +70,7 @@
 		i.lg.Error("departure record cannot be encoded", "step", "departure", "error", err.Error())
 		return
 	}
-	write := platform.Request{Op: platform.OpPut, Kind: platform.KindDeparture, Name: i.incarnation, Value: value}
+	write := objectapi.Request{Op: objectapi.OpPut, Kind: objectapi.KindDeparture, Name: i.incarnation, Value: value}
 	for ctx.Err() == nil && i.home.Successor() == successor {
 		if _, err := i.store.Do(ctx, write); err == nil {
 			return
--- /dev/null
+++ b/deployment/errors.go
@@ -0,0 +1,6 @@
+package deployment
+
+import "errors"
+
+// ErrNoConfig: the instance has no configuration to give.
+var ErrNoConfig = errors.New("deployment: no configuration")
--- a/distribution/doc.go
+++ b/distribution/doc.go
@@ -10,10 +10,10 @@
 import (
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
-// ObjectName is the name of the document's object, of kind platform.KindConfig.
+// ObjectName is the name of the document's object, of kind objectapi.KindConfig.
 const ObjectName = "current"
 
 const (
@@ -37,7 +37,7 @@
 type Stored struct {
 	Revision uint64
 	// Version is the object's version.
-	Version platform.Version
+	Version objectapi.Version
 	// Value is the document as JSON.
 	Value []byte
 }
--- a/distribution/editor.go
+++ b/distribution/editor.go
@@ -7,7 +7,7 @@
 
 	"knapweedhoist/catalog"
 	"knapweedhoist/invariant"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/timeline"
 )
 
@@ -31,10 +31,10 @@
 type editing struct {
 	Edit
 	callID  uint64
-	op      platform.Op
+	op      objectapi.Op
 	retryAt time.Time
 	// version is that of the document the last write applies to; next is what it writes.
-	version platform.Version
+	version objectapi.Version
 	next    *catalog.Document
 	value   []byte
 	// unresolved: a write at version was sent and its outcome is not known.
@@ -70,13 +70,13 @@
 
 // Done accepts the result of a call. Each Call needs exactly one Done; a call that was abandoned ends with
 // ErrUnavailable.
-func (e *Editor) Done(now time.Time, done platform.Done) EditorOutput {
+func (e *Editor) Done(now time.Time, done objectapi.Done) EditorOutput {
 	var out EditorOutput
 	if e.current == nil || e.current.callID == 0 || e.current.callID != done.ID {
 		return out
 	}
 	e.current.callID = 0
-	if e.current.op == platform.OpGet {
+	if e.current.op == objectapi.OpGet {
 		e.gotDocument(now, done, &out)
 	} else {
 		e.written(now, done, &out)
@@ -98,7 +98,7 @@
 		}
 	}
 	if e.current != nil && e.current.callID == 0 && !now.Before(e.current.retryAt) {
-		e.send(platform.Get(platform.KindConfig, ObjectName), out)
+		e.send(objectapi.Get(objectapi.KindConfig, ObjectName), out)
 	}
 }
 
@@ -109,30 +109,30 @@
 	return Unavailable
 }
 
-func (e *Editor) send(request platform.Request, out *EditorOutput) {
+func (e *Editor) send(request objectapi.Request, out *EditorOutput) {
 	e.nextID++
 	e.current.callID, e.current.op = e.nextID, request.Op
-	out.Calls = append(out.Calls, platform.Call{ID: e.nextID, Request: request})
+	out.Calls = append(out.Calls, objectapi.Call{ID: e.nextID, Request: request})
 }
 
-func (e *Editor) gotDocument(now time.Time, done platform.Done, out *EditorOutput) {
+func (e *Editor) gotDocument(now time.Time, done objectapi.Done, out *EditorOutput) {
 	switch {
 	case done.Err == nil:
 		e.consider(now, done.Reply.Object, out)
-	case errors.Is(done.Err, platform.ErrNotFound):
+	case errors.Is(done.Err, objectapi.ErrNotFound):
 		e.apply(now, catalog.Initial(), 0, out)
 	default:
 		e.current.retryAt = now.Add(retryAfter)
 	}
 }
 
-func (e *Editor) written(now time.Time, done platform.Done, out *EditorOutput) {
+func (e *Editor) written(now time.Time, done objectapi.Done, out *EditorOutput) {
 	switch {
 	case done.Err == nil:
 		e.accept(done.Reply.Object.Version, out)
-	case errors.Is(done.Err, platform.ErrConflict) && done.Reply.Object.Version != 0:
+	case errors.Is(done.Err, objectapi.ErrConflict) && done.Reply.Object.Version != 0:
 		e.consider(now, done.Reply.Object, out)
-	case errors.Is(done.Err, platform.ErrInvalid):
+	case errors.Is(done.Err, objectapi.ErrInvalid):
 		e.end(out, Result{Outcome: Invalid, Err: done.Err})
 	default:
 		// After ErrUnavailable the document is read back before anything else is done.
@@ -141,7 +141,7 @@
 }
 
 // consider decides on the edit with the document as the platform has it now.
-func (e *Editor) consider(now time.Time, object platform.Object, out *EditorOutput) {
+func (e *Editor) consider(now time.Time, object objectapi.Object, out *EditorOutput) {
 	document, err := catalog.Decode(object.Value)
 	if err != nil {
 		e.end(out, Result{Outcome: e.outcomeAtDeadline(), Err: err})
@@ -150,7 +150,7 @@
 	e.apply(now, document, object.Version, out)
 }
 
-func (e *Editor) apply(now time.Time, document *catalog.Document, version platform.Version, out *EditorOutput) {
+func (e *Editor) apply(now time.Time, document *catalog.Document, version objectapi.Version, out *EditorOutput) {
 	c := e.current
 	if change := findOperation(document, c.OperationID); change != nil {
 		e.recognise(change, out)
@@ -197,17 +197,17 @@
 	return next, value, err
 }
 
-func (e *Editor) write(next *catalog.Document, value []byte, version platform.Version, out *EditorOutput) {
+func (e *Editor) write(next *catalog.Document, value []byte, version objectapi.Version, out *EditorOutput) {
 	c := e.current
 	c.next, c.value, c.version, c.unresolved = next, value, version, true
-	request := platform.Create(platform.KindConfig, ObjectName, value)
+	request := objectapi.Create(objectapi.KindConfig, ObjectName, value)
 	if version != 0 {
-		request = platform.Update(platform.KindConfig, ObjectName, version, value)
+		request = objectapi.Update(objectapi.KindConfig, ObjectName, version, value)
 	}
 	e.send(request, out)
 }
 
-func (e *Editor) accept(version platform.Version, out *EditorOutput) {
+func (e *Editor) accept(version objectapi.Version, out *EditorOutput) {
 	c := e.current
 	out.Stored = &Stored{Revision: c.next.Revision, Version: version, Value: c.value}
 	e.lg.Info("change accepted", "revision", c.next.Revision, "kind", c.Kind, "name", c.Name)
--- a/distribution/editor_output.go
+++ b/distribution/editor_output.go
@@ -1,10 +1,10 @@
 package distribution
 
-import "knapweedhoist/platform"
+import "knapweedhoist/objectapi"
 
 // EditorOutput is what a step of the Editor wants done.
 type EditorOutput struct {
-	Calls   []platform.Call
+	Calls   []objectapi.Call
 	Results []Result
 	// Stored is the document that this instance stored; it goes to Follower.Stored.
 	Stored *Stored
--- a/distribution/follower.go
+++ b/distribution/follower.go
@@ -10,7 +10,7 @@
 
 	"knapweedhoist/catalog"
 	"knapweedhoist/invariant"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/timeline"
 )
 
@@ -31,7 +31,7 @@
 	// document is the one in force; version is its object's version when known, sum that of its encoding.
 	document  *catalog.Document
 	snapshot  *catalog.Snapshot
-	version   platform.Version
+	version   objectapi.Version
 	sum       uint64
 	value     []byte
 	appliedAt time.Time
@@ -43,10 +43,10 @@
 
 	nextID   uint64
 	callID   uint64
-	op       platform.Op
+	op       objectapi.Op
 	nextCall time.Time
 	// from is where the next watch continues; 0 means that the document is read first.
-	from platform.Version
+	from objectapi.Version
 
 	news    news
 	failing bool
@@ -120,7 +120,7 @@
 
 // Done accepts the result of a call. Each Call needs exactly one Done; a watch that was abandoned after 35 s ends with
 // ErrUnavailable.
-func (f *Follower) Done(now time.Time, done platform.Done) FollowerOutput {
+func (f *Follower) Done(now time.Time, done objectapi.Done) FollowerOutput {
 	var out FollowerOutput
 	if f.callID == 0 || f.callID != done.ID {
 		return out
@@ -128,14 +128,14 @@
 	f.callID = 0
 	f.noteContact(now, done.Err)
 	switch {
-	case errors.Is(done.Err, platform.ErrCompacted):
+	case errors.Is(done.Err, objectapi.ErrCompacted):
 		f.from, f.nextCall = 0, now
-	case errors.Is(done.Err, platform.ErrNotFound):
+	case errors.Is(done.Err, objectapi.ErrNotFound):
 		f.from = done.Reply.Version
 		f.pause(now, f.watching && f.from != 0)
 	case done.Err != nil:
 		f.pause(now, false)
-	case f.op == platform.OpGet:
+	case f.op == objectapi.OpGet:
 		f.offer(now, "platform", done.Reply.Object.Value, done.Reply.Object.Version, &out)
 		f.from = max(done.Reply.Version, done.Reply.Object.Version)
 		f.pause(now, f.watching)
@@ -220,7 +220,7 @@
 }
 
 // offer applies a whole document when it is newer than the one in force, and relays it.
-func (f *Follower) offer(now time.Time, from string, value []byte, version platform.Version, out *FollowerOutput) {
+func (f *Follower) offer(now time.Time, from string, value []byte, version objectapi.Version, out *FollowerOutput) {
 	document, err := catalog.Decode(value)
 	if err != nil {
 		f.refuse(from, err)
@@ -240,7 +240,7 @@
 
 // adopt puts a newer document in force.
 func (f *Follower) adopt(
-	now time.Time, from string, document *catalog.Document, value []byte, version platform.Version, relay bool, out *FollowerOutput,
+	now time.Time, from string, document *catalog.Document, value []byte, version objectapi.Version, relay bool, out *FollowerOutput,
 ) {
 	snapshot, err := catalog.NewSnapshot(document)
 	if err != nil {
@@ -282,7 +282,7 @@
 	f.lg.Error("configuration refused; the revision in force stays", "peer", from, "error", err)
 }
 
-func (f *Follower) watched(now time.Time, reply platform.Reply, out *FollowerOutput) {
+func (f *Follower) watched(now time.Time, reply objectapi.Reply, out *FollowerOutput) {
 	for _, event := range reply.Events {
 		f.from = max(f.from, event.Object.Version)
 		if event.Object.Name != ObjectName || event.Deleted {
@@ -295,7 +295,7 @@
 }
 
 func (f *Follower) noteContact(now time.Time, err error) {
-	unanswered := errors.Is(err, platform.ErrUnavailable)
+	unanswered := errors.Is(err, objectapi.ErrUnavailable)
 	if unanswered && !f.failing {
 		f.lg.Warn("platform does not answer; the revision in force stays", "since", f.contact, "revision", f.Revision())
 		f.cfg.Recorder.Record(timeline.Event{Kind: timeline.KindPlatformDown, Revision: f.Revision(), Step: "configuration"})
@@ -324,13 +324,13 @@
 	if f.callID != 0 || now.Before(f.nextCall) {
 		return
 	}
-	request := platform.Get(platform.KindConfig, ObjectName)
+	request := objectapi.Get(objectapi.KindConfig, ObjectName)
 	if f.watching && f.from != 0 {
-		request = platform.Request{Op: platform.OpWatch, Kind: platform.KindConfig, Name: ObjectName, From: f.from, Wait: watchWait}
+		request = objectapi.Request{Op: objectapi.OpWatch, Kind: objectapi.KindConfig, Name: ObjectName, From: f.from, Wait: watchWait}
 	}
 	f.nextID++
 	f.callID, f.op = f.nextID, request.Op
-	out.Calls = append(out.Calls, platform.Call{ID: f.nextID, Request: request})
+	out.Calls = append(out.Calls, objectapi.Call{ID: f.nextID, Request: request})
 }
 
 func (f *Follower) fetch(now time.Time, out *FollowerOutput) {
--- a/distribution/follower_output.go
+++ b/distribution/follower_output.go
@@ -2,12 +2,12 @@
 
 import (
 	"knapweedhoist/catalog"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // FollowerOutput is what a step of the Follower wants done.
 type FollowerOutput struct {
-	Calls []platform.Call
+	Calls []objectapi.Call
 	// Applied is the snapshot to publish, when the revision in force changed.
 	Applied *catalog.Snapshot
 	Relays  []Relay
--- a/distribution/follower_test.go
+++ b/distribution/follower_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"knapweedhoist/catalog"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 func hexOf(hash catalog.KeyHash) string { return hex.EncodeToString(hash[:]) }
@@ -26,7 +26,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		value, err := next.Encode()
 		Expect(err).NotTo(HaveOccurred())
-		all = append(all, Stored{Revision: next.Revision, Version: platform.Version(10 * next.Revision), Value: value})
+		all = append(all, Stored{Revision: next.Revision, Version: objectapi.Version(10 * next.Revision), Value: value})
 		document = next
 	}
 	return all
@@ -37,20 +37,20 @@
 	follower := func() *Follower {
 		return NewFollower(discardLog, FollowerConfig{Rand: rand.New(rand.NewSource(1))})
 	}
-	object := func(s Stored) platform.Object {
-		return platform.Object{Kind: platform.KindConfig, Name: ObjectName, Version: s.Version, Value: s.Value}
+	object := func(s Stored) objectapi.Object {
+		return objectapi.Object{Kind: objectapi.KindConfig, Name: ObjectName, Version: s.Version, Value: s.Value}
 	}
 
 	It("guards against a watcher that misses changes after a compaction", func() {
 		all := revisions(3)
 		w := follower()
 		get := w.SetView(now, true, []string{"b", "c"}).Calls[0]
-		out := w.Done(now, platform.Done{ID: get.ID, Reply: platform.Reply{Object: object(all[0]), Version: 15}})
+		out := w.Done(now, objectapi.Done{ID: get.ID, Reply: objectapi.Reply{Object: object(all[0]), Version: 15}})
 		Expect(out.Applied.Revision()).To(Equal(uint64(1)))
-		Expect(out.Calls[0].Request.From).To(Equal(platform.Version(15)))
-		out = w.Done(now, platform.Done{ID: out.Calls[0].ID, Err: platform.ErrCompacted})
-		Expect(out.Calls[0].Request.Op).To(Equal(platform.OpGet))
-		out = w.Done(now, platform.Done{ID: out.Calls[0].ID, Reply: platform.Reply{Object: object(all[2]), Version: 40}})
+		Expect(out.Calls[0].Request.From).To(Equal(objectapi.Version(15)))
+		out = w.Done(now, objectapi.Done{ID: out.Calls[0].ID, Err: objectapi.ErrCompacted})
+		Expect(out.Calls[0].Request.Op).To(Equal(objectapi.OpGet))
+		out = w.Done(now, objectapi.Done{ID: out.Calls[0].ID, Reply: objectapi.Reply{Object: object(all[2]), Version: 40}})
 		Expect(out.Relays).To(HaveLen(2))
 		Expect(out.Relays[0].Changes).To(HaveLen(2))
 
@@ -78,10 +78,10 @@
 		all := revisions(2)
 		f := follower()
 		get := f.Tick(now).Calls[0]
-		f.Done(now, platform.Done{ID: get.ID, Reply: platform.Reply{Object: object(all[1])}})
+		f.Done(now, objectapi.Done{ID: get.ID, Reply: objectapi.Reply{Object: object(all[1])}})
 		later := now.Add(time.Hour)
 		get = f.Tick(later).Calls[0]
-		f.Done(later, platform.Done{ID: get.ID, Err: platform.ErrUnavailable})
+		f.Done(later, objectapi.Done{ID: get.ID, Err: objectapi.ErrUnavailable})
 		Expect(f.Status()).To(And(HaveField("CutOff", true), HaveField("Since", now), HaveField("Revision", uint64(2))))
 		Expect(f.Stored(later, all[0]).Applied).To(BeNil())
 		Expect(f.Snapshot().Revision()).To(Equal(uint64(2)))
--- a/distribution/random_test.go
+++ b/distribution/random_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"knapweedhoist/catalog"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/testutil"
 )
 
@@ -110,15 +110,15 @@
 		},
 		"write without condition": func(s *seat) { s.strip = true },
 		"unknown outcome taken as failure": func(s *seat) {
-			s.beforeEdit = func(s *seat, d *platform.Done) {
+			s.beforeEdit = func(s *seat, d *objectapi.Done) {
 				c := s.editor.current
-				if c != nil && c.callID == d.ID && c.op == platform.OpPut && errors.Is(d.Err, platform.ErrUnavailable) {
+				if c != nil && c.callID == d.ID && c.op == objectapi.OpPut && errors.Is(d.Err, objectapi.ErrUnavailable) {
 					c.Deadline, c.unresolved = time.Time{}, false
 				}
 			}
 		},
 		"operation id not recognised": func(s *seat) {
-			s.beforeEdit = func(s *seat, d *platform.Done) {
+			s.beforeEdit = func(s *seat, d *objectapi.Done) {
 				document, err := catalog.Decode(d.Reply.Object.Value)
 				if err != nil || s.editor.current == nil {
 					return
--- a/distribution/relay.go
+++ b/distribution/relay.go
@@ -2,7 +2,7 @@
 
 import (
 	"knapweedhoist/catalog"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // Relay brings a new revision to a peer as the changes that lead to it. A whole document would exceed a watcher's
@@ -11,7 +11,7 @@
 	// To is the peer.
 	To       string
 	Revision uint64
-	Version  platform.Version
+	Version  objectapi.Version
 	// Sum is the xxh3 of the encoded document at Revision.
 	Sum uint64
 	// Changes end at Revision, without a gap.
--- a/distribution/world_test.go
+++ b/distribution/world_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"knapweedhoist/catalog"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/rendezvous"
 	"knapweedhoist/testutil"
 )
@@ -23,7 +23,7 @@
 	follower   *Follower
 	editor     *Editor
 	before     func(*seat)
-	beforeEdit func(*seat, *platform.Done)
+	beforeEdit func(*seat, *objectapi.Done)
 	strip      bool
 	others     []string
 	nextBeat   time.Time
@@ -47,7 +47,7 @@
 	results  map[Outcome]int
 	stored   map[string]uint64
 	last     uint64
-	version  platform.Version
+	version  objectapi.Version
 	resubmit []Edit
 	steps    int
 	relays   int
@@ -87,13 +87,13 @@
 	w.Add(s.name, s)
 }
 
-func (s *seat) Tick(now time.Time) []platform.Call {
+func (s *seat) Tick(now time.Time) []objectapi.Call {
 	peers := s.peers()
 	view := s.follower.SetView(now, s.watcher, peers)
 	return append(s.follow(view), s.edited(now, s.editor.Tick(now))...)
 }
 
-func (s *seat) Done(now time.Time, d platform.Done) []platform.Call {
+func (s *seat) Done(now time.Time, d objectapi.Done) []objectapi.Call {
 	if d.ID%2 == 0 {
 		d.ID /= 2
 		s.prepare()
@@ -127,7 +127,7 @@
 	return s.others
 }
 
-func (s *seat) follow(out FollowerOutput) []platform.Call {
+func (s *seat) follow(out FollowerOutput) []objectapi.Call {
 	w := s.w
 	for _, relay := range out.Relays {
 		w.relays++
@@ -154,14 +154,14 @@
 	return out.Calls
 }
 
-func (s *seat) edited(now time.Time, out EditorOutput) []platform.Call {
+func (s *seat) edited(now time.Time, out EditorOutput) []objectapi.Call {
 	for _, result := range out.Results {
 		s.w.result(result)
 	}
 	for i := range out.Calls {
 		out.Calls[i].ID = 2*out.Calls[i].ID + 1
 		if s.strip {
-			out.Calls[i].Request.Condition = platform.Condition{}
+			out.Calls[i].Request.Condition = objectapi.Condition{}
 		}
 	}
 	calls := out.Calls
@@ -306,7 +306,7 @@
 
 // checkStored follows the stored document through its changes.
 func (w *world) checkStored() {
-	object, ok := w.Store.Object(platform.KindConfig, ObjectName)
+	object, ok := w.Store.Object(objectapi.KindConfig, ObjectName)
 	if !ok || object.Version == w.version {
 		return
 	}
--- /dev/null
+++ b/entry/duties.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"knapweedhoist/clock"
+	"knapweedhoist/duty"
+)
+
+// Names of duties in the settings.
+const (
+	dutyUsage  = "usage_report"
+	dutyOrders = "autoscale"
+)
+
+// candidates is the number of instances that contend for the duties, so that
+// the reads of the lease do not grow with the deployment.
+const candidates = 2
+
+func (i *Instance) startDuties(ctx context.Context) {
+	if i.adapter.Cloud == nil || len(i.settings.Duties) == 0 {
+		return
+	}
+	i.duties = duty.NewRunner(i.lg, duty.Config{
+		Instance: i.settings.Instance, Incarnation: strconv.FormatUint(i.source.Boot, 36),
+		Reports:    slices.Contains(i.settings.Duties, dutyUsage),
+		Orders:     slices.Contains(i.settings.Duties, dutyOrders),
+		UsageDelay: seconds(i.settings.Usage.Delay), ChecksFence: i.settings.ChecksFence,
+	}, duty.Deps{
+		Store: i.adapter.Store, Cloud: i.adapter.Cloud, Ledger: i.ledger, Wall: i.wallNow,
+		Candidate: i.candidate, Sizes: func(time.Time) []duty.Size { return nil },
+	})
+	go i.duties.Run(ctx)
+}
+
+func (i *Instance) candidate() bool {
+	members := len(i.directory.Members())
+	return i.ready() && i.directory.Rank(clock.Now(), silence(members)) < candidates
+}
--- /dev/null
+++ b/entry/instance.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/samber/oops"
+
+	"knapweedhoist/clock"
+	"knapweedhoist/deployment"
+	"knapweedhoist/dispatch"
+	"knapweedhoist/duty"
+	"knapweedhoist/forward"
+	"knapweedhoist/gossip"
+	"knapweedhoist/objectapi"
+	"knapweedhoist/objectwatch"
+	"knapweedhoist/retrybudget"
+	"knapweedhoist/teamlimit"
+	"knapweedhoist/upstream"
+	"knapweedhoist/usage"
+	"knapweedhoist/walltime"
+)
+
+// Instance is one entry instance on a platform.
+type Instance struct {
+	lg       *slog.Logger
+	settings Settings
+	adapter  Adapter
+	source   usage.Source
+
+	state     *deployment.State
+	table     *dispatch.Table
+	limiter   *teamlimit.Limiter
+	budget    *retrybudget.Budget
+	pool      *upstream.Pool
+	ledger    *usage.Ledger
+	wall      *walltime.Estimator
+	directory *gossip.Directory
+	config    *configSink
+	front     *forward.Server
+	duties    *duty.Runner
+	registry  metrics.Registry
+
+	socket   *gossip.Socket
+	sequence uint64
+	// joined is set when the other instances were read from the store.
+	joined   atomic.Bool
+	relaying relaying
+	leaving  atomic.Bool
+	stop     chan struct{}
+}
+
+// New returns an Instance that listens on nothing yet.
+func New(lg *slog.Logger, settings Settings, adapter Adapter) *Instance {
+	now := clock.Now()
+	i := &Instance{
+		lg: lg.With("instance", settings.Instance), settings: settings, adapter: adapter,
+		source:    usage.Source{Instance: settings.Instance, Boot: rand.Uint64() | 1},
+		state:     deployment.NewState(),
+		table:     dispatch.NewTable(dispatch.Config{DataCentre: settings.DataCentre}),
+		limiter:   teamlimit.NewLimiter(now, settings.NewDeployment, 0),
+		pool:      upstream.NewPool(upstream.Config{}),
+		wall:      walltime.NewEstimator(settings.Instance),
+		directory: gossip.NewDirectory(settings.Instance),
+		registry:  metrics.NewRegistry(),
+		stop:      make(chan struct{}, 1),
+	}
+	i.budget = retrybudget.NewBudget(now, retrybudget.Config{
+		Ratio: settings.Retries.Ratio, Slack: settings.Retries.Slack, Window: seconds(settings.Retries.Window),
+	})
+	i.ledger = usage.NewLedger(seconds(settings.Usage.Window), i.source)
+	i.config = &configSink{lg: i.lg, adapter: adapter, state: i.state, changed: func(c *deployment.Config) {
+		i.limiter.SetTeams(clock.Now(), c.Teams)
+	}}
+	i.front = forward.NewServer(forward.Config{}, forward.Deps{
+		Log: i.lg, Dialect: adapter.Dialect, State: i.state, Table: i.table, Limiter: i.limiter, Budget: i.budget,
+		Pool: i.pool, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Random: rand.Float64,
+		Began: func(team string) { i.ledger.Begin(i.wallNow(), team) },
+	})
+	return i
+}
+
+func (i *Instance) wallNow() time.Time { return i.wall.Wall(clock.Now(), time.Now().Round(0)) }
+
+// Stop starts a planned stop; Run returns when it is done.
+func (i *Instance) Stop() {
+	select {
+	case i.stop <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until Stop or the end of ctx.
+func (i *Instance) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	callers, err := net.Listen("tcp4", i.settings.Listen.Callers)
+	if err != nil {
+		return oops.With("step", "listen for callers").Wrap(err)
+	}
+	if i.socket, err = gossip.Listen(i.lg, i.settings.Listen.Peers); err != nil {
+		return err
+	}
+	if err := i.serveInternal(); err != nil {
+		return err
+	}
+	i.lg.Info("instance started", "callers", i.settings.Listen.Callers, "data_centre", i.settings.DataCentre,
+		"boot", i.source.Boot, "new_deployment", i.settings.NewDeployment)
+	go i.socket.Receive(i.observe)
+	i.watch(ctx)
+	go i.keepJoined(ctx)
+	go i.control(ctx)
+	i.startDuties(ctx)
+	served := make(chan error, 1)
+	go func() { served <- i.front.Serve(callers) }()
+	select {
+	case err := <-served:
+		return oops.With("step", "serve callers").Wrap(err)
+	case <-ctx.Done():
+	case <-i.stop:
+		i.drain(ctx)
+	}
+	return i.socket.Close()
+}
+
+func (i *Instance) watch(ctx context.Context) {
+	endpoints := &endpointSink{lg: i.lg, adapter: i.adapter, state: i.state, missing: make(map[string]time.Time)}
+	for kind, sink := range map[objectapi.Kind]objectwatch.Sink{
+		objectapi.KindDeployment: i.config, objectapi.KindEndpoint: endpoints,
+	} {
+		go objectwatch.NewWatcher(i.lg, objectwatch.Config{Kind: kind}, i.adapter.Store, sink).Run(ctx)
+	}
+}
+
+// ready reports whether the instance takes new connections.
+func (i *Instance) ready() bool {
+	view := i.state.View()
+	return view.Config != nil && view.Listed && i.joined.Load() && !i.leaving.Load()
+}
--- /dev/null
+++ b/entry/internal_http.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+)
+
+// serveInternal answers the platform's question for readiness, other instances and the reader of metrics.
+func (i *Instance) serveInternal() error {
+	if err := i.serveOn(i.settings.Listen.Ready, "ready", i.handleReady); err != nil {
+		return err
+	}
+	if err := i.serveOn(i.settings.Listen.Peers, "peers", i.handlePeer); err != nil {
+		return err
+	}
+	if i.settings.Listen.Metrics == "" {
+		return nil
+	}
+	return i.serveOn(i.settings.Listen.Metrics, "metrics", i.handleMetrics)
+}
+
+func (i *Instance) serveOn(address, purpose string, handler fasthttp.RequestHandler) error {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return oops.With("step", "listen", "purpose", purpose).Wrap(err)
+	}
+	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true}
+	go func() {
+		if err := server.Serve(ln); err != nil {
+			i.lg.Error("listener ended", "purpose", purpose, "error", err.Error())
+		}
+	}()
+	return nil
+}
+
+func (i *Instance) handleReady(ctx *fasthttp.RequestCtx) {
+	if !i.ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+func (i *Instance) handlePeer(ctx *fasthttp.RequestCtx) {
+	value := i.config.raw.Load()
+	if string(ctx.Path()) != configPath || value == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	ctx.Response.SetBodyRaw(*value)
+}
+
+// handleMetrics writes the metrics in the Prometheus text format.
+func (i *Instance) handleMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; version=0.0.4")
+	i.registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			fmt.Fprintf(ctx, "hoist_%s %d\n", name, m.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(ctx, "hoist_%s %d\n", name, m.Value())
+		case metrics.Histogram:
+			for _, q := range []float64{0.5, 0.9, 0.99} {
+				fmt.Fprintf(ctx, "hoist_%s{quantile=\"%g\"} %g\n", name, q, m.Percentile(q))
+			}
+			fmt.Fprintf(ctx, "hoist_%s_sum %d\nhoist_%s_count %d\n", name, m.Sum(), name, m.Count())
+		}
+	})
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,106 @@
+// Package entry runs one entry instance on a users' platform: it joins the front
+// door, the copies of configuration and endpoints, the exchange with the other
+// instances and the duties. It wires and decides nothing.
+package entry
+
+import (
+	"bytes"
+	"os"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/samber/oops"
+	"go.yaml.in/yaml/v3"
+)
+
+// Settings configure one entry instance on a platform. Unknown keys are refused.
+type Settings struct {
+	// Instance is the instance's name, unique in the deployment. Required.
+	Instance string `yaml:"instance" validate:"required"`
+	// DataCentre is the data centre in which the instance runs. Required.
+	DataCentre string `yaml:"data_centre" validate:"required"`
+	// NewDeployment tells that all instances start for the first time.
+	NewDeployment bool `yaml:"new_deployment"`
+	// Listen are the addresses of the process.
+	Listen Listen `yaml:"listen"`
+	// Store is the IP address and port of the platform's object store. Required.
+	Store string `yaml:"store" validate:"required,hostname_port"`
+	// Cloud is the IP address and port of the cloud's API; "" where there are no duties.
+	Cloud string `yaml:"cloud" validate:"omitempty,hostname_port"`
+	// Duties are the duties in force: "usage_report", "autoscale".
+	Duties []string `yaml:"duties"`
+	// ChecksFence tells that the cloud refuses orders of former holders.
+	ChecksFence bool `yaml:"checks_fence"`
+	// MemoryMB is the memory of the process in MiB; 0 sets no limit.
+	MemoryMB int `yaml:"memory_mb" validate:"gte=0"`
+	// ProcessorShare is the share of a core that the process has. Default 1.
+	ProcessorShare float64 `yaml:"processor_share" validate:"gte=0"`
+	// StopGrace is the time from SIGTERM to the end in seconds. Default 8.
+	StopGrace float64 `yaml:"stop_grace_s" validate:"gte=0"`
+	// Retries bounds the sends beyond the first of each request.
+	Retries Retries `yaml:"retries"`
+	// Usage bounds the reports of usage.
+	Usage Usage `yaml:"usage"`
+}
+
+// Listen are the addresses of an entry instance, as IP:PORT.
+type Listen struct {
+	// Callers is where callers send requests. Required.
+	Callers string `yaml:"callers" validate:"required,hostname_port"`
+	// Ready answers with 200 while the instance takes new connections. Required.
+	Ready string `yaml:"ready" validate:"required,hostname_port"`
+	// Peers is where other entry instances reach this one, over UDP and TCP. Required.
+	Peers string `yaml:"peers" validate:"required,hostname_port"`
+	// Metrics serves counters and histograms as text; "" serves none.
+	Metrics string `yaml:"metrics" validate:"omitempty,hostname_port"`
+}
+
+// Retries bounds the sends beyond the first of each request, over all instances.
+type Retries struct {
+	// Ratio is the extra sends per request of a service. Default 0.2.
+	Ratio float64 `yaml:"ratio" validate:"gte=0"`
+	// Slack is the extra sends of a service in a window beside the ratio. Default 10.
+	Slack float64 `yaml:"slack" validate:"gte=0"`
+	// Window is the length of the sliding window in seconds. Default 10.
+	Window float64 `yaml:"window_s" validate:"gt=0"`
+}
+
+// Usage bounds the reports of usage.
+type Usage struct {
+	// Window is the length of a window in seconds. Default 5.
+	Window float64 `yaml:"window_s" validate:"gt=0"`
+	// Delay is when a report is due after the end of its window, in seconds. Default 10.
+	Delay float64 `yaml:"delay_s" validate:"gt=0"`
+}
+
+// DefaultSettings returns settings with every optional field at its default.
+func DefaultSettings() Settings {
+	return Settings{
+		ProcessorShare: 1, StopGrace: 8,
+		Retries: Retries{Ratio: 0.2, Slack: 10, Window: 10},
+		Usage:   Usage{Window: 5, Delay: 10},
+	}
+}
+
+// LoadSettings reads a YAML file.
+func LoadSettings(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, oops.With("step", "read settings").Wrap(err)
+	}
+	settings, err := ParseSettings(content)
+	return settings, oops.With("step", "read settings", "file", path).Wrap(err)
+}
+
+// ParseSettings reads settings from YAML.
+func ParseSettings(content []byte) (Settings, error) {
+	settings := DefaultSettings()
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&settings); err != nil {
+		return Settings{}, err
+	}
+	return settings, validator.New(validator.WithRequiredStructEnabled()).Struct(settings)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/forward/config.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"log/slog"
+	"time"
+
+	"knapweedhoist/deployment"
+	"knapweedhoist/dispatch"
+	"knapweedhoist/retrybudget"
+	"knapweedhoist/teamlimit"
+	"knapweedhoist/upstream"
+)
+
+// Config has the times and sizes of a Server. The zero value stands for the defaults.
+type Config struct {
+	// Freshness is how recently the configuration must have been confirmed
+	// before a caller is told that a route or key does not exist. Default 2.5 s:
+	// the wait of one watch and its answer.
+	Freshness time.Duration
+	// MaxBodyBytes bounds a request's body before a configuration is known. Default 4 MiB.
+	MaxBodyBytes int
+	// ReadTimeout bounds the reading of one request. Default 10 s.
+	ReadTimeout time.Duration
+	// IdleTimeout is how long a caller's connection may stay idle. Default 2 min; callers leave earlier by themselves.
+	IdleTimeout time.Duration
+	// WriteTimeout bounds a write to a caller that does not read. Default 20 s.
+	WriteTimeout time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Freshness, 2500*time.Millisecond)
+	setDefault(&c.ReadTimeout, 10*time.Second)
+	setDefault(&c.IdleTimeout, 2*time.Minute)
+	setDefault(&c.WriteTimeout, 20*time.Second)
+	if c.MaxBodyBytes <= 0 {
+		c.MaxBodyBytes = 4 << 20
+	}
+	return c
+}
+
+func setDefault(value *time.Duration, def time.Duration) {
+	if *value <= 0 {
+		*value = def
+	}
+}
+
+// Deps are the parts that a Server uses. All are safe for concurrent use.
+type Deps struct {
+	Log     *slog.Logger
+	Dialect Dialect
+	State   *deployment.State
+	Table   *dispatch.Table
+	Limiter *teamlimit.Limiter
+	Budget  *retrybudget.Budget
+	Pool    *upstream.Pool
+	Metrics *Metrics
+	// Began is called when a request of the team began to run.
+	Began func(team string)
+	// Now returns the time of the clock that limits are kept by.
+	Now func() time.Time
+	// Random returns a number in [0, 1).
+	Random func() float64
+}
--- /dev/null
+++ b/gossip/report.go
@@ -0,0 +1,82 @@
+// Package gossip exchanges reports between entry instances as datagrams: each
+// instance tells all others of its use of the teams' limits, its work at the
+// endpoints, its clock and its counts. A lost report is made good by the next
+// one, since all figures are totals.
+package gossip
+
+import (
+	"time"
+
+	"knapweedhoist/dispatch"
+	"knapweedhoist/teamlimit"
+	"knapweedhoist/usage"
+	"knapweedhoist/wire"
+)
+
+// Report is what one instance tells of itself.
+type Report struct {
+	Source  usage.Source
+	Address string
+	// DataCentre is the sender's.
+	DataCentre    string
+	Sequence      uint64
+	Wall          time.Time
+	ConfigVersion int64
+	// ConfigAge is the time since the sender last knew that its configuration is the newest.
+	ConfigAge time.Duration
+	// Leaving instances take no new work and give up their duties.
+	Leaving bool
+	Uses    []teamlimit.Use
+	Works   []dispatch.Work
+	Windows map[int64]usage.Counts
+}
+
+func (r Report) message() *wire.InstanceReport {
+	message := &wire.InstanceReport{
+		Instance: r.Source.Instance, Boot: r.Source.Boot, Address: r.Address, DataCentre: r.DataCentre,
+		Sequence: r.Sequence, WallNanos: r.Wall.UnixNano(), ConfigVersion: r.ConfigVersion, Leaving: r.Leaving,
+		ConfigAgeMs: r.ConfigAge.Milliseconds(),
+	}
+	for _, use := range r.Uses {
+		message.Uses = append(message.Uses, &wire.ReportedUse{Team: use.Team, Total: use.Total, Level: use.Level})
+	}
+	for _, work := range r.Works {
+		message.Works = append(message.Works, &wire.ReportedWork{
+			Endpoint: work.Endpoint, Running: int32(work.Running), Pending: int32(work.Pending),
+		})
+	}
+	for window, counts := range r.Windows {
+		reported := &wire.ReportedWindow{Window: window, Counts: make(map[string]int32, len(counts))}
+		for team, n := range counts {
+			reported.Counts[team] = int32(n)
+		}
+		message.Windows = append(message.Windows, reported)
+	}
+	return message
+}
+
+func reportOf(message *wire.InstanceReport) Report {
+	r := Report{
+		Source:  usage.Source{Instance: message.Instance, Boot: message.Boot},
+		Address: message.Address, DataCentre: message.DataCentre, Sequence: message.Sequence,
+		Wall: time.Unix(0, message.WallNanos), ConfigVersion: message.ConfigVersion, Leaving: message.Leaving,
+		ConfigAge: time.Duration(message.ConfigAgeMs) * time.Millisecond,
+		Windows:   make(map[int64]usage.Counts, len(message.Windows)),
+	}
+	for _, use := range message.Uses {
+		r.Uses = append(r.Uses, teamlimit.Use{Team: use.Team, Total: use.Total, Level: use.Level})
+	}
+	for _, work := range message.Works {
+		r.Works = append(r.Works, dispatch.Work{
+			Endpoint: work.Endpoint, Running: int(work.Running), Pending: int(work.Pending),
+		})
+	}
+	for _, window := range message.Windows {
+		counts := make(usage.Counts, len(window.Counts))
+		for team, n := range window.Counts {
+			counts[team] = int(n)
+		}
+		r.Windows[window.Window] = counts
+	}
+	return r
+}
--- /dev/null
+++ b/gossip/socket.go
@@ -0,0 +1,76 @@
+package gossip
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+
+	"github.com/samber/oops"
+	"google.golang.org/protobuf/proto"
+
+	"knapweedhoist/wire"
+)
+
+// maxDatagramBytes is the largest report over UDP.
+const maxDatagramBytes = 60 << 10
+
+// Socket sends and receives reports.
+type Socket struct {
+	lg   *slog.Logger
+	conn *net.UDPConn
+}
+
+// Listen opens a socket at IP:PORT.
+func Listen(lg *slog.Logger, address string) (*Socket, error) {
+	local, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, oops.With("step", "gossip address", "peer", address).Wrap(err)
+	}
+	conn, err := net.ListenUDP("udp4", local)
+	if err != nil {
+		return nil, oops.With("step", "gossip listen", "peer", address).Wrap(err)
+	}
+	return &Socket{lg: lg, conn: conn}, nil
+}
+
+// Send sends a report to each address. A report that cannot be sent is lost; the next one has the same totals.
+func (s *Socket) Send(report Report, addresses []string) {
+	datagram, err := proto.Marshal(report.message())
+	if err != nil || len(datagram) > maxDatagramBytes {
+		s.lg.Error("report not sent", "bytes", len(datagram), "error", err)
+		return
+	}
+	for _, address := range addresses {
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			s.lg.Warn("report not sent", "peer", address, "error", err)
+			continue
+		}
+		if _, err := s.conn.WriteToUDP(datagram, to); err != nil {
+			s.lg.Debug("report not sent", "peer", address, "error", err)
+		}
+	}
+}
+
+// Receive passes reports to handle until Close.
+func (s *Socket) Receive(handle func(Report)) {
+	buffer := make([]byte, maxDatagramBytes)
+	for {
+		n, from, err := s.conn.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an unreachable peer shows up as an error of the socket
+		}
+		message := &wire.InstanceReport{}
+		if err := proto.Unmarshal(buffer[:n], message); err != nil {
+			s.lg.Warn("report not readable", "peer", from.String(), "error", err)
+			continue
+		}
+		handle(reportOf(message))
+	}
+}
+
+// Close ends Receive.
+func (s *Socket) Close() error { return s.conn.Close() }
--- a/hub.go
+++ b/hub.go
@@ -9,7 +9,7 @@
 	"knapweedhoist/claim"
 	"knapweedhoist/control"
 	"knapweedhoist/distribution"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/timeline"
 	"knapweedhoist/wire"
 )
@@ -117,13 +117,13 @@
 	reply, err := h.instance.store.Do(ctx, call.Call.Request)
 	h.notePlatform(ctx, err)
 	h.post(ctx, control.PlatformDone{
-		Component: call.Component, Done: platform.Done{ID: call.Call.ID, Reply: reply, Err: err},
+		Component: call.Component, Done: objectapi.Done{ID: call.Call.ID, Reply: reply, Err: err},
 	})
 }
 
 // notePlatform puts the beginning and the end of a platform outage on the timeline.
 func (h *hub) notePlatform(ctx context.Context, err error) {
-	down := errors.Is(err, platform.ErrUnavailable)
+	down := errors.Is(err, objectapi.ErrUnavailable)
 	if ctx.Err() != nil || h.platformDown.Swap(down) == down {
 		return
 	}
--- a/instance.go
+++ b/instance.go
@@ -23,7 +23,7 @@
 	"knapweedhoist/membership"
 	"knapweedhoist/operator"
 	"knapweedhoist/peer"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/request"
 	"knapweedhoist/roster"
 	"knapweedhoist/settings"
@@ -42,7 +42,7 @@
 	checker  *invariant.Reporter
 	metrics  metrics.Registry
 
-	store platform.Store
+	store objectapi.Store
 	list  roster.List
 	cloud cloud.Cloud
 
@@ -94,7 +94,7 @@
 }
 
 func (i *Instance) wireOutside() {
-	i.store = &meteredStore{registry: i.metrics, Store: platform.NewClient(i.lg, platform.ClientConfig{
+	i.store = &meteredStore{registry: i.metrics, Store: objectapi.NewClient(i.lg, objectapi.ClientConfig{
 		Address: i.cfg.Platform.Address, Token: string(i.cfg.Platform.Credential), Timeout: i.cfg.Platform.CallTimeout(),
 	})}
 	i.list = &meteredList{registry: i.metrics, List: roster.NewClient(i.lg, roster.ClientConfig{
--- a/internal/devtool/console_test.go
+++ b/internal/devtool/console_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 var _ = Describe("console", func() {
@@ -32,9 +32,9 @@
 		}
 		status, text := post("/fault?on=platform&kind=outage&op=get&count=1")
 		Expect(status).To(Equal(http.StatusOK), text)
-		_, err = d.Platform.Do(context.Background(), platform.Get(platform.KindConfig, "current"))
-		Expect(err).To(MatchError(platform.ErrUnavailable))
-		_, err = d.Platform.Do(context.Background(), platform.Get(platform.KindConfig, "current"))
+		_, err = d.Platform.Do(context.Background(), objectapi.Get(objectapi.KindConfig, "current"))
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
+		_, err = d.Platform.Do(context.Background(), objectapi.Get(objectapi.KindConfig, "current"))
 		Expect(err).NotTo(HaveOccurred())
 
 		status, text = post("/reclaim?datacentre=" + sampleDatacentres[0])
--- a/internal/devtool/deployment.go
+++ b/internal/devtool/deployment.go
@@ -8,7 +8,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"knapweedhoist/distribution"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/roster"
 	"knapweedhoist/settings"
 	"knapweedhoist/standin"
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	_, err = d.Platform.Do(ctx, platform.Create(platform.KindConfig, distribution.ObjectName, value))
+	_, err = d.Platform.Do(ctx, objectapi.Create(objectapi.KindConfig, distribution.ObjectName, value))
 	return d, err
 }
 
--- a/lease/attempt.go
+++ b/lease/attempt.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // attempt is one write of this incarnation that may take effect.
@@ -16,6 +16,6 @@
 // call is the platform call in flight.
 type call struct {
 	id   uint64
-	op   platform.Op
+	op   objectapi.Op
 	sent Record
 }
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -23,7 +23,7 @@
 	"log/slog"
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/timeline"
 )
 
@@ -44,7 +44,7 @@
 	// seen: the object was read at least once. version and record are its last seen state, version 0 when it
 	// does not exist; seenAt is when this version was first seen.
 	seen    bool
-	version platform.Version
+	version objectapi.Version
 	record  Record
 	seenAt  time.Time
 	// fence is the highest fence ever seen.
@@ -114,7 +114,7 @@
 
 // Done accepts the result of a call. Each Call needs exactly one Done; a call that was abandoned ends with
 // ErrUnavailable.
-func (k *Keeper) Done(now time.Time, done platform.Done) Output {
+func (k *Keeper) Done(now time.Time, done objectapi.Done) Output {
 	var out Output
 	if k.inFlight == nil || k.inFlight.id != done.ID {
 		return out
@@ -123,13 +123,13 @@
 	k.inFlight = nil
 	k.nextCall = now.Add(k.pace())
 	switch {
-	case done.Err == nil && ended.op == platform.OpPut:
+	case done.Err == nil && ended.op == objectapi.OpPut:
 		// The value of a write is known here; the reply need not repeat it.
-		k.observe(now, platform.Object{Version: done.Reply.Object.Version, Value: ended.sent.encode()}, &out)
-	case done.Err == nil, errors.Is(done.Err, platform.ErrConflict):
+		k.observe(now, objectapi.Object{Version: done.Reply.Object.Version, Value: ended.sent.encode()}, &out)
+	case done.Err == nil, errors.Is(done.Err, objectapi.ErrConflict):
 		k.observe(now, done.Reply.Object, &out)
-	case errors.Is(done.Err, platform.ErrNotFound):
-		k.observe(now, platform.Object{}, &out)
+	case errors.Is(done.Err, objectapi.ErrNotFound):
+		k.observe(now, objectapi.Object{}, &out)
 	default:
 		k.nextCall = now.Add(k.retryPace())
 		k.lg.Debug("lease call failed", "step", ended.op.String(), "error", done.Err)
@@ -146,13 +146,13 @@
 
 // shouldActNow reports whether the state just read asks for a write without waiting for the next period.
 func (k *Keeper) shouldActNow(now time.Time, ended call, err error) bool {
-	if err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectapi.ErrConflict) && !errors.Is(err, objectapi.ErrNotFound) {
 		return false
 	}
 	if k.released || k.releasing {
 		return !k.released
 	}
-	return ended.op == platform.OpGet && !k.mine && k.candidate && k.free(now)
+	return ended.op == objectapi.OpGet && !k.mine && k.candidate && k.free(now)
 }
 
 // act issues the one call that the state asks for.
@@ -194,9 +194,9 @@
 	k.nonce++
 	record.Nonce = k.nonce
 	record.DurationMs = k.cfg.Duration.Milliseconds()
-	request := platform.Create(platform.KindLease, k.cfg.Duty, record.encode())
+	request := objectapi.Create(objectapi.KindLease, k.cfg.Duty, record.encode())
 	if k.version != 0 {
-		request = platform.Update(platform.KindLease, k.cfg.Duty, k.version, record.encode())
+		request = objectapi.Update(objectapi.KindLease, k.cfg.Duty, k.version, record.encode())
 	}
 	if len(k.attempts) == maxAttempts {
 		k.attempts = k.attempts[1:]
@@ -206,17 +206,17 @@
 }
 
 func (k *Keeper) read(out *Output) {
-	k.send(platform.Get(platform.KindLease, k.cfg.Duty), Record{}, out)
+	k.send(objectapi.Get(objectapi.KindLease, k.cfg.Duty), Record{}, out)
 }
 
-func (k *Keeper) send(request platform.Request, record Record, out *Output) {
+func (k *Keeper) send(request objectapi.Request, record Record, out *Output) {
 	k.nextID++
 	k.inFlight = &call{id: k.nextID, op: request.Op, sent: record}
-	out.Calls = append(out.Calls, platform.Call{ID: k.nextID, Request: request})
+	out.Calls = append(out.Calls, objectapi.Call{ID: k.nextID, Request: request})
 }
 
 // observe takes in the object as the platform has it.
-func (k *Keeper) observe(now time.Time, object platform.Object, out *Output) {
+func (k *Keeper) observe(now time.Time, object objectapi.Object, out *Output) {
 	k.seen = true
 	if object.Version == 0 {
 		k.observeAbsent(now, out)
--- a/lease/output.go
+++ b/lease/output.go
@@ -1,9 +1,9 @@
 package lease
 
-import "knapweedhoist/platform"
+import "knapweedhoist/objectapi"
 
 // Output is what a step of the Keeper wants done.
 type Output struct {
-	Calls  []platform.Call
+	Calls  []objectapi.Call
 	Events []Event
 }
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -5,7 +5,7 @@
 	"math/rand"
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/testutil"
 )
 
@@ -36,18 +36,18 @@
 	strip  bool // remove conditions from writes
 }
 
-func (s *seat) Tick(now time.Time) []platform.Call { return s.after(s.Keeper.Tick(now)) }
-func (s *seat) Done(now time.Time, d platform.Done) []platform.Call {
+func (s *seat) Tick(now time.Time) []objectapi.Call { return s.after(s.Keeper.Tick(now)) }
+func (s *seat) Done(now time.Time, d objectapi.Done) []objectapi.Call {
 	return s.after(s.Keeper.Done(now, d))
 }
 
-func (s *seat) after(out Output) []platform.Call {
+func (s *seat) after(out Output) []objectapi.Call {
 	if s.tamper != nil {
 		s.tamper(s.Keeper)
 	}
 	for i := range out.Calls {
 		if s.strip {
-			out.Calls[i].Request.Condition = platform.Condition{}
+			out.Calls[i].Request.Condition = objectapi.Condition{}
 		}
 	}
 	return out.Calls
@@ -140,7 +140,7 @@
 
 // checkRecord follows the stored object: one fence more at each change of holder.
 func (w *world) checkRecord() {
-	object, ok := w.Store.Object(platform.KindLease, "capacity")
+	object, ok := w.Store.Object(objectapi.KindLease, "capacity")
 	if !ok {
 		return
 	}
--- a/meter.go
+++ b/meter.go
@@ -6,18 +6,18 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"knapweedhoist/cloud"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/roster"
 )
 
 // meteredStore counts the calls of the object API and the bytes of values.
 type meteredStore struct {
-	platform.Store
+	objectapi.Store
 	registry metrics.Registry
 }
 
-// Do implements platform.Store.
-func (s *meteredStore) Do(ctx context.Context, request platform.Request) (platform.Reply, error) {
+// Do implements objectapi.Store.
+func (s *meteredStore) Do(ctx context.Context, request objectapi.Request) (objectapi.Reply, error) {
 	s.count("platform_"+request.Op.String()+"_calls_total", 1)
 	s.count("platform_sent_bytes_total", len(request.Value))
 	reply, err := s.Store.Do(ctx, request)
@@ -32,7 +32,7 @@
 	metrics.GetOrRegisterCounter(name, s.registry).Inc(int64(n))
 }
 
-func valueBytes(reply platform.Reply) int {
+func valueBytes(reply objectapi.Reply) int {
 	n := len(reply.Object.Value)
 	for _, object := range reply.Objects {
 		n += len(object.Value)
--- a/platform/body.go
+++ b/objectapi/body.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 // PutBody is the JSON body of a PUT.
 type PutBody struct {
--- a/platform/call.go
+++ b/objectapi/call.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 // Call is a request that a decision package wants made. ID is chosen by that
 // package and returns in the matching Done.
--- a/platform/http_request.go
+++ b/objectapi/http_request.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"encoding/json"
--- /dev/null
+++ b/objectapi/object.go
@@ -0,0 +1,41 @@
+// Package objectapi is the client side of the platform's object API: versioned
+// objects with conditional updates and watches.
+package objectapi
+
+// Kind names a class of objects, for example "lease".
+type Kind string
+
+// Kinds of objects that the system keeps on the platform.
+const (
+	KindConfig    Kind = "config"
+	KindLease     Kind = "lease"
+	KindClaim     Kind = "claim"
+	KindDeparture Kind = "departure"
+	// KindDuty holds what the duties must not forget.
+	KindDuty Kind = "duty"
+	// KindInstance has an object for each entry instance.
+	KindInstance Kind = "instance"
+)
+
+// Kinds of objects that others write.
+const (
+	// KindDeployment holds the operators' configuration of a platform.
+	KindDeployment Kind = "deployment"
+	// KindEndpoint has an object for each endpoint, written by the endpoint.
+	KindEndpoint Kind = "endpoint"
+)
+
+// Version orders all changes of the store; it grows with every change of any object.
+type Version uint64
+
+// Object is one stored value.
+type Object struct {
+	Kind    Kind    `json:"kind"`
+	Name    string  `json:"name"`
+	Version Version `json:"version"`
+	// Value is opaque to the store; at most MaxValueBytes.
+	Value []byte `json:"value"`
+}
+
+// MaxValueBytes is the largest value that the object API accepts.
+const MaxValueBytes = 1 << 20
--- a/platform/reply.go
+++ b/objectapi/reply.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 // Reply is the answer to a Request.
 type Reply struct {
--- a/platform/request.go
+++ b/objectapi/request.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import "time"
 
@@ -51,6 +51,8 @@
 	// After and Limit page through OpList, in order of names. A Limit of 0 means no limit.
 	After string
 	Limit int
+	// Stale allows a read to be answered with data that is seconds old, at less cost.
+	Stale bool
 	// From and Wait apply to OpWatch: events after version From, waiting at most Wait for the first one.
 	From Version
 	Wait time.Duration
--- a/platform/request_test.go
+++ b/objectapi/request_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 func TestPlatform(t *testing.T) {
@@ -16,7 +16,7 @@
 
 var _ = Describe("requests", func() {
 	It("guards against an update that is sent without its condition", func() {
-		Expect(platform.Update(platform.KindLease, "capacity", 7, nil).Condition.IfVersion).To(Equal(platform.Version(7)))
-		Expect(platform.Create(platform.KindLease, "capacity", nil).Condition.IfAbsent).To(BeTrue())
+		Expect(objectapi.Update(objectapi.KindLease, "capacity", 7, nil).Condition.IfVersion).To(Equal(objectapi.Version(7)))
+		Expect(objectapi.Create(objectapi.KindLease, "capacity", nil).Condition.IfAbsent).To(BeTrue())
 	})
 })
--- /dev/null
+++ b/objectwatch/watcher.go
@@ -0,0 +1,155 @@
+// Package objectwatch keeps a copy of all objects of one kind up to date: it
+// lists them once, then watches for changes, and lists again when the store no
+// longer has the history.
+package objectwatch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"knapweedhoist/objectapi"
+)
+
+// Config describes one watch.
+type Config struct {
+	Kind objectapi.Kind
+	// Wait is the longest time that one watch call waits for a change. A
+	// connection that has gone silent is noticed shortly after that time.
+	Wait time.Duration
+	// Pause is the first pause after a failed call; it doubles up to MaxPause.
+	Pause, MaxPause time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultWait     = 1500 * time.Millisecond
+	DefaultPause    = 100 * time.Millisecond
+	DefaultMaxPause = 800 * time.Millisecond
+)
+
+// Sink receives the objects. All calls come from one goroutine.
+type Sink interface {
+	// Replace gives all objects.
+	Replace(objects []objectapi.Object)
+	// Change gives one change.
+	Change(event objectapi.WatchEvent)
+	// Current tells that the copy was complete at a time after since.
+	Current(since time.Time)
+	// Lost tells that the store no longer answers, Regained that it does again.
+	Lost(err error)
+	Regained()
+}
+
+// Watcher keeps one kind up to date.
+type Watcher struct {
+	lg    *slog.Logger
+	cfg   Config
+	store objectapi.Store
+	sink  Sink
+
+	version objectapi.Version
+	listed  bool
+	failing bool
+	pause   time.Duration
+}
+
+// NewWatcher returns a Watcher that makes no call before Run.
+func NewWatcher(lg *slog.Logger, cfg Config, store objectapi.Store, sink Sink) *Watcher {
+	if cfg.Wait <= 0 {
+		cfg.Wait = DefaultWait
+	}
+	if cfg.Pause <= 0 {
+		cfg.Pause = DefaultPause
+	}
+	if cfg.MaxPause <= 0 {
+		cfg.MaxPause = DefaultMaxPause
+	}
+	return &Watcher{lg: lg.With("objects", string(cfg.Kind)), cfg: cfg, store: store, sink: sink, pause: cfg.Pause}
+}
+
+// Run lists and watches until the end of ctx.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		asked := time.Now()
+		if err := w.step(ctx); err != nil {
+			w.fail(ctx, err)
+			continue
+		}
+		w.succeed(asked)
+	}
+}
+
+func (w *Watcher) step(ctx context.Context) error {
+	if !w.listed {
+		return w.list(ctx)
+	}
+	return w.watch(ctx)
+}
+
+// list reads all pages. The watch continues from the version of the first
+// page, so that no change between two pages is missed.
+func (w *Watcher) list(ctx context.Context) error {
+	var objects []objectapi.Object
+	var version objectapi.Version
+	for after := ""; ; {
+		reply, err := w.store.Do(ctx, objectapi.Request{Op: objectapi.OpList, Kind: w.cfg.Kind, After: after})
+		if err != nil {
+			return err
+		}
+		if after == "" {
+			version = reply.Version
+		}
+		objects = append(objects, reply.Objects...)
+		if after = reply.Next; after == "" {
+			break
+		}
+	}
+	w.version, w.listed = version, true
+	w.sink.Replace(objects)
+	return nil
+}
+
+func (w *Watcher) watch(ctx context.Context) error {
+	reply, err := w.store.Do(ctx, objectapi.Request{
+		Op: objectapi.OpWatch, Kind: w.cfg.Kind, From: w.version, Wait: w.cfg.Wait,
+	})
+	if errors.Is(err, objectapi.ErrCompacted) {
+		w.lg.Info("history is gone, listing again", "version", uint64(w.version))
+		w.listed = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for _, event := range reply.Events {
+		w.sink.Change(event)
+	}
+	w.version = max(w.version, reply.Version)
+	return nil
+}
+
+func (w *Watcher) fail(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if !w.failing {
+		w.failing = true
+		w.sink.Lost(err)
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(w.pause):
+	}
+	w.pause = min(2*w.pause, w.cfg.MaxPause)
+}
+
+func (w *Watcher) succeed(asked time.Time) {
+	if w.failing {
+		w.failing = false
+		w.sink.Regained()
+	}
+	w.pause = w.cfg.Pause
+	w.sink.Current(asked)
+}
--- a/quotas.go
+++ b/quotas.go
@@ -10,7 +10,7 @@
 	"knapweedhoist/control"
 	"knapweedhoist/lease"
 	"knapweedhoist/membership"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/quota"
 	"knapweedhoist/wire"
 )
@@ -121,7 +121,7 @@
 // of each data centre does so at most every quotaInterval.
 func (q *quotas) holder(ctx context.Context, fleet *membership.View) *membership.Member {
 	if q.leaseHolder == "" {
-		reply, err := q.instance.store.Do(ctx, platform.Get(platform.KindLease, control.DutyQuota))
+		reply, err := q.instance.store.Do(ctx, objectapi.Get(objectapi.KindLease, control.DutyQuota))
 		if err != nil {
 			return nil
 		}
--- a/soak/departure_test.go
+++ b/soak/departure_test.go
@@ -10,7 +10,7 @@
 	"knapweedhoist/control"
 	"knapweedhoist/handover"
 	"knapweedhoist/membership"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/wire"
 )
 
@@ -148,8 +148,8 @@
 		return
 	}
 	value, _ := json.Marshal(departureRecord{Successor: successor})
-	write := platform.Request{Op: platform.OpPut, Kind: platform.KindDeparture, Name: in.incarnation, Value: value}
-	in.w.site.do(in, write, func(done platform.Done) {
+	write := objectapi.Request{Op: objectapi.OpPut, Kind: objectapi.KindDeparture, Name: in.incarnation, Value: value}
+	in.w.site.do(in, write, func(done objectapi.Done) {
 		if done.Err != nil {
 			in.w.after(departureRetry, func() { in.do(func() { in.storeDeparture(successor) }) })
 		}
--- a/soak/operators_test.go
+++ b/soak/operators_test.go
@@ -8,7 +8,7 @@
 	"knapweedhoist/catalog"
 	"knapweedhoist/control"
 	"knapweedhoist/distribution"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // operators are two people who change the same presets.
@@ -23,7 +23,7 @@
 	// revision is that of the stored document, storedAt when it was seen first.
 	revision uint64
 	storedAt time.Time
-	version  platform.Version
+	version  objectapi.Version
 	sequence uint64
 }
 
@@ -94,7 +94,7 @@
 
 // look follows the stored document.
 func (o *operators) look() {
-	object, found := o.w.site.store.Object(platform.KindConfig, distribution.ObjectName)
+	object, found := o.w.site.store.Object(objectapi.KindConfig, distribution.ObjectName)
 	if !found || object.Version == o.version {
 		return
 	}
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"knapweedhoist/control"
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/testutil"
 )
 
@@ -25,7 +25,7 @@
 // platformCall is a call that has no result yet.
 type platformCall struct {
 	from *instance
-	done func(platform.Done)
+	done func(objectapi.Done)
 }
 
 func newSite(w *world) *site {
@@ -38,27 +38,27 @@
 // effect carries a platform call of the control code out.
 func (s *site) effect(from *instance, e control.PlatformCall) {
 	id := e.Call.ID
-	s.do(from, e.Call.Request, func(done platform.Done) {
+	s.do(from, e.Call.Request, func(done objectapi.Done) {
 		done.ID = id
 		from.step(control.PlatformDone{Component: e.Component, Done: done})
 	})
 }
 
 // do makes a call. One that gets no reply in time ends as unavailable, whether it took effect or not.
-func (s *site) do(from *instance, request platform.Request, done func(platform.Done)) {
+func (s *site) do(from *instance, request objectapi.Request, done func(objectapi.Done)) {
 	s.nextID++
 	id := s.nextID
 	s.calls[id] = &platformCall{from: from, done: done}
 	timeout := platformTimeout
-	if request.Op == platform.OpWatch {
+	if request.Op == objectapi.OpWatch {
 		timeout = request.Wait + watchSilence
 	}
-	s.w.after(timeout, func() { s.end(id, platform.Done{Err: platform.ErrUnavailable}) })
+	s.w.after(timeout, func() { s.end(id, objectapi.Done{Err: objectapi.ErrUnavailable}) })
 	if s.w.net.cut(from.dc, platformSite) {
 		s.w.count("platform call cut")
 		return
 	}
-	s.store.Submit(s.w.now, from.dc, platform.Call{ID: id, Request: request})
+	s.store.Submit(s.w.now, from.dc, objectapi.Call{ID: id, Request: request})
 }
 
 // advance lets the platform work, and brings its replies back.
@@ -72,7 +72,7 @@
 	}
 }
 
-func (s *site) end(id uint64, done platform.Done) {
+func (s *site) end(id uint64, done objectapi.Done) {
 	call, found := s.calls[id]
 	if !found {
 		return
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -4,7 +4,7 @@
 	"sort"
 	"strings"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // Bounds of one reply; a reply that would be larger ends early, and Next or
@@ -17,89 +17,89 @@
 // objects is the state of the object API. Its owner serialises the calls. The
 // values in replies are shared with the store; callers do not change them.
 type objects struct {
-	version platform.Version
-	kinds   map[platform.Kind]map[string]platform.Object
+	version objectapi.Version
+	kinds   map[objectapi.Kind]map[string]objectapi.Object
 	// log holds the last changes, oldest first; changes up to compacted are gone.
-	log       []platform.WatchEvent
+	log       []objectapi.WatchEvent
 	history   int
-	compacted platform.Version
+	compacted objectapi.Version
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
 
 func newObjects(history int) *objects {
 	return &objects{
-		kinds:   make(map[platform.Kind]map[string]platform.Object),
+		kinds:   make(map[objectapi.Kind]map[string]objectapi.Object),
 		history: history,
 		changed: make(chan struct{}),
 	}
 }
 
-func (o *objects) run(request platform.Request) (platform.Reply, error) {
+func (o *objects) run(request objectapi.Request) (objectapi.Reply, error) {
 	switch request.Op {
-	case platform.OpPut:
+	case objectapi.OpPut:
 		return o.put(request)
-	case platform.OpDelete:
+	case objectapi.OpDelete:
 		return o.remove(request)
-	case platform.OpList:
+	case objectapi.OpList:
 		return o.list(request), nil
 	default:
 		return o.get(request)
 	}
 }
 
-func (o *objects) get(request platform.Request) (platform.Reply, error) {
+func (o *objects) get(request objectapi.Request) (objectapi.Reply, error) {
 	object, ok := o.kinds[request.Kind][request.Name]
 	if !ok {
-		return platform.Reply{}, platform.ErrNotFound
+		return objectapi.Reply{}, objectapi.ErrNotFound
 	}
-	return platform.Reply{Object: object}, nil
+	return objectapi.Reply{Object: object}, nil
 }
 
-func (o *objects) put(request platform.Request) (platform.Reply, error) {
+func (o *objects) put(request objectapi.Request) (objectapi.Reply, error) {
 	current := o.kinds[request.Kind][request.Name]
 	if !holds(request.Condition, current) {
-		return platform.Reply{Object: current}, platform.ErrConflict
+		return objectapi.Reply{Object: current}, objectapi.ErrConflict
 	}
 	o.version++
-	object := platform.Object{
+	object := objectapi.Object{
 		Kind: request.Kind, Name: request.Name, Version: o.version,
 		Value: append([]byte(nil), request.Value...),
 	}
 	if o.kinds[request.Kind] == nil {
-		o.kinds[request.Kind] = make(map[string]platform.Object)
+		o.kinds[request.Kind] = make(map[string]objectapi.Object)
 	}
 	o.kinds[request.Kind][request.Name] = object
-	o.publish(platform.WatchEvent{Object: object})
-	return platform.Reply{Object: object}, nil
+	o.publish(objectapi.WatchEvent{Object: object})
+	return objectapi.Reply{Object: object}, nil
 }
 
 // remove deletes an object. An object that does not exist is ErrNotFound, whatever the condition.
-func (o *objects) remove(request platform.Request) (platform.Reply, error) {
+func (o *objects) remove(request objectapi.Request) (objectapi.Reply, error) {
 	current, ok := o.kinds[request.Kind][request.Name]
 	if !ok {
-		return platform.Reply{}, platform.ErrNotFound
+		return objectapi.Reply{}, objectapi.ErrNotFound
 	}
 	if !holds(request.Condition, current) {
-		return platform.Reply{Object: current}, platform.ErrConflict
+		return objectapi.Reply{Object: current}, objectapi.ErrConflict
 	}
 	o.version++
 	delete(o.kinds[request.Kind], request.Name)
-	gone := platform.Object{Kind: request.Kind, Name: request.Name, Version: o.version}
-	o.publish(platform.WatchEvent{Deleted: true, Object: gone})
-	return platform.Reply{Object: gone}, nil
+	gone := objectapi.Object{Kind: request.Kind, Name: request.Name, Version: o.version}
+	o.publish(objectapi.WatchEvent{Deleted: true, Object: gone})
+	return objectapi.Reply{Object: gone}, nil
 }
 
-func holds(condition platform.Condition, current platform.Object) bool {
+func holds(condition objectapi.Condition, current objectapi.Object) bool {
 	if condition.IfAbsent {
 		return current.Version == 0
 	}
 	return condition.IfVersion == 0 || condition.IfVersion == current.Version
 }
 
-func (o *objects) list(request platform.Request) platform.Reply {
+func (o *objects) list(request objectapi.Request) objectapi.Reply {
 	names := o.names(request)
-	var reply platform.Reply
+	var reply objectapi.Reply
 	size := 0
 	for _, name := range names {
 		object := o.kinds[request.Kind][name]
@@ -118,7 +118,7 @@
 }
 
 // names returns the names of a list request, in order.
-func (o *objects) names(request platform.Request) []string {
+func (o *objects) names(request objectapi.Request) []string {
 	var names []string
 	for name := range o.kinds[request.Kind] {
 		if name > request.After && strings.HasPrefix(name, request.Name) {
@@ -129,7 +129,7 @@
 	return names
 }
 
-func (o *objects) publish(event platform.WatchEvent) {
+func (o *objects) publish(event objectapi.WatchEvent) {
 	o.log = append(o.log, event)
 	if len(o.log) > 2*o.history {
 		o.compact(o.history)
@@ -145,16 +145,16 @@
 		return
 	}
 	o.compacted = o.log[drop-1].Object.Version
-	o.log = append([]platform.WatchEvent(nil), o.log[drop:]...)
+	o.log = append([]objectapi.WatchEvent(nil), o.log[drop:]...)
 }
 
 // events returns the changes of a kind after version from, and a channel that
 // is closed at the next change of any kind.
-func (o *objects) events(kind platform.Kind, from platform.Version) (platform.Reply, <-chan struct{}, error) {
+func (o *objects) events(kind objectapi.Kind, from objectapi.Version) (objectapi.Reply, <-chan struct{}, error) {
 	if from < o.compacted || from > o.version {
-		return platform.Reply{}, nil, platform.ErrCompacted
+		return objectapi.Reply{}, nil, objectapi.ErrCompacted
 	}
-	reply := platform.Reply{Version: o.version}
+	reply := objectapi.Reply{Version: o.version}
 	first := sort.Search(len(o.log), func(i int) bool { return o.log[i].Object.Version > from })
 	size := 0
 	for _, event := range o.log[first:] {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
-// Platform is a stand-in for the object API. It implements platform.Store.
+// Platform is a stand-in for the object API. It implements objectapi.Store.
 type Platform struct {
 	*Server
 	// Faults are the faults in force; operations are "get", "put", "delete", "list" and "watch".
@@ -36,19 +36,19 @@
 	return p
 }
 
-// Do implements platform.Store.
-func (p *Platform) Do(ctx context.Context, request platform.Request) (platform.Reply, error) {
+// Do implements objectapi.Store.
+func (p *Platform) Do(ctx context.Context, request objectapi.Request) (objectapi.Reply, error) {
 	if err := request.Validate(); err != nil {
-		return platform.Reply{}, err
+		return objectapi.Reply{}, err
 	}
 	e := p.Faults.next(Call{Op: request.Op.String(), Name: request.Name, Body: request.Value})
 	e.delay += p.cfg.Latency
-	refused := &platform.ThrottledError{RetryAfter: e.retryAfter}
-	if err := e.before(ctx, p.cfg.Clock, platform.ErrUnavailable, refused); err != nil {
-		return platform.Reply{}, err
+	refused := &objectapi.ThrottledError{RetryAfter: e.retryAfter}
+	if err := e.before(ctx, p.cfg.Clock, objectapi.ErrUnavailable, refused); err != nil {
+		return objectapi.Reply{}, err
 	}
 	reply, err := p.run(ctx, request)
-	if err := e.after(ctx, err, platform.ErrUnavailable); err != nil {
+	if err := e.after(ctx, err, objectapi.ErrUnavailable); err != nil {
 		return conflictOnly(reply, err), err
 	}
 	return reply, nil
@@ -56,26 +56,26 @@
 
 // conflictOnly keeps the reply of a failed call only for a conflict, whose
 // reply holds the current object.
-func conflictOnly(reply platform.Reply, err error) platform.Reply {
-	if err == platform.ErrConflict { //nolint:errorlint // run returns the sentinel itself
+func conflictOnly(reply objectapi.Reply, err error) objectapi.Reply {
+	if err == objectapi.ErrConflict { //nolint:errorlint // run returns the sentinel itself
 		return reply
 	}
-	return platform.Reply{}
+	return objectapi.Reply{}
 }
 
-func (p *Platform) run(ctx context.Context, request platform.Request) (platform.Reply, error) {
+func (p *Platform) run(ctx context.Context, request objectapi.Request) (objectapi.Reply, error) {
 	p.mu.Lock()
 	if err := p.meter(request.Op); err != nil {
 		p.mu.Unlock()
-		return platform.Reply{}, err
+		return objectapi.Reply{}, err
 	}
-	if request.Op == platform.OpWatch {
+	if request.Op == objectapi.OpWatch {
 		p.mu.Unlock()
 		return p.watch(ctx, request)
 	}
 	defer p.mu.Unlock()
 	reply, err := p.objects.run(request)
-	if err == platform.ErrConflict { //nolint:errorlint // objects return the sentinel itself
+	if err == objectapi.ErrConflict { //nolint:errorlint // objects return the sentinel itself
 		p.stats.Conflicts++
 	}
 	reply.Version = p.objects.version
@@ -83,36 +83,36 @@
 }
 
 // meter counts a call against the rates. The caller holds p.mu.
-func (p *Platform) meter(op platform.Op) error {
+func (p *Platform) meter(op objectapi.Op) error {
 	limit := p.reads
-	if op == platform.OpPut || op == platform.OpDelete {
+	if op == objectapi.OpPut || op == objectapi.OpDelete {
 		limit = p.writes
 	}
 	if after, ok := limit.take(p.cfg.Clock.Now()); !ok {
 		p.stats.Throttled++
-		return &platform.ThrottledError{RetryAfter: after}
+		return &objectapi.ThrottledError{RetryAfter: after}
 	}
 	p.count(op)
 	return nil
 }
 
-func (p *Platform) count(op platform.Op) {
+func (p *Platform) count(op objectapi.Op) {
 	switch op {
-	case platform.OpGet:
+	case objectapi.OpGet:
 		p.stats.Gets++
-	case platform.OpPut:
+	case objectapi.OpPut:
 		p.stats.Puts++
-	case platform.OpDelete:
+	case objectapi.OpDelete:
 		p.stats.Deletes++
-	case platform.OpList:
+	case objectapi.OpList:
 		p.stats.Lists++
-	case platform.OpWatch:
+	case objectapi.OpWatch:
 		p.stats.Watches++
 	}
 }
 
 // watch returns the events after request.From, waiting for the first one.
-func (p *Platform) watch(ctx context.Context, request platform.Request) (platform.Reply, error) {
+func (p *Platform) watch(ctx context.Context, request objectapi.Request) (objectapi.Reply, error) {
 	elapsed, stop := p.cfg.Clock.After(request.Wait)
 	defer stop()
 	for {
@@ -124,12 +124,12 @@
 			return reply, nil
 		}
 		if ctx.Err() != nil {
-			return platform.Reply{}, platform.ErrUnavailable
+			return objectapi.Reply{}, objectapi.ErrUnavailable
 		}
 	}
 }
 
-func (p *Platform) events(request platform.Request) (platform.Reply, <-chan struct{}, error) {
+func (p *Platform) events(request objectapi.Request) (objectapi.Reply, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.objects.events(request.Kind, request.From)
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -11,15 +11,15 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 	"knapweedhoist/standin"
 )
 
 // testConfig has rates that no test reaches by chance.
 var testConfig = standin.PlatformConfig{ReadsPerSecond: 1 << 20, WritesPerSecond: 1 << 20}
 
-func newClient(addr string) *platform.Client {
-	client := platform.NewClient(lg, platform.ClientConfig{Address: addr, Timeout: hangGuard})
+func newClient(addr string) *objectapi.Client {
+	client := objectapi.NewClient(lg, objectapi.ClientConfig{Address: addr, Timeout: hangGuard})
 	DeferCleanup(client.Close)
 	return client
 }
@@ -27,7 +27,7 @@
 var _ = Describe("platform over HTTP", func() {
 	var (
 		server *standin.Platform
-		client *platform.Client
+		client *objectapi.Client
 		ctx    context.Context
 	)
 	BeforeEach(func() {
@@ -37,27 +37,27 @@
 	})
 
 	It("guards against a condition that is lost on the way, and a conflict without the current object", func() {
-		first, err := client.Do(ctx, platform.Create("claim", "3/7", []byte("a")))
+		first, err := client.Do(ctx, objectapi.Create("claim", "3/7", []byte("a")))
 		Expect(err).NotTo(HaveOccurred())
-		reply, err := client.Do(ctx, platform.Create("claim", "3/7", []byte("b")))
-		Expect(err).To(MatchError(platform.ErrConflict))
+		reply, err := client.Do(ctx, objectapi.Create("claim", "3/7", []byte("b")))
+		Expect(err).To(MatchError(objectapi.ErrConflict))
 		Expect(reply.Object).To(Equal(first.Object))
-		second, err := client.Do(ctx, platform.Update("claim", "3/7", first.Object.Version, []byte("b")))
+		second, err := client.Do(ctx, objectapi.Update("claim", "3/7", first.Object.Version, []byte("b")))
 		Expect(err).NotTo(HaveOccurred())
-		reply, err = client.Do(ctx, platform.Update("claim", "3/7", first.Object.Version, []byte("c")))
-		Expect(err).To(MatchError(platform.ErrConflict))
+		reply, err = client.Do(ctx, objectapi.Update("claim", "3/7", first.Object.Version, []byte("c")))
+		Expect(err).To(MatchError(objectapi.ErrConflict))
 		Expect(reply.Object).To(Equal(second.Object))
-		_, err = client.Do(ctx, platform.Request{
-			Op: platform.OpDelete, Kind: "claim", Name: "3/7", Condition: platform.Condition{IfVersion: first.Object.Version},
+		_, err = client.Do(ctx, objectapi.Request{
+			Op: objectapi.OpDelete, Kind: "claim", Name: "3/7", Condition: objectapi.Condition{IfVersion: first.Object.Version},
 		})
-		Expect(err).To(MatchError(platform.ErrConflict))
+		Expect(err).To(MatchError(objectapi.ErrConflict))
 	})
 
 	It("guards against names that are changed by escaping", func() {
 		for _, name := range []string{"a/b", "a//b", "../x", "%2F", "ü ?&=#", "a b"} {
-			_, err := client.Do(ctx, platform.Create("claim", name, []byte(name)))
+			_, err := client.Do(ctx, objectapi.Create("claim", name, []byte(name)))
 			Expect(err).NotTo(HaveOccurred())
-			reply, err := client.Do(ctx, platform.Get("claim", name))
+			reply, err := client.Do(ctx, objectapi.Get("claim", name))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(reply.Object.Name).To(Equal(name))
 		}
@@ -66,13 +66,13 @@
 
 	It("guards against a page that drops or repeats an object", func() {
 		for i := range 25 {
-			_, err := client.Do(ctx, platform.Create("claim", fmt.Sprintf("x%02d", i), nil))
+			_, err := client.Do(ctx, objectapi.Create("claim", fmt.Sprintf("x%02d", i), nil))
 			Expect(err).NotTo(HaveOccurred())
 		}
-		_, err := client.Do(ctx, platform.Create("claim", "y", nil))
+		_, err := client.Do(ctx, objectapi.Create("claim", "y", nil))
 		Expect(err).NotTo(HaveOccurred())
 		var names []string
-		request := platform.Request{Op: platform.OpList, Kind: "claim", Name: "x", Limit: 10}
+		request := objectapi.Request{Op: objectapi.OpList, Kind: "claim", Name: "x", Limit: 10}
 		for {
 			reply, err := client.Do(ctx, request)
 			Expect(err).NotTo(HaveOccurred())
@@ -89,54 +89,54 @@
 	})
 
 	It("guards against a watch that misses a change or does not report compaction", func() {
-		reply, err := client.Do(ctx, platform.Create("config", "current", []byte("1")))
+		reply, err := client.Do(ctx, objectapi.Create("config", "current", []byte("1")))
 		Expect(err).NotTo(HaveOccurred())
 		from := reply.Version
-		events := make(chan platform.Reply, 1)
+		events := make(chan objectapi.Reply, 1)
 		go func() {
 			defer GinkgoRecover()
-			reply, err := client.Do(ctx, platform.Request{Op: platform.OpWatch, Kind: "config", From: from, Wait: hangGuard})
+			reply, err := client.Do(ctx, objectapi.Request{Op: objectapi.OpWatch, Kind: "config", From: from, Wait: hangGuard})
 			Expect(err).NotTo(HaveOccurred())
 			events <- reply
 		}()
 		Eventually(func() int { return server.Stats().WaitingWatches }, hangGuard).Should(Equal(1))
-		_, err = client.Do(ctx, platform.Create("lease", "quota", nil))
+		_, err = client.Do(ctx, objectapi.Create("lease", "quota", nil))
 		Expect(err).NotTo(HaveOccurred())
-		_, err = client.Do(ctx, platform.Request{Op: platform.OpDelete, Kind: "config", Name: "current"})
+		_, err = client.Do(ctx, objectapi.Request{Op: objectapi.OpDelete, Kind: "config", Name: "current"})
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(events, hangGuard).Should(Receive(&reply))
 		Expect(reply.Events).To(HaveLen(1))
 		Expect(reply.Events[0].Deleted).To(BeTrue())
 		server.Compact()
-		_, err = client.Do(ctx, platform.Request{Op: platform.OpWatch, Kind: "config", From: from})
-		Expect(err).To(MatchError(platform.ErrCompacted))
+		_, err = client.Do(ctx, objectapi.Request{Op: objectapi.OpWatch, Kind: "config", From: from})
+		Expect(err).To(MatchError(objectapi.ErrCompacted))
 	})
 
 	It("guards against a lost reply that is repeated or reported as certain", func() {
 		server.Faults.Add(standin.Fault{Kind: standin.FaultLostReply, Op: "put", Count: 1})
-		_, err := client.Do(ctx, platform.Create("config", "current", []byte("1")))
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		_, err := client.Do(ctx, objectapi.Create("config", "current", []byte("1")))
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
 		Expect(server.Stats().Puts).To(Equal(int64(1)))
-		reply, err := client.Do(ctx, platform.Get("config", "current"))
+		reply, err := client.Do(ctx, objectapi.Get("config", "current"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(reply.Object.Value).To(Equal([]byte("1")))
 	})
 
 	It("guards against a refusal or an outage that is taken for another error", func() {
 		server.Faults.Add(standin.Fault{Kind: standin.FaultRefuse, Count: 1, RetryAfter: 3 * time.Second})
-		_, err := client.Do(ctx, platform.Create("lease", "quota", nil))
-		var throttled *platform.ThrottledError
-		Expect(err).To(MatchError(platform.ErrThrottled))
+		_, err := client.Do(ctx, objectapi.Create("lease", "quota", nil))
+		var throttled *objectapi.ThrottledError
+		Expect(err).To(MatchError(objectapi.ErrThrottled))
 		Expect(asError(err, &throttled)).To(BeTrue())
 		Expect(throttled.RetryAfter).To(Equal(3 * time.Second))
 		server.Faults.Add(standin.Fault{Kind: standin.FaultOutage, Count: 1})
-		_, err = client.Do(ctx, platform.Get("lease", "quota"))
-		Expect(err).To(MatchError(platform.ErrUnavailable))
-		_, err = client.Do(ctx, platform.Get("lease", "quota"))
-		Expect(err).To(MatchError(platform.ErrNotFound))
+		_, err = client.Do(ctx, objectapi.Get("lease", "quota"))
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
+		_, err = client.Do(ctx, objectapi.Get("lease", "quota"))
+		Expect(err).To(MatchError(objectapi.ErrNotFound))
 		Expect(server.Close()).To(Succeed())
-		_, err = client.Do(ctx, platform.Get("lease", "quota"))
-		Expect(err).To(MatchError(platform.ErrUnavailable))
+		_, err = client.Do(ctx, objectapi.Get("lease", "quota"))
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
 	})
 
 	It("guards against a silent connection that blocks later calls", func() {
@@ -145,17 +145,17 @@
 		silent, cancel := context.WithCancel(ctx)
 		failed := make(chan error, 1)
 		go func() {
-			_, err := client.Do(silent, platform.Get("lease", "quota"))
+			_, err := client.Do(silent, objectapi.Get("lease", "quota"))
 			failed <- err
 		}()
 		Eventually(reached, hangGuard).Should(Receive())
-		_, err := client.Do(ctx, platform.Create("lease", "quota", nil))
+		_, err := client.Do(ctx, objectapi.Create("lease", "quota", nil))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(failed).NotTo(Receive())
 		cancel()
 		// A connection that was closed would have given another cause.
 		Eventually(failed, hangGuard).Should(Receive(And(
-			MatchError(platform.ErrUnavailable), MatchError(context.Canceled))))
+			MatchError(objectapi.ErrUnavailable), MatchError(context.Canceled))))
 	})
 })
 
@@ -166,20 +166,20 @@
 		ctx, cancel := context.WithCancel(guarded())
 		failed := make(chan error, 1)
 		go func() {
-			_, err := client.Do(ctx, platform.Request{Op: platform.OpWatch, Kind: "config", Wait: hangGuard})
+			_, err := client.Do(ctx, objectapi.Request{Op: objectapi.OpWatch, Kind: "config", Wait: hangGuard})
 			failed <- err
 		}()
 		Eventually(func() int { return server.Stats().WaitingWatches }, hangGuard).Should(Equal(1))
 		Expect(server.SilenceOpen()).To(Equal(1))
 		other := newClient(server.Addr())
-		_, err := other.Do(guarded(), platform.Create("config", "current", nil))
+		_, err := other.Do(guarded(), objectapi.Create("config", "current", nil))
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() int { return server.Stats().WaitingWatches }, hangGuard).Should(BeZero())
 		Expect(failed).NotTo(Receive())
 		cancel()
 		// A connection that was closed would have given another cause.
 		Eventually(failed, hangGuard).Should(Receive(And(
-			MatchError(platform.ErrUnavailable), MatchError(context.Canceled))))
+			MatchError(objectapi.ErrUnavailable), MatchError(context.Canceled))))
 	})
 })
 
@@ -187,20 +187,20 @@
 	g := NewWithT(t)
 	clock := standin.NewManualClock(time.Unix(1000, 0))
 	store := standin.NewPlatform(lg, standin.PlatformConfig{Clock: clock, ReadsPerSecond: 10, WritesPerSecond: 1})
-	call := func(request platform.Request) error {
+	call := func(request objectapi.Request) error {
 		_, err := store.Do(t.Context(), request)
 		return err
 	}
-	g.Expect(call(platform.Create("lease", "quota", nil))).To(Succeed())
-	g.Expect(call(platform.Create("lease", "capacity", nil))).To(MatchError(platform.ErrThrottled))
+	g.Expect(call(objectapi.Create("lease", "quota", nil))).To(Succeed())
+	g.Expect(call(objectapi.Create("lease", "capacity", nil))).To(MatchError(objectapi.ErrThrottled))
 	for range 9 {
-		g.Expect(call(platform.Get("lease", "quota"))).To(Succeed())
+		g.Expect(call(objectapi.Get("lease", "quota"))).To(Succeed())
 	}
 	// Guards against a watch that is not counted: it takes the tenth call.
-	g.Expect(call(platform.Request{Op: platform.OpWatch, Kind: "lease"})).To(Succeed())
-	g.Expect(call(platform.Get("lease", "quota"))).To(MatchError(platform.ErrThrottled))
+	g.Expect(call(objectapi.Request{Op: objectapi.OpWatch, Kind: "lease"})).To(Succeed())
+	g.Expect(call(objectapi.Get("lease", "quota"))).To(MatchError(objectapi.ErrThrottled))
 	clock.Advance(time.Second)
-	g.Expect(call(platform.Create("lease", "capacity", nil))).To(Succeed())
+	g.Expect(call(objectapi.Create("lease", "capacity", nil))).To(Succeed())
 }
 
 func TestPlatformWatchWaits(t *testing.T) {
@@ -208,7 +208,7 @@
 		g := NewWithT(t)
 		store := standin.NewPlatform(lg, testConfig)
 		began := time.Now()
-		reply, err := store.Do(t.Context(), platform.Request{Op: platform.OpWatch, Kind: "config", Wait: 30 * time.Second})
+		reply, err := store.Do(t.Context(), objectapi.Request{Op: objectapi.OpWatch, Kind: "config", Wait: 30 * time.Second})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(reply.Events).To(BeEmpty())
 		g.Expect(time.Since(began)).To(Equal(30 * time.Second))
@@ -220,16 +220,16 @@
 	g := NewWithT(t)
 	store := standin.NewPlatform(lg, standin.PlatformConfig{History: 10, WritesPerSecond: 100})
 	for range 21 {
-		_, err := store.Do(t.Context(), platform.Request{Op: platform.OpPut, Kind: "k", Name: "a"})
+		_, err := store.Do(t.Context(), objectapi.Request{Op: objectapi.OpPut, Kind: "k", Name: "a"})
 		g.Expect(err).NotTo(HaveOccurred())
 	}
-	_, err := store.Do(t.Context(), platform.Request{Op: platform.OpWatch, Kind: "k", From: 10})
-	g.Expect(err).To(MatchError(platform.ErrCompacted))
-	reply, err := store.Do(t.Context(), platform.Request{Op: platform.OpWatch, Kind: "k", From: 11})
+	_, err := store.Do(t.Context(), objectapi.Request{Op: objectapi.OpWatch, Kind: "k", From: 10})
+	g.Expect(err).To(MatchError(objectapi.ErrCompacted))
+	reply, err := store.Do(t.Context(), objectapi.Request{Op: objectapi.OpWatch, Kind: "k", From: 11})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(reply.Events).To(HaveLen(10))
-	_, err = store.Do(t.Context(), platform.Request{Op: platform.OpWatch, Kind: "k", From: 22})
-	g.Expect(err).To(MatchError(platform.ErrCompacted))
+	_, err = store.Do(t.Context(), objectapi.Request{Op: objectapi.OpWatch, Kind: "k", From: 22})
+	g.Expect(err).To(MatchError(objectapi.ErrCompacted))
 }
 
 // Guards against a store that accepts a write at a wrong version, or whose
@@ -237,14 +237,14 @@
 func TestPlatformModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		store := standin.NewPlatform(lg, testConfig)
-		model := map[string]platform.Version{}
+		model := map[string]objectapi.Version{}
 		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
 			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "name")
-			at := platform.Version(rapid.IntRange(1, 20).Draw(rt, "at"))
-			request := rapid.SampledFrom([]platform.Request{
-				platform.Create("k", name, []byte("v")),
-				platform.Update("k", name, at, []byte("w")),
-				{Op: platform.OpDelete, Kind: "k", Name: name},
+			at := objectapi.Version(rapid.IntRange(1, 20).Draw(rt, "at"))
+			request := rapid.SampledFrom([]objectapi.Request{
+				objectapi.Create("k", name, []byte("v")),
+				objectapi.Update("k", name, at, []byte("w")),
+				{Op: objectapi.OpDelete, Kind: "k", Name: name},
 			}).Draw(rt, "request")
 			applyModel(rt, store, model, request)
 		}
@@ -252,10 +252,10 @@
 	})
 }
 
-func applyModel(rt *rapid.T, store platform.Store, model map[string]platform.Version, request platform.Request) {
+func applyModel(rt *rapid.T, store objectapi.Store, model map[string]objectapi.Version, request objectapi.Request) {
 	current, exists := model[request.Name]
 	accepted := exists
-	if request.Op == platform.OpPut {
+	if request.Op == objectapi.OpPut {
 		accepted = request.Condition.IfAbsent && !exists || exists && request.Condition.IfVersion == current
 	}
 	reply, err := store.Do(context.Background(), request)
@@ -264,19 +264,19 @@
 	}
 	switch {
 	case err != nil:
-	case request.Op == platform.OpDelete:
+	case request.Op == objectapi.OpDelete:
 		delete(model, request.Name)
 	default:
 		model[request.Name] = reply.Object.Version
 	}
 }
 
-func checkWatch(rt *rapid.T, store platform.Store, model map[string]platform.Version) {
-	reply, err := store.Do(context.Background(), platform.Request{Op: platform.OpWatch, Kind: "k"})
+func checkWatch(rt *rapid.T, store objectapi.Store, model map[string]objectapi.Version) {
+	reply, err := store.Do(context.Background(), objectapi.Request{Op: objectapi.OpWatch, Kind: "k"})
 	if err != nil {
 		rt.Fatal(err)
 	}
-	seen := map[string]platform.Version{}
+	seen := map[string]objectapi.Version{}
 	for _, event := range reply.Events {
 		seen[event.Object.Name] = event.Object.Version
 		if event.Deleted {
--- /dev/null
+++ b/teamlimit/limiter.go
@@ -0,0 +1,194 @@
+package teamlimit
+
+import (
+	"sync"
+	"time"
+
+	"knapweedhoist/deployment"
+)
+
+// DefaultSilence is how long another instance counts as heard after its last
+// report: several reports at the default interval, and far less than the
+// window that limits are judged by.
+const DefaultSilence = 600 * time.Millisecond
+
+// Limiter admits requests within the teams' limits.
+type Limiter struct {
+	silence time.Duration
+
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	peers   map[string]*peerState
+	// started is the time of the start; fresh until a level was told or the deployment itself is new.
+	started time.Time
+	fresh   bool
+}
+
+// NewLimiter returns a Limiter without teams. newDeployment tells that all
+// instances start for the first time, so that buckets begin full. silence is 0
+// for DefaultSilence.
+func NewLimiter(now time.Time, newDeployment bool, silence time.Duration) *Limiter {
+	if silence <= 0 {
+		silence = DefaultSilence
+	}
+	return &Limiter{
+		silence: silence, buckets: make(map[string]*bucket), peers: make(map[string]*peerState),
+		started: now, fresh: !newDeployment,
+	}
+}
+
+// SetMembers sets the names of the other instances that exist, heard or not.
+func (l *Limiter) SetMembers(names []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := make(map[string]*peerState, len(names))
+	for _, name := range names {
+		kept[name] = l.peers[name]
+		if kept[name] == nil {
+			kept[name] = &peerState{used: make(map[string]float64)}
+		}
+	}
+	l.peers = kept
+}
+
+// SetTeams sets the limits. Use so far stays counted; a lower limit binds at once.
+func (l *Limiter) SetTeams(now time.Time, teams []*deployment.Team) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := make(map[string]*bucket, len(teams))
+	share := l.share(now)
+	for _, team := range teams {
+		b := l.buckets[team.Name]
+		if b == nil {
+			b = &bucket{limit: team.Limit, filled: now}
+			if !l.fresh {
+				b.level = team.Limit.Burst
+			}
+		}
+		b.fill(now, share)
+		b.limit = team.Limit
+		b.fill(now, share)
+		kept[team.Name] = b
+	}
+	l.buckets = kept
+}
+
+// share is the part of all instances that hear each other, as this one sees it.
+func (l *Limiter) share(now time.Time) float64 {
+	heard := 1
+	for _, peer := range l.peers {
+		if peer.boot != 0 && now.Sub(peer.heardAt) <= l.silence {
+			heard++
+		}
+	}
+	return float64(heard) / float64(len(l.peers)+1)
+}
+
+// Take uses cost of the team's limit and reports whether it may. When it may
+// not, wait is the time until there is room for the request.
+func (l *Limiter) Take(now time.Time, team string, cost float64) (ok bool, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[team]
+	if b == nil || b.limit.Rate <= 0 {
+		return true, 0
+	}
+	share := l.share(now)
+	b.fill(now, share)
+	// A request larger than the burst needs a full bucket, or it could never run.
+	need := min(cost, b.limit.Burst*share)
+	if b.level < need {
+		return false, b.wait(need, share)
+	}
+	b.level -= cost
+	b.used += cost
+	return true, 0
+}
+
+// Refund returns the cost of a request that never reached an endpoint.
+func (l *Limiter) Refund(team string, cost float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.buckets[team]; b != nil && b.limit.Rate > 0 {
+		b.level += cost
+		b.used -= cost
+	}
+}
+
+// Level returns the level of a team's bucket, for the log.
+func (l *Limiter) Level(team string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.buckets[team]; b != nil {
+		return b.level
+	}
+	return 0
+}
+
+// Local returns this instance's use, for the other instances.
+func (l *Limiter) Local(now time.Time) []Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	share := l.share(now)
+	all := make([]Use, 0, len(l.buckets))
+	for name, b := range l.buckets {
+		if b.limit.Rate <= 0 {
+			continue
+		}
+		b.fill(now, share)
+		all = append(all, Use{Team: name, Total: b.used, Level: b.level})
+	}
+	return all
+}
+
+// Observe takes in another instance's report. boot tells its starts apart and is not 0.
+func (l *Limiter) Observe(now time.Time, name string, boot uint64, uses []Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	peer := l.peers[name]
+	if peer == nil {
+		peer = &peerState{used: make(map[string]float64)}
+		l.peers[name] = peer
+	}
+	share := l.share(now)
+	silent := l.silentFor(now, peer)
+	known := peer.boot != 0
+	if peer.boot != boot {
+		peer.boot, peer.used = boot, make(map[string]float64)
+	}
+	peer.heardAt = now
+	for _, use := range uses {
+		l.observeUse(now, peer, use, share, silent, known)
+	}
+	if l.fresh && len(uses) > 0 {
+		l.fresh = false
+	}
+}
+
+// silentFor is how long the peer's share was held back from the bucket.
+func (l *Limiter) silentFor(now time.Time, peer *peerState) time.Duration {
+	if peer.boot == 0 {
+		return 0
+	}
+	return max(now.Sub(peer.heardAt)-l.silence, 0)
+}
+
+func (l *Limiter) observeUse(now time.Time, peer *peerState, use Use, share float64, silent time.Duration, known bool) {
+	b := l.buckets[use.Team]
+	previous, counted := peer.used[use.Team]
+	peer.used[use.Team] = use.Total
+	if b == nil {
+		return
+	}
+	b.fill(now, share)
+	if l.fresh {
+		// The level told includes all use that this process has not seen.
+		b.level = min(use.Level-b.used, b.limit.Burst)
+		return
+	}
+	if !counted && !known {
+		return // use before the first report is in the level already, or in nobody's
+	}
+	held := b.limit.Rate / float64(len(l.peers)+1) * silent.Seconds()
+	b.level -= max(use.Total-previous-held, 0)
+}
--- a/testutil/delivery.go
+++ b/testutil/delivery.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // Delivery is a reply that is due to the instance To.
 type Delivery struct {
 	At   time.Time
 	To   string
-	Done platform.Done
+	Done objectapi.Done
 }
--- a/testutil/driver.go
+++ b/testutil/driver.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // Machine is one instance's state machine as the Driver runs it.
 type Machine interface {
-	Tick(now time.Time) []platform.Call
-	Done(now time.Time, done platform.Done) []platform.Call
+	Tick(now time.Time) []objectapi.Call
+	Done(now time.Time, done objectapi.Done) []objectapi.Call
 }
 
 // Driver runs machines against a Store under a scripted clock, each as one
@@ -25,7 +25,7 @@
 	id      string
 	machine Machine
 	paused  time.Time
-	inbox   []platform.Done
+	inbox   []objectapi.Done
 }
 
 // NewDriver returns a Driver whose clock starts at now.
@@ -54,7 +54,7 @@
 func (d *Driver) Paused(id string) bool { return d.Now.Before(d.byID[id].paused) }
 
 // Submit sends calls that a machine returned outside Tick and Done.
-func (d *Driver) Submit(id string, calls []platform.Call) { d.Store.Submit(d.Now, id, calls...) }
+func (d *Driver) Submit(id string, calls []objectapi.Call) { d.Store.Submit(d.Now, id, calls...) }
 
 // Step advances the clock, delivers replies and ticks the machines that are not paused.
 func (d *Driver) Step(length time.Duration) {
--- a/testutil/store.go
+++ b/testutil/store.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"knapweedhoist/platform"
+	"knapweedhoist/objectapi"
 )
 
 // Store is an object API under a scripted clock. It is not safe for concurrent use.
@@ -16,11 +16,11 @@
 	faults   Faults
 	queue    queue
 	outage   bool
-	version  platform.Version
-	floor    platform.Version // watches from below this version are answered with ErrCompacted
-	objects  map[string]platform.Object
-	history  []platform.WatchEvent
-	versions []platform.Version // store versions of the entries of history
+	version  objectapi.Version
+	floor    objectapi.Version // watches from below this version are answered with ErrCompacted
+	objects  map[string]objectapi.Object
+	history  []objectapi.WatchEvent
+	versions []objectapi.Version // store versions of the entries of history
 	parked   []*watch
 	due      []Delivery
 	// Injected counts the faults by name; Calls counts the calls by operation.
@@ -30,14 +30,14 @@
 
 type watch struct {
 	to       string
-	call     platform.Call
+	call     objectapi.Call
 	deadline time.Time
 }
 
 // NewStore returns an empty Store.
 func NewStore(rng *rand.Rand, faults Faults) *Store {
 	return &Store{
-		rng: rng, faults: faults, version: 1, objects: make(map[string]platform.Object),
+		rng: rng, faults: faults, version: 1, objects: make(map[string]objectapi.Object),
 		Injected: make(map[string]int), Calls: make(map[string]int),
 	}
 }
@@ -61,14 +61,14 @@
 }
 
 // Object returns the stored object.
-func (s *Store) Object(kind platform.Kind, name string) (platform.Object, bool) {
+func (s *Store) Object(kind objectapi.Kind, name string) (objectapi.Object, bool) {
 	object, ok := s.objects[key(kind, name)]
 	return object, ok
 }
 
 // Objects returns the stored objects whose names have the prefix, in order of names.
-func (s *Store) Objects(kind platform.Kind, prefix string) []platform.Object {
-	var found []platform.Object
+func (s *Store) Objects(kind objectapi.Kind, prefix string) []objectapi.Object {
+	var found []objectapi.Object
 	for _, object := range s.objects {
 		if object.Kind == kind && strings.HasPrefix(object.Name, prefix) {
 			found = append(found, object)
@@ -79,7 +79,7 @@
 }
 
 // Submit accepts calls of the instance to at now.
-func (s *Store) Submit(now time.Time, to string, calls ...platform.Call) {
+func (s *Store) Submit(now time.Time, to string, calls ...objectapi.Call) {
 	for _, call := range calls {
 		call.Request.Value = slices.Clone(call.Request.Value)
 		s.Calls[call.Request.Op.String()]++
@@ -96,38 +96,38 @@
 	return due
 }
 
-func (s *Store) submit(now time.Time, to string, call platform.Call) {
+func (s *Store) submit(now time.Time, to string, call objectapi.Call) {
 	effect := now.Add(s.delay())
-	write := call.Request.Op == platform.OpPut || call.Request.Op == platform.OpDelete
+	write := call.Request.Op == objectapi.OpPut || call.Request.Op == objectapi.OpDelete
 	switch draw := s.rng.Float64(); {
 	case draw < s.faults.Throttle:
 		s.Injected["throttle"]++
-		s.reply(effect, to, call.ID, platform.Reply{}, platform.ErrThrottled)
+		s.reply(effect, to, call.ID, objectapi.Reply{}, objectapi.ErrThrottled)
 	case draw < s.faults.Throttle+s.faults.Drop:
 		s.Injected["drop"]++
-		s.reply(effect, to, call.ID, platform.Reply{}, platform.ErrUnavailable)
+		s.reply(effect, to, call.ID, objectapi.Reply{}, objectapi.ErrUnavailable)
 	case write && draw < s.faults.Throttle+s.faults.Drop+s.faults.Late:
 		s.Injected["late effect"]++
-		s.reply(effect, to, call.ID, platform.Reply{}, platform.ErrUnavailable)
+		s.reply(effect, to, call.ID, objectapi.Reply{}, objectapi.ErrUnavailable)
 		late := effect.Add(time.Duration(s.rng.Int63n(int64(s.faults.MaxLate) + 1)))
 		s.queue.add(late, func(at time.Time) { _, _ = s.apply(at, call.Request) })
 	case write && draw < s.faults.Throttle+s.faults.Drop+s.faults.Late+s.faults.LoseReply:
 		s.Injected["lost reply"]++
 		s.queue.add(effect, func(at time.Time) {
 			_, _ = s.apply(at, call.Request)
-			s.reply(at.Add(s.delay()), to, call.ID, platform.Reply{}, platform.ErrUnavailable)
+			s.reply(at.Add(s.delay()), to, call.ID, objectapi.Reply{}, objectapi.ErrUnavailable)
 		})
 	default:
 		s.queue.add(effect, func(at time.Time) { s.answer(at, to, call) })
 	}
 }
 
-func (s *Store) answer(at time.Time, to string, call platform.Call) {
+func (s *Store) answer(at time.Time, to string, call objectapi.Call) {
 	if s.outage {
-		s.reply(at.Add(s.delay()), to, call.ID, platform.Reply{}, platform.ErrUnavailable)
+		s.reply(at.Add(s.delay()), to, call.ID, objectapi.Reply{}, objectapi.ErrUnavailable)
 		return
 	}
-	if call.Request.Op == platform.OpWatch {
+	if call.Request.Op == objectapi.OpWatch {
 		w := &watch{to: to, call: call, deadline: at.Add(call.Request.Wait)}
 		if !s.answerWatch(at, w, false) {
 			s.parked = append(s.parked, w)
@@ -138,14 +138,14 @@
 	s.reply(at.Add(s.delay()), to, call.ID, reply, err)
 }
 
-func (s *Store) apply(at time.Time, request platform.Request) (platform.Reply, error) {
+func (s *Store) apply(at time.Time, request objectapi.Request) (objectapi.Reply, error) {
 	if s.outage {
-		return platform.Reply{}, platform.ErrUnavailable
+		return objectapi.Reply{}, objectapi.ErrUnavailable
 	}
 	switch request.Op {
-	case platform.OpGet:
+	case objectapi.OpGet:
 		return s.get(request)
-	case platform.OpList:
+	case objectapi.OpList:
 		return s.list(request), nil
 	default:
 		reply, err := s.write(request)
@@ -156,16 +156,16 @@
 	}
 }
 
-func (s *Store) get(request platform.Request) (platform.Reply, error) {
+func (s *Store) get(request objectapi.Request) (objectapi.Reply, error) {
 	object, ok := s.objects[key(request.Kind, request.Name)]
 	if !ok {
-		return platform.Reply{Version: s.version}, platform.ErrNotFound
+		return objectapi.Reply{Version: s.version}, objectapi.ErrNotFound
 	}
-	return platform.Reply{Object: object, Version: s.version}, nil
+	return objectapi.Reply{Object: object, Version: s.version}, nil
 }
 
-func (s *Store) list(request platform.Request) platform.Reply {
-	reply := platform.Reply{Version: s.version}
+func (s *Store) list(request objectapi.Request) objectapi.Reply {
+	reply := objectapi.Reply{Version: s.version}
 	for _, object := range s.Objects(request.Kind, request.Name) {
 		if object.Name <= request.After {
 			continue
@@ -179,27 +179,27 @@
 	return reply
 }
 
-func (s *Store) write(request platform.Request) (platform.Reply, error) {
+func (s *Store) write(request objectapi.Request) (objectapi.Reply, error) {
 	current, exists := s.objects[key(request.Kind, request.Name)]
 	if request.Condition.IfAbsent && exists {
-		return platform.Reply{Object: current, Version: s.version}, platform.ErrConflict
+		return objectapi.Reply{Object: current, Version: s.version}, objectapi.ErrConflict
 	}
 	if request.Condition.IfVersion != 0 && current.Version != request.Condition.IfVersion {
-		return platform.Reply{Object: current, Version: s.version}, platform.ErrConflict
+		return objectapi.Reply{Object: current, Version: s.version}, objectapi.ErrConflict
 	}
-	if request.Op == platform.OpDelete && !exists {
-		return platform.Reply{Version: s.version}, platform.ErrNotFound
+	if request.Op == objectapi.OpDelete && !exists {
+		return objectapi.Reply{Version: s.version}, objectapi.ErrNotFound
 	}
 	s.version++
-	object := platform.Object{Kind: request.Kind, Name: request.Name, Version: s.version, Value: request.Value}
-	if request.Op == platform.OpDelete {
+	object := objectapi.Object{Kind: request.Kind, Name: request.Name, Version: s.version, Value: request.Value}
+	if request.Op == objectapi.OpDelete {
 		delete(s.objects, key(request.Kind, request.Name))
 	} else {
 		s.objects[key(request.Kind, request.Name)] = object
 	}
-	s.history = append(s.history, platform.WatchEvent{Deleted: request.Op == platform.OpDelete, Object: object})
+	s.history = append(s.history, objectapi.WatchEvent{Deleted: request.Op == objectapi.OpDelete, Object: object})
 	s.versions = append(s.versions, s.version)
-	return platform.Reply{Object: object, Version: s.version}, nil
+	return objectapi.Reply{Object: object, Version: s.version}, nil
 }
 
 func (s *Store) wakeWatches(at time.Time) {
@@ -215,10 +215,10 @@
 // answerWatch answers the watch when it has events, is compacted, or has to be answered.
 func (s *Store) answerWatch(at time.Time, w *watch, must bool) bool {
 	if w.call.Request.From < s.floor {
-		s.reply(at.Add(s.delay()), w.to, w.call.ID, platform.Reply{}, platform.ErrCompacted)
+		s.reply(at.Add(s.delay()), w.to, w.call.ID, objectapi.Reply{}, objectapi.ErrCompacted)
 		return true
 	}
-	reply := platform.Reply{Version: s.version}
+	reply := objectapi.Reply{Version: s.version}
 	for i, event := range s.history {
 		if s.versions[i] > w.call.Request.From && event.Object.Kind == w.call.Request.Kind {
 			reply.Events = append(reply.Events, event)
@@ -231,9 +231,9 @@
 	return true
 }
 
-func (s *Store) reply(at time.Time, to string, id uint64, reply platform.Reply, err error) {
+func (s *Store) reply(at time.Time, to string, id uint64, reply objectapi.Reply, err error) {
 	s.queue.add(at, func(at time.Time) {
-		s.due = append(s.due, Delivery{At: at, To: to, Done: platform.Done{ID: id, Reply: reply, Err: err}})
+		s.due = append(s.due, Delivery{At: at, To: to, Done: objectapi.Done{ID: id, Reply: reply, Err: err}})
 	})
 }
 
@@ -245,4 +245,4 @@
 	return s.faults.MinDelay + time.Duration(s.rng.Int63n(int64(spread)))
 }
 
-func key(kind platform.Kind, name string) string { return string(kind) + "/" + name }
+func key(kind objectapi.Kind, name string) string { return string(kind) + "/" + name }
--- /dev/null
+++ b/upstream/answer.go
@@ -0,0 +1,146 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Answer is an endpoint's answer. One goroutine uses it.
+type Answer struct {
+	Header fasthttp.ResponseHeader
+	// Body ends with io.EOF only when the framing says that it is complete.
+	Body *Body
+
+	pool    *Pool
+	peer    Peer
+	conn    *conn
+	written chan error
+	unhook  func() bool
+	closed  bool
+}
+
+// Body reads a body by its framing.
+type Body struct {
+	reader io.Reader
+	// chunked bodies have a trailer line after the last chunk.
+	chunked *bufio.Reader
+	// left is what is missing of a body with a length, -1 without.
+	left int
+	// toEnd: the body ends with the connection.
+	toEnd    bool
+	complete bool
+}
+
+// frame sets the body up after a head was read.
+func (a *Answer) frame(head bool) {
+	status := a.Header.StatusCode()
+	length := a.Header.ContentLength()
+	switch {
+	case head || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		a.Body = &Body{reader: strings.NewReader(""), left: 0}
+	case length >= 0:
+		a.Body = &Body{reader: io.LimitReader(a.conn.reader, int64(length)), left: length}
+	case length == -1:
+		a.Body = &Body{reader: httputil.NewChunkedReader(a.conn.reader), chunked: a.conn.reader, left: -1}
+	default:
+		a.Body = &Body{reader: a.conn.reader, left: -1, toEnd: true}
+	}
+}
+
+// Read implements io.Reader.
+func (b *Body) Read(p []byte) (int, error) {
+	if b.complete {
+		return 0, io.EOF
+	}
+	n, err := b.reader.Read(p)
+	if b.left > 0 {
+		b.left -= n
+	}
+	switch {
+	case err == nil:
+		return n, nil
+	case !errors.Is(err, io.EOF):
+		return n, fmt.Errorf("%w: %w", ErrTruncated, err)
+	case b.left > 0:
+		return n, ErrTruncated
+	}
+	if b.chunked != nil {
+		if err := skipTrailer(b.chunked); err != nil {
+			return n, err
+		}
+	}
+	b.complete = true
+	return n, io.EOF
+}
+
+// skipTrailer reads the fields after the last chunk, up to the empty line.
+func skipTrailer(reader *bufio.Reader) error {
+	for {
+		line, err := reader.ReadSlice('\n')
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrTruncated, err)
+		}
+		if len(strings.TrimRight(string(line), "\r\n")) == 0 {
+			return nil
+		}
+	}
+}
+
+// Close ends the exchange. The connection is kept when the answer was read to
+// its end and the endpoint keeps it.
+func (a *Answer) Close() {
+	if a.closed {
+		return
+	}
+	if !a.reusable() || !a.unhook() {
+		a.abort()
+		return
+	}
+	a.closed = true
+	a.pool.release(a.peer, a.conn, a.keepFor())
+}
+
+func (a *Answer) reusable() bool {
+	if !a.Body.complete || a.Body.toEnd || a.Header.ConnectionClose() || a.conn.reader.Buffered() > 0 {
+		return false
+	}
+	timer := time.NewTimer(writeGrace)
+	defer timer.Stop()
+	select {
+	case err := <-a.written:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
+// Abort closes the connection, which tells the endpoint to stop working on the request.
+func (a *Answer) Abort() { a.abort() }
+
+func (a *Answer) abort() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.unhook()
+	_ = a.conn.Close()
+}
+
+// keepFor returns the time of the Keep-Alive field, 0 when the endpoint states none.
+func (a *Answer) keepFor() time.Duration {
+	for part := range strings.SplitSeq(string(a.Header.Peek("Keep-Alive")), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); strings.EqualFold(name, "timeout") && err == nil {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
