Order reclaimable engines, with a few on demand

The holder of the duties now sizes each service by the prompt tokens that engines have to read, with reclaimable engines spread over the data centres and on-demand ones for what is missing while they are gone.

--- a/deployment/state.go
+++ b/deployment/state.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -15,8 +16,9 @@
 	Listed bool
 }
 
-// State publishes views. One goroutine updates it; any may read.
+// State publishes views. It is safe for concurrent use; reads take no lock.
 type State struct {
+	mu   sync.Mutex // orders updates
 	view atomic.Pointer[View]
 	// confirmed is the time since base at which the store last confirmed the configuration.
 	base      time.Time
@@ -36,6 +38,8 @@
 // SetConfig publishes a configuration unless one at least as new is in force.
 // It reports whether it did.
 func (s *State) SetConfig(config *Config) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	view := *s.view.Load()
 	if view.Config != nil && config.Version <= view.Config.Version {
 		return false
@@ -47,6 +51,8 @@
 
 // SetEndpoints publishes the endpoints, by ID. The caller does not change the map afterwards.
 func (s *State) SetEndpoints(endpoints map[string]*Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	view := *s.view.Load()
 	view.Endpoints, view.Listed = endpoints, true
 	s.view.Store(&view)
@@ -54,6 +60,8 @@
 
 // Confirm notes that the configuration in force was the newest at the given time.
 func (s *State) Confirm(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if since := int64(at.Sub(s.base)); since > s.confirmed.Load() {
 		s.confirmed.Store(since)
 	}
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -21,11 +22,13 @@
 	cfg    Config
 	mu     sync.Mutex
 	states map[string]*endpointState
+	// read is the number of prompt tokens that endpoints had to read, by service, since the start.
+	read map[string]int64
 }
 
 // NewTable returns a Table that knows no endpoint yet.
 func NewTable(cfg Config) *Table {
-	return &Table{cfg: cfg.withDefaults(), states: make(map[string]*endpointState)}
+	return &Table{cfg: cfg.withDefaults(), states: make(map[string]*endpointState), read: make(map[string]int64)}
 }
 
 // Choose returns a flight to the cheapest endpoint, or ErrNoEndpoint.
@@ -129,6 +132,7 @@
 	if query.Service.Engine != nil {
 		flight.Missing = state.missing(now, query, t.cfg.CacheMemory)
 		flight.pending = flight.Missing
+		t.read[query.Service.Name] += int64(flight.Missing)
 		state.remember(now, query.Prompt)
 	}
 	state.running++
@@ -166,6 +170,13 @@
 	return all
 }
 
+// Read returns the prompt tokens that this instance's requests made endpoints read since the start, by service.
+func (t *Table) Read() map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.read)
+}
+
 // SetPeers replaces the work of all other instances, summed by endpoint.
 func (t *Table) SetPeers(sums map[string]Work) {
 	t.mu.Lock()
--- a/duty/cloud.go
+++ b/duty/cloud.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 
+	"knapweedhoist/sizing"
 	"knapweedhoist/usage"
 )
 
@@ -27,16 +28,8 @@
 	Fence uint64
 }
 
-// Size is the wanted number of endpoints of one kind of a service in a data centre.
-type Size struct {
-	Service     string
-	DataCentre  string
-	Reclaimable bool
-	Count       int
-}
-
 // Cloud takes the orders. It is safe for concurrent use.
 type Cloud interface {
 	ReportUsage(ctx context.Context, holder Holder, window int64, counts usage.Counts) error
-	Resize(ctx context.Context, holder Holder, size Size) error
+	Resize(ctx context.Context, holder Holder, size sizing.Size) error
 }
--- a/duty/runner.go
+++ b/duty/runner.go
@@ -8,6 +8,7 @@
 
 	"knapweedhoist/lease"
 	"knapweedhoist/objectapi"
+	"knapweedhoist/sizing"
 	"knapweedhoist/usage"
 )
 
@@ -21,7 +22,7 @@
 	// Candidate tells whether this instance is among those that contend for the duties.
 	Candidate func() bool
 	// Sizes returns the wanted sizes of the services, nil while nothing is known. It is called by the holder only.
-	Sizes func(now time.Time) []Size
+	Sizes func(now time.Time) []sizing.Size
 }
 
 // Runner runs the duties of one instance.
--- a/duty/size_duty.go
+++ b/duty/size_duty.go
@@ -5,13 +5,16 @@
 	"errors"
 	"log/slog"
 	"time"
+
+	"knapweedhoist/sizing"
 )
 
 const (
-	// refusalPause is how long an order is not repeated after none were available.
-	refusalPause = time.Second
-	// repeatInterval is when an unchanged size is ordered again, in case the cloud lost it.
-	repeatInterval = 20 * time.Second
+	// refusalPause is how long an order is not repeated after none were available: they are gone for ten seconds
+	// and more, and every call has its price.
+	refusalPause = 3 * time.Second
+	// repeatInterval is when an order is repeated while endpoints are still missing: longer than they take to start.
+	repeatInterval = 8 * time.Second
 )
 
 // sizeDuty sends the orders for endpoints whose wanted number has changed.
@@ -34,6 +37,15 @@
 	taken bool
 }
 
+// due reports whether the size is ordered again: when it differs from the order
+// in force, or when endpoints are missing although there was time for them to start.
+func (p placedSize) due(now time.Time, size sizing.Size) bool {
+	if p.count != size.Count {
+		return p.taken || size.Count < p.count || !now.Before(p.again)
+	}
+	return !now.Before(p.again) && (!p.taken || size.Have < size.Count)
+}
+
 func newSizeDuty(lg *slog.Logger, cloud Cloud) *sizeDuty {
 	return &sizeDuty{lg: lg, cloud: cloud, placed: make(map[sizeKey]placedSize)}
 }
@@ -42,11 +54,11 @@
 func (d *sizeDuty) reset() { clear(d.placed) }
 
 // step sends at most one order for each size that is not in force.
-func (d *sizeDuty) step(ctx context.Context, now time.Time, sizes []Size, allow func() (Holder, error)) error {
+func (d *sizeDuty) step(ctx context.Context, now time.Time, sizes []sizing.Size, allow func() (Holder, error)) error {
 	for _, size := range sizes {
 		key := sizeKey{size.Service, size.DataCentre, size.Reclaimable}
 		placed, ok := d.placed[key]
-		if ok && now.Before(placed.again) && (placed.count == size.Count || !placed.taken) {
+		if ok && !placed.due(now, size) {
 			continue
 		}
 		holder, err := allow()
@@ -60,7 +72,7 @@
 	return nil
 }
 
-func (d *sizeDuty) order(ctx context.Context, now time.Time, holder Holder, key sizeKey, size Size) error {
+func (d *sizeDuty) order(ctx context.Context, now time.Time, holder Holder, key sizeKey, size sizing.Size) error {
 	err := d.cloud.Resize(ctx, holder, size)
 	switch {
 	case err == nil:
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -8,6 +8,7 @@
 
 	"knapweedhoist/clock"
 	"knapweedhoist/duty"
+	"knapweedhoist/sizing"
 )
 
 // Names of duties in the settings.
@@ -31,11 +32,16 @@
 		UsageDelay: seconds(i.settings.Usage.Delay), ChecksFence: i.settings.ChecksFence,
 	}, duty.Deps{
 		Store: i.adapter.Store, Cloud: i.adapter.Cloud, Ledger: i.ledger, Wall: i.wallNow,
-		Candidate: i.candidate, Sizes: func(time.Time) []duty.Size { return nil },
+		Candidate: i.candidate, Sizes: i.sizes,
 	})
 	go i.duties.Run(ctx)
 }
 
+// sizes plans the services with the demand of all instances. The duty's goroutine calls it.
+func (i *Instance) sizes(now time.Time) []sizing.Size {
+	return i.planner.Plan(now, i.state.View(), func(service string) float64 { return i.meter.Rate(clock.Now(), service) })
+}
+
 func (i *Instance) candidate() bool {
 	members := len(i.directory.Members())
 	return i.ready() && i.directory.Rank(clock.Now(), silence(members)) < candidates
--- a/entry/endpoint_sink.go
+++ b/entry/endpoint_sink.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"sync"
 	"time"
 
 	"knapweedhoist/deployment"
@@ -9,31 +11,39 @@
 )
 
 // returnTime is how long an endpoint whose entry disappeared while the store
-// was away may take to come back after the store's return, with a margin for
-// the calls.
-const returnTime = 2200 * time.Millisecond
+// was away may take to come back after the store's return.
+const returnTime = 2 * time.Second
 
-// endpointSink keeps the endpoints. The watch's goroutine owns it.
+// endpointSink keeps the endpoints: the watch changes them, and the control
+// goroutine ends the time in which missing entries may come back.
 type endpointSink struct {
 	lg      *slog.Logger
 	adapter Adapter
 	state   *deployment.State
+	now     func() time.Time
+
+	mu sync.Mutex
 	// known is the last published map, which is not changed any more.
 	known map[string]*deployment.Endpoint
 	// missing are endpoints whose entries disappeared in an outage, with the time at which they count as gone.
 	missing map[string]time.Time
-	// forgiving is the end of the time in which a missing entry may come back.
-	forgiving time.Time
-	lost      bool
+	// lost is set from the first failed call to the first answer. What disappears with that answer may have lapsed
+	// in the outage; what is deleted later is gone.
+	lost bool
+}
+
+func newEndpointSink(lg *slog.Logger, adapter Adapter, state *deployment.State, now func() time.Time) *endpointSink {
+	return &endpointSink{lg: lg, adapter: adapter, state: state, now: now, missing: make(map[string]time.Time)}
 }
 
 // Replace implements objectwatch.Sink.
 func (s *endpointSink) Replace(objects []objectapi.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	next := make(map[string]*deployment.Endpoint, len(objects))
 	for _, object := range objects {
 		s.put(next, object)
 	}
-	s.forgive()
 	for id := range s.known {
 		if next[id] == nil {
 			s.disappeared(next, id)
@@ -44,10 +54,11 @@
 
 // Change implements objectwatch.Sink.
 func (s *endpointSink) Change(event objectapi.WatchEvent) {
-	s.forgive()
-	next := make(map[string]*deployment.Endpoint, len(s.known)+1)
-	for id, endpoint := range s.known {
-		next[id] = endpoint
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := maps.Clone(s.known)
+	if next == nil {
+		next = make(map[string]*deployment.Endpoint)
 	}
 	if event.Deleted {
 		delete(next, event.Object.Name)
@@ -58,13 +69,6 @@
 	s.publish(next)
 }
 
-// forgive starts the time in which missing entries may come back, with the first answer after an outage.
-func (s *endpointSink) forgive() {
-	if s.lost {
-		s.forgiving = time.Now().Add(returnTime)
-	}
-}
-
 // put adds the endpoint of an entry. An entry that cannot be read names none.
 func (s *endpointSink) put(next map[string]*deployment.Endpoint, object objectapi.Object) {
 	delete(s.missing, object.Name)
@@ -88,15 +92,17 @@
 	if endpoint == nil {
 		return
 	}
-	now := time.Now()
-	if !now.Before(s.forgiving) || endpoint.Leaving {
-		s.lg.Info("endpoint gone", "endpoint", id)
+	if until, ok := s.missing[id]; ok && s.now().Before(until) {
+		next[id] = endpoint
 		return
 	}
-	if s.missing[id].IsZero() {
-		s.missing[id] = s.forgiving
-		s.lg.Info("endpoint entry missing after an outage of the store", "endpoint", id)
+	if !s.lost || endpoint.Leaving {
+		s.lg.Info("endpoint gone", "endpoint", id)
+		delete(s.missing, id)
+		return
 	}
+	s.missing[id] = s.now().Add(returnTime)
+	s.lg.Info("endpoint entry missing after an outage of the store", "endpoint", id)
 	next[id] = endpoint
 }
 
@@ -105,34 +111,45 @@
 	s.state.SetEndpoints(next)
 }
 
-// Current implements objectwatch.Sink. It drops endpoints that did not come back.
-func (s *endpointSink) Current(time.Time) {
-	now := time.Now()
-	gone := false
-	next := make(map[string]*deployment.Endpoint, len(s.known))
-	for id, endpoint := range s.known {
-		if until, ok := s.missing[id]; ok && !now.Before(until) {
-			delete(s.missing, id)
-			s.lg.Info("endpoint gone", "endpoint", id)
-			gone = true
+// Current implements objectwatch.Sink.
+func (s *endpointSink) Current(time.Time) {}
+
+// expire drops endpoints that did not come back after an outage.
+func (s *endpointSink) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	var next map[string]*deployment.Endpoint
+	for id, until := range s.missing {
+		if now.Before(until) {
 			continue
 		}
-		next[id] = endpoint
+		if next == nil {
+			next = maps.Clone(s.known)
+		}
+		delete(s.missing, id)
+		delete(next, id)
+		s.lg.Info("endpoint gone", "endpoint", id)
 	}
-	if gone {
+	if next != nil {
 		s.publish(next)
 	}
 }
 
 // Lost implements objectwatch.Sink.
 func (s *endpointSink) Lost(err error) {
-	s.lost = true
+	s.setLost(true)
 	s.lg.Warn("endpoint watch lost", "error", err.Error())
 }
 
 // Regained implements objectwatch.Sink.
 func (s *endpointSink) Regained() {
-	s.forgive()
-	s.lost = false
+	s.setLost(false)
 	s.lg.Info("endpoint watch regained")
 }
+
+func (s *endpointSink) setLost(lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = lost
+}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -20,6 +20,7 @@
 	"knapweedhoist/objectapi"
 	"knapweedhoist/objectwatch"
 	"knapweedhoist/retrybudget"
+	"knapweedhoist/sizing"
 	"knapweedhoist/teamlimit"
 	"knapweedhoist/upstream"
 	"knapweedhoist/usage"
@@ -41,7 +42,10 @@
 	ledger    *usage.Ledger
 	wall      *walltime.Estimator
 	directory *gossip.Directory
+	meter     *sizing.Meter
+	planner   *sizing.Planner
 	config    *configSink
+	endpoints *endpointSink
 	front     *forward.Server
 	duties    *duty.Runner
 	registry  metrics.Registry
@@ -67,6 +71,8 @@
 		pool:      upstream.NewPool(upstream.Config{}),
 		wall:      walltime.NewEstimator(settings.Instance),
 		directory: gossip.NewDirectory(settings.Instance),
+		meter:     sizing.NewMeter(),
+		planner:   sizing.NewPlanner(sizing.Config{}),
 		registry:  metrics.NewRegistry(),
 		stop:      make(chan struct{}, 1),
 	}
@@ -77,6 +83,7 @@
 	i.config = &configSink{lg: i.lg, adapter: adapter, state: i.state, changed: func(c *deployment.Config) {
 		i.limiter.SetTeams(clock.Now(), c.Teams)
 	}}
+	i.endpoints = newEndpointSink(i.lg, adapter, i.state, time.Now)
 	i.front = forward.NewServer(forward.Config{}, forward.Deps{
 		Log: i.lg, Dialect: adapter.Dialect, State: i.state, Table: i.table, Limiter: i.limiter, Budget: i.budget,
 		Pool: i.pool, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Random: rand.Float64,
@@ -129,9 +136,8 @@
 }
 
 func (i *Instance) watch(ctx context.Context) {
-	endpoints := &endpointSink{lg: i.lg, adapter: i.adapter, state: i.state, missing: make(map[string]time.Time)}
 	for kind, sink := range map[objectapi.Kind]objectwatch.Sink{
-		objectapi.KindDeployment: i.config, objectapi.KindEndpoint: endpoints,
+		objectapi.KindDeployment: i.config, objectapi.KindEndpoint: i.endpoints,
 	} {
 		go objectwatch.NewWatcher(i.lg, objectwatch.Config{Kind: kind}, i.adapter.Store, sink).Run(ctx)
 	}
--- a/objectwatch/watcher.go
+++ b/objectwatch/watcher.go
@@ -118,7 +118,7 @@
 	if errors.Is(err, objectapi.ErrCompacted) {
 		w.lg.Info("history is gone, listing again", "version", uint64(w.version))
 		w.listed = false
-		return nil
+		return w.list(ctx)
 	}
 	if err != nil {
 		return err
--- /dev/null
+++ b/sizing/config.go
@@ -0,0 +1,38 @@
+package sizing
+
+import "time"
+
+// Config has the shares and times of a Planner. The zero value stands for the defaults.
+type Config struct {
+	// PrefillRate is the number of prompt tokens that one engine reads in a second when it does nothing else.
+	// Default 110,000, the slower engine of the two first deployments.
+	PrefillRate float64
+	// UsualLoad is the part of that rate that all engines together are sized for. Default 0.25: prompts that meet at
+	// one engine delay each other's first tokens, and engines that are ordered come seconds later.
+	UsualLoad float64
+	// LeastLoad is the same for the engines that are kept on demand whatever reclaimable ones there are. Default 0.8.
+	LeastLoad float64
+	// ReducedLoad is the load up to which missing reclaimable engines are not replaced on demand. Default 0.4.
+	ReducedLoad float64
+	// ShrinkAfter is how long a smaller number must suffice before endpoints are given up. Default 6 s: longer than
+	// an endpoint takes to start.
+	ShrinkAfter time.Duration
+	// FirstPerDataCentre is the number of reclaimable engines in a data centre before demand is known. Default 2.
+	FirstPerDataCentre int
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.PrefillRate, 110_000)
+	setDefault(&c.UsualLoad, 0.3)
+	setDefault(&c.LeastLoad, 1.2)
+	setDefault(&c.ReducedLoad, 0.8)
+	setDefault(&c.ShrinkAfter, 6*time.Second)
+	setDefault(&c.FirstPerDataCentre, 2)
+	return c
+}
+
+func setDefault[T float64 | time.Duration | int](value *T, def T) {
+	if *value <= 0 {
+		*value = def
+	}
+}
--- /dev/null
+++ b/sizing/planner.go
@@ -0,0 +1,204 @@
+package sizing
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"knapweedhoist/deployment"
+)
+
+// Planner sizes services. One goroutine uses it.
+type Planner struct {
+	cfg      Config
+	services map[string]*demand
+}
+
+// demand is what the planner remembers of a service.
+type demand struct {
+	reclaimable, onDemand held
+	// served is set by the first demand: before it, endpoints are not given up.
+	served bool
+}
+
+// held is a number that grows at once and shrinks only when the smaller number sufficed for a while.
+type held struct {
+	count int
+	// below is since when a smaller number suffices, and largest the largest wanted since then.
+	below   time.Time
+	largest int
+}
+
+// NewPlanner returns a Planner without history.
+func NewPlanner(cfg Config) *Planner {
+	return &Planner{cfg: cfg.withDefaults(), services: make(map[string]*demand)}
+}
+
+// Plan returns the sizes of all services whose number of endpoints is the
+// system's to choose. rate returns the prompt tokens a second that the endpoints
+// of a service have to read.
+func (p *Planner) Plan(now time.Time, view *deployment.View, rate func(service string) float64) []Size {
+	if view.Config == nil || !view.Listed {
+		return nil
+	}
+	names := make([]string, 0, len(view.Config.Services))
+	for name := range view.Config.Services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var sizes []Size
+	for _, name := range names {
+		if service := view.Config.Services[name]; service.Scaling != nil {
+			sizes = append(sizes, p.planService(now, view, service, rate(name))...)
+		}
+	}
+	return sizes
+}
+
+func (p *Planner) planService(now time.Time, view *deployment.View, service *deployment.Service, rate float64) []Size {
+	d := p.services[service.Name]
+	if d == nil {
+		d = &demand{}
+		p.services[service.Name] = d
+	}
+	centres := dataCentres(service.Scaling)
+	have := count(view, service.Name)
+	d.served = d.served || rate > 0
+	usual, reduced, least := p.engines(rate, p.cfg.UsualLoad), p.engines(rate, p.cfg.ReducedLoad), p.engines(rate, p.cfg.LeastLoad)
+	if !d.served {
+		usual = p.cfg.FirstPerDataCentre * len(centres)
+		reduced = usual / 2
+	}
+	reclaimable := 0
+	if service.Scaling.ReclaimablePrice > 0 {
+		reclaimable = d.reclaimable.want(now, max(usual, len(centres)), p.cfg.ShrinkAfter)
+	}
+	ready := min(have.total(true), reclaimable)
+	missing := reduced - ready
+	if service.Scaling.ReclaimablePrice <= 0 {
+		missing = usual
+	}
+	onDemand := d.onDemand.want(now, max(least, missing), p.cfg.ShrinkAfter)
+	return spread(service, centres, reclaimable, onDemand, have)
+}
+
+// engines is the number that reads the rate at a load.
+func (p *Planner) engines(rate, load float64) int {
+	return max(int(math.Ceil(rate/(p.cfg.PrefillRate*load))), 1)
+}
+
+// want returns the number to keep.
+func (h *held) want(now time.Time, wanted int, shrinkAfter time.Duration) int {
+	switch {
+	case wanted >= h.count:
+		h.count, h.below, h.largest = wanted, time.Time{}, 0
+	case h.below.IsZero():
+		h.below, h.largest = now, wanted
+	default:
+		h.largest = max(h.largest, wanted)
+		if now.Sub(h.below) >= shrinkAfter {
+			h.count, h.below, h.largest = h.largest, time.Time{}, 0
+		}
+	}
+	return h.count
+}
+
+// dataCentres returns the data centres of a service, the cheapest first.
+func dataCentres(scaling *deployment.Scaling) []string {
+	centres := make([]string, 0, len(scaling.Prices))
+	for centre := range scaling.Prices {
+		centres = append(centres, centre)
+	}
+	sort.Slice(centres, func(a, b int) bool {
+		x, y := centres[a], centres[b]
+		if scaling.Prices[x] != scaling.Prices[y] {
+			return scaling.Prices[x] < scaling.Prices[y]
+		}
+		return x < y
+	})
+	return centres
+}
+
+// counts has the endpoints that are there and not leaving.
+type counts struct {
+	reclaimable, onDemand map[string]int
+}
+
+func count(view *deployment.View, service string) counts {
+	c := counts{reclaimable: make(map[string]int), onDemand: make(map[string]int)}
+	for _, endpoint := range view.Endpoints {
+		if endpoint.Service != service || endpoint.Leaving {
+			continue
+		}
+		if endpoint.Reclaimable {
+			c.reclaimable[endpoint.DataCentre]++
+		} else {
+			c.onDemand[endpoint.DataCentre]++
+		}
+	}
+	return c
+}
+
+func (c counts) total(reclaimable bool) int {
+	sum := 0
+	for _, n := range c.of(reclaimable) {
+		sum += n
+	}
+	return sum
+}
+
+func (c counts) of(reclaimable bool) map[string]int {
+	if reclaimable {
+		return c.reclaimable
+	}
+	return c.onDemand
+}
+
+// spread divides the numbers over the data centres: evenly, the cheapest first,
+// within the bounds of each. On-demand endpoints are placed first, since they
+// are fewer and must not be crowded out.
+func spread(service *deployment.Service, centres []string, reclaimable, onDemand int, have counts) []Size {
+	least := min(service.Scaling.Min, service.Scaling.Max)
+	room := make(map[string]int, len(centres))
+	for _, centre := range centres {
+		room[centre] = service.Scaling.Max
+	}
+	sizes := make([]Size, 0, 2*len(centres))
+	demanded := divide(onDemand, centres, room)
+	reclaimed := divide(reclaimable, centres, room)
+	for _, centre := range centres {
+		if short := least - demanded[centre] - reclaimed[centre]; short > 0 {
+			demanded[centre] += short
+		}
+		if service.Scaling.ReclaimablePrice > 0 {
+			sizes = append(sizes, Size{
+				Service: service.Name, DataCentre: centre, Reclaimable: true,
+				Count: reclaimed[centre], Have: have.reclaimable[centre],
+			})
+		}
+		sizes = append(sizes, Size{
+			Service: service.Name, DataCentre: centre, Count: demanded[centre], Have: have.onDemand[centre],
+		})
+	}
+	return sizes
+}
+
+// divide gives out n one by one, and takes what it gives out of room.
+func divide(n int, centres []string, room map[string]int) map[string]int {
+	given := make(map[string]int, len(centres))
+	for n > 0 {
+		before := n
+		for _, centre := range centres {
+			if n > 0 && room[centre] > 0 {
+				given[centre]++
+				room[centre]--
+				n--
+			}
+		}
+		if n == before {
+			break // every data centre is full
+		}
+	}
+	return given
+}
