--- a/duty/config.go
+++ b/duty/config.go
@@ -14,6 +14,8 @@
 	// StartDelay is how long a process that has just started does not contend, so that an instance whose lease
 	// went to another one and back is not the holder twice within that time. Default 4 s.
 	StartDelay time.Duration
+	// NewDeployment tells that there is no former holder to wait for.
+	NewDeployment bool
 	// Reports tells that usage is reported, Orders that endpoints are ordered.
 	Reports, Orders bool
 	// UsageDelay is when the report of a window is due after its end. Default 10 s.
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -27,9 +27,10 @@
 	}
 	i.duties = duty.NewRunner(i.lg, duty.Config{
 		Instance: i.settings.Instance, Incarnation: strconv.FormatUint(i.source.Boot, 36),
-		Reports:    slices.Contains(i.settings.Duties, dutyUsage),
-		Orders:     slices.Contains(i.settings.Duties, dutyOrders),
-		UsageDelay: seconds(i.settings.Usage.Delay), ChecksFence: i.settings.ChecksFence,
+		NewDeployment: i.settings.NewDeployment,
+		Reports:       slices.Contains(i.settings.Duties, dutyUsage),
+		Orders:        slices.Contains(i.settings.Duties, dutyOrders),
+		UsageDelay:    seconds(i.settings.Usage.Delay), ChecksFence: i.settings.ChecksFence,
 	}, duty.Deps{
 		Store: i.adapter.Store, Cloud: i.adapter.Cloud, Ledger: i.ledger, Wall: i.wallNow,
 		Candidate: i.candidate, Sizes: i.sizes,
--- a/sizing/config.go
+++ b/sizing/config.go
@@ -7,13 +7,18 @@
 	// PrefillRate is the number of prompt tokens that one engine reads in a second when it does nothing else.
 	// Default 110,000, the slower engine of the two first deployments.
 	PrefillRate float64
-	// UsualLoad is the part of that rate that all engines together are sized for. Default 0.25: prompts that meet at
+	// UsualLoad is the part of that rate that all engines together are sized for. Default 0.35: prompts that meet at
 	// one engine delay each other's first tokens, and engines that are ordered come seconds later.
 	UsualLoad float64
-	// LeastLoad is the same for the engines that are kept on demand whatever reclaimable ones there are. Default 0.8.
+	// LeastLoad is the same for the engines that are kept on demand whatever reclaimable ones there are. Default 2.5:
+	// they carry the most urgent work until those that are ordered at a reclaim have started.
 	LeastLoad float64
-	// ReducedLoad is the load up to which missing reclaimable engines are not replaced on demand. Default 0.4.
+	// ReducedLoad is the load up to which missing reclaimable engines are not replaced on demand. Default 0.55.
 	ReducedLoad float64
+	// WaveTime is how long after a reclaim others are expected. Default 12 s: reclaims come in waves.
+	WaveTime time.Duration
+	// WaveShare is the part of the reclaimable engines that is counted on during that time. Default 0.4.
+	WaveShare float64
 	// ShrinkAfter is how long a smaller number must suffice before endpoints are given up. Default 6 s: longer than
 	// an endpoint takes to start.
 	ShrinkAfter time.Duration
@@ -23,9 +28,11 @@
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.PrefillRate, 110_000)
-	setDefault(&c.UsualLoad, 0.3)
-	setDefault(&c.LeastLoad, 1.2)
-	setDefault(&c.ReducedLoad, 0.8)
+	setDefault(&c.UsualLoad, 0.35)
+	setDefault(&c.LeastLoad, 2.5)
+	setDefault(&c.ReducedLoad, 0.55)
+	setDefault(&c.WaveTime, 12*time.Second)
+	setDefault(&c.WaveShare, 0.4)
 	setDefault(&c.ShrinkAfter, 6*time.Second)
 	setDefault(&c.FirstPerDataCentre, 2)
 	return c
--- a/sizing/planner.go
+++ b/sizing/planner.go
@@ -18,6 +18,8 @@
 // demand is what the planner remembers of a service.
 type demand struct {
 	reclaimable, onDemand held
+	// reclaimed is when an endpoint was last seen that is being taken away.
+	reclaimed time.Time
 	// served is set by the first demand: before it, endpoints are not given up.
 	served bool
 }
@@ -75,6 +77,12 @@
 		reclaimable = d.reclaimable.want(now, max(usual, len(centres)), p.cfg.ShrinkAfter)
 	}
 	ready := min(have.total(true), reclaimable)
+	if have.leaving > 0 {
+		d.reclaimed = now
+	}
+	if !d.reclaimed.IsZero() && now.Sub(d.reclaimed) < p.cfg.WaveTime {
+		ready = int(float64(ready) * p.cfg.WaveShare)
+	}
 	missing := reduced - ready
 	if service.Scaling.ReclaimablePrice <= 0 {
 		missing = usual
@@ -123,12 +131,20 @@
 // counts has the endpoints that are there and not leaving.
 type counts struct {
 	reclaimable, onDemand map[string]int
+	// leaving is the number of reclaimable endpoints that are being taken away.
+	leaving int
 }
 
 func count(view *deployment.View, service string) counts {
 	c := counts{reclaimable: make(map[string]int), onDemand: make(map[string]int)}
 	for _, endpoint := range view.Endpoints {
-		if endpoint.Service != service || endpoint.Leaving {
+		switch {
+		case endpoint.Service != service:
+			continue
+		case endpoint.Leaving && endpoint.Reclaimable && endpoint.LeavesIn > 0:
+			c.leaving++
+			continue
+		case endpoint.Leaving:
 			continue
 		}
 		if endpoint.Reclaimable {
