Let teams use a part of the overage that the limits allow

Cause: buckets held teams to the exact limit, although more is allowed in any window; requests that were refused below that bound are owed.

--- a/entry/instance.go
+++ b/entry/instance.go
@@ -68,7 +68,7 @@
 		source:    usage.Source{Instance: settings.Instance, Boot: rand.Uint64() | 1},
 		state:     deployment.NewState(),
 		table:     dispatch.NewTable(dispatch.Config{DataCentre: settings.DataCentre}),
-		limiter:   teamlimit.NewLimiter(now, settings.NewDeployment, 0),
+		limiter:   teamlimit.NewLimiter(settings.Limits.config(settings.NewDeployment)),
 		pool:      upstream.NewPool(upstream.Config{}),
 		wall:      walltime.NewEstimator(settings.Instance),
 		directory: gossip.NewDirectory(settings.Instance),
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -11,6 +11,8 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/samber/oops"
 	"go.yaml.in/yaml/v3"
+
+	"knapweedhoist/teamlimit"
 )
 
 // Settings configure one entry instance on a platform. Unknown keys are refused.
@@ -41,6 +43,8 @@
 	Retries Retries `yaml:"retries"`
 	// Usage bounds the reports of usage.
 	Usage Usage `yaml:"usage"`
+	// Limits bounds what teams may use beyond their limits in any window.
+	Limits Limits `yaml:"limits"`
 }
 
 // Listen are the addresses of an entry instance, as IP:PORT.
@@ -73,6 +77,18 @@
 	Delay float64 `yaml:"delay_s" validate:"gt=0"`
 }
 
+// Limits bounds what teams may use beyond their limits in any window.
+type Limits struct {
+	// Overage is the share of a team's limit. Default 0.
+	Overage float64 `yaml:"overage" validate:"gte=0"`
+	// Slack is in the unit of the limits. Default 0.
+	Slack float64 `yaml:"slack" validate:"gte=0"`
+}
+
+func (l Limits) config(newDeployment bool) teamlimit.Config {
+	return teamlimit.Config{Overage: l.Overage, Slack: l.Slack, NewDeployment: newDeployment}
+}
+
 // DefaultSettings returns settings with every optional field at its default.
 func DefaultSettings() Settings {
 	return Settings{
--- a/teamlimit/limiter.go
+++ b/teamlimit/limiter.go
@@ -12,31 +12,68 @@
 // window that limits are judged by.
 const DefaultSilence = 600 * time.Millisecond
 
+// Config bounds what teams may use beyond their limits. What is allowed over a
+// window beside the limit covers what instances admit before they hear of each
+// other; a part of it is given to the teams.
+type Config struct {
+	// Overage is the share of the limit that may be used beyond it in any window.
+	Overage float64
+	// Slack is what may be used beside that in any window, in the limit's unit.
+	Slack float64
+	// Silence is how long another instance counts as heard after its last report. Default DefaultSilence.
+	Silence time.Duration
+	// NewDeployment tells that all instances start for the first time, so that buckets begin full.
+	NewDeployment bool
+}
+
+const (
+	// overageUse is the part of Config.Overage that teams may use.
+	overageUse = 0.6
+	// slackUse is the part of Config.Slack that teams may use.
+	slackUse = 0.4
+)
+
 // Limiter admits requests within the teams' limits.
 type Limiter struct {
+	cfg     Config
 	silence time.Duration
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	peers   map[string]*peerState
-	// started is the time of the start; fresh until a level was told or the deployment itself is new.
-	started time.Time
-	fresh   bool
+	// fresh is set until another instance told the levels, unless the deployment itself is new.
+	fresh bool
 }
 
-// NewLimiter returns a Limiter without teams. newDeployment tells that all
-// instances start for the first time, so that buckets begin full. silence is 0
-// for DefaultSilence.
-func NewLimiter(now time.Time, newDeployment bool, silence time.Duration) *Limiter {
-	if silence <= 0 {
-		silence = DefaultSilence
+// NewLimiter returns a Limiter without teams.
+func NewLimiter(cfg Config) *Limiter {
+	if cfg.Silence <= 0 {
+		cfg.Silence = DefaultSilence
 	}
 	return &Limiter{
-		silence: silence, buckets: make(map[string]*bucket), peers: make(map[string]*peerState),
-		started: now, fresh: !newDeployment,
+		cfg: cfg, silence: cfg.Silence, buckets: make(map[string]*bucket), peers: make(map[string]*peerState),
+		fresh: !cfg.NewDeployment,
 	}
 }
 
+// newBucket returns the bucket of a team that is new here. Without knowledge of
+// the use before, it holds what may be used beyond the burst.
+func (l *Limiter) newBucket(now time.Time, limit deployment.Limit, share float64) *bucket {
+	b := &bucket{filled: now}
+	l.setLimit(b, limit)
+	b.level = b.extra * share
+	if !l.fresh {
+		b.level = b.capacity()
+	}
+	return b
+}
+
+func (l *Limiter) setLimit(b *bucket, limit deployment.Limit) {
+	b.limit = limit
+	b.rate = limit.Rate * (1 + overageUse*l.cfg.Overage)
+	b.extra = slackUse * l.cfg.Slack
+}
+
 // SetMembers sets the names of the other instances that exist, heard or not.
 func (l *Limiter) SetMembers(names []string) {
 	l.mu.Lock()
@@ -60,13 +97,10 @@
 	for _, team := range teams {
 		b := l.buckets[team.Name]
 		if b == nil {
-			b = &bucket{limit: team.Limit, filled: now}
-			if !l.fresh {
-				b.level = team.Limit.Burst
-			}
+			b = l.newBucket(now, team.Limit, share)
 		}
 		b.fill(now, share)
-		b.limit = team.Limit
+		l.setLimit(b, team.Limit)
 		b.fill(now, share)
 		kept[team.Name] = b
 	}
@@ -96,7 +130,7 @@
 	share := l.share(now)
 	b.fill(now, share)
 	// A request larger than the burst needs a full bucket, or it could never run.
-	need := min(cost, b.limit.Burst*share)
+	need := min(cost, b.capacity()*share)
 	if b.level < need {
 		return false, b.wait(need, share)
 	}
@@ -183,12 +217,12 @@
 	b.fill(now, share)
 	if l.fresh {
 		// The level told includes all use that this process has not seen.
-		b.level = min(use.Level-b.used, b.limit.Burst)
+		b.level = min(use.Level-b.used, b.capacity())
 		return
 	}
 	if !counted && !known {
 		return // use before the first report is in the level already, or in nobody's
 	}
-	held := b.limit.Rate / float64(len(l.peers)+1) * silent.Seconds()
+	held := b.rate / float64(len(l.peers)+1) * silent.Seconds()
 	b.level -= max(use.Total-previous-held, 0)
 }
