--- a/sizing/config.go
+++ b/sizing/config.go
@@ -10,10 +10,10 @@
 	// UsualLoad is the part of that rate that all engines together are sized for. Default 0.35: prompts that meet at
 	// one engine delay each other's first tokens, and engines that are ordered come seconds later.
 	UsualLoad float64
-	// LeastLoad is the same for the engines that are kept on demand whatever reclaimable ones there are. Default 2.5:
+	// LeastLoad is the same for the engines that are kept on demand whatever reclaimable ones there are. Default 1.8:
 	// they carry the most urgent work until those that are ordered at a reclaim have started.
 	LeastLoad float64
-	// ReducedLoad is the load up to which missing reclaimable engines are not replaced on demand. Default 0.55.
+	// ReducedLoad is the load up to which missing reclaimable engines are not replaced on demand. Default 0.75.
 	ReducedLoad float64
 	// WaveTime is how long after a reclaim others are expected. Default 12 s: reclaims come in waves.
 	WaveTime time.Duration
@@ -29,8 +29,8 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.PrefillRate, 110_000)
 	setDefault(&c.UsualLoad, 0.35)
-	setDefault(&c.LeastLoad, 2.5)
-	setDefault(&c.ReducedLoad, 0.55)
+	setDefault(&c.LeastLoad, 1.8)
+	setDefault(&c.ReducedLoad, 0.75)
 	setDefault(&c.WaveTime, 12*time.Second)
 	setDefault(&c.WaveShare, 0.4)
 	setDefault(&c.ShrinkAfter, 6*time.Second)
--- a/sizing/planner.go
+++ b/sizing/planner.go
@@ -80,13 +80,17 @@
 	if have.leaving > 0 {
 		d.reclaimed = now
 	}
-	if !d.reclaimed.IsZero() && now.Sub(d.reclaimed) < p.cfg.WaveTime {
+	wave := !d.reclaimed.IsZero() && now.Sub(d.reclaimed) < p.cfg.WaveTime
+	if wave {
 		ready = int(float64(ready) * p.cfg.WaveShare)
 	}
 	missing := reduced - ready
 	if service.Scaling.ReclaimablePrice <= 0 {
 		missing = usual
 	}
+	if wave || !d.served {
+		d.onDemand.keep()
+	}
 	onDemand := d.onDemand.want(now, max(least, missing), p.cfg.ShrinkAfter)
 	return spread(service, centres, reclaimable, onDemand, have)
 }
@@ -112,6 +116,9 @@
 	return h.count
 }
 
+// keep starts the time anew for which a smaller number must suffice.
+func (h *held) keep() { h.below, h.largest = time.Time{}, 0 }
+
 // dataCentres returns the data centres of a service, the cheapest first.
 func dataCentres(scaling *deployment.Scaling) []string {
 	centres := make([]string, 0, len(scaling.Prices))
