--- a/attacher.go
+++ b/attacher.go
@@ -6,8 +6,8 @@
 	"errors"
 	"time"
 
-	"knapweedhoist/peer"
 	"knapweedhoist/objectapi"
+	"knapweedhoist/peer"
 	"knapweedhoist/request"
 	"knapweedhoist/wire"
 )
--- /dev/null
+++ b/boundedlog/handler_test.go
@@ -0,0 +1,59 @@
+package boundedlog
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// buffer is an output that can be made to block.
+type buffer struct {
+	mu      sync.Mutex
+	text    bytes.Buffer
+	blocked sync.Mutex
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.blocked.Lock()
+	defer b.blocked.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+var _ = Describe("Logger", func() {
+	// Guards against requests that wait for a log that nobody reads.
+	It("does not wait for an output that does not take lines", func() {
+		out := &buffer{}
+		out.blocked.Lock()
+		log := New(out, Config{LinesPerSecond: 1000, Queue: 4})
+		for range 100 {
+			log.Info("line")
+		}
+		out.blocked.Unlock()
+		log.Close()
+		Expect(strings.Count(out.String(), "\n")).To(BeNumerically("<=", 6))
+	})
+
+	// Guards against failures that are left out because of ordinary lines.
+	It("keeps warnings when ordinary lines are left out, and tells how many", func() {
+		out := &buffer{}
+		log := New(out, Config{LinesPerSecond: 1})
+		for range 50 {
+			log.Info("ordinary")
+		}
+		log.Warn("failure")
+		log.Close()
+		Expect(strings.Count(out.String(), "ordinary")).To(Equal(2))
+		Expect(out.String()).To(ContainSubstring(`"failure","lines_left_out":48`))
+	})
+})
--- /dev/null
+++ b/forward/events_test.go
@@ -0,0 +1,70 @@
+package forward
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var _ = Describe("eventReader", func() {
+	read := func(r *eventReader) (string, error) {
+		var all strings.Builder
+		for {
+			events, err := r.next()
+			if err != nil {
+				return all.String(), err
+			}
+			all.Write(events)
+		}
+	}
+
+	It("returns whole events and the end", func() {
+		all, err := read(newEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\r\n\r\n")))
+		Expect(all).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\r\n\r\n"))
+		Expect(err).To(Equal(io.EOF))
+	})
+
+	// Guards against ORDER: half an event of a server that crashed was passed on.
+	It("keeps half an event back", func() {
+		all, err := read(newEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda")))
+		Expect(all).To(Equal("id: 1\ndata: a\n\n"))
+		Expect(err).To(MatchError(errInsideEvent))
+	})
+
+	It("refuses an event without end", func() {
+		_, err := read(newEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1))))
+		Expect(err).To(MatchError(errEventTooLong))
+	})
+
+	It("finds the last id", func() {
+		Expect(lastEventID([]byte("id: 1\ndata: a\n\nid: 22\ndata: id: 3\n\n"))).To(Equal("22"))
+		Expect(lastEventID([]byte("data: a\n\n"))).To(Equal(""))
+	})
+})
+
+// TestEventBoundaries guards against events that are lost or cut when they
+// arrive in pieces of any size.
+func TestEventBoundaries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := rapid.SliceOfN(rapid.StringMatching(`data: [a-z]{0,40}\n\n`), 0, 20).Draw(t, "events")
+		rest := rapid.StringMatching(`[a-z]{0,5}`).Draw(t, "rest")
+		text := strings.Join(whole, "")
+		r := newEventReader(iotest.OneByteReader(strings.NewReader(text + rest)))
+		var got strings.Builder
+		for {
+			events, err := r.next()
+			if err != nil {
+				break
+			}
+			got.Write(events)
+		}
+		if got.String() != text {
+			t.Fatalf("got %q of %q", got.String(), text)
+		}
+	})
+}
--- /dev/null
+++ b/sizing/planner_test.go
@@ -0,0 +1,110 @@
+package sizing
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/deployment"
+)
+
+var _ = Describe("Planner", func() {
+	centres := []string{"a", "b", "c", "d"}
+	service := &deployment.Service{
+		Name: "engines", Engine: &deployment.Engine{Slots: 128},
+		Scaling: &deployment.Scaling{
+			Min: 1, Max: 6, BootTime: 4 * time.Second, ReclaimablePrice: 0.15,
+			Prices: map[string]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9},
+		},
+	}
+	config := deployment.NewConfig(1, nil, []*deployment.Service{service}, nil, deployment.Limits{})
+
+	// view has the given number of ready endpoints in each data centre.
+	view := func(reclaimable, onDemand int) *deployment.View {
+		endpoints := make(map[string]*deployment.Endpoint)
+		for _, centre := range centres {
+			for n := range reclaimable + onDemand {
+				id := centre + string(rune('0'+n))
+				endpoints[id] = &deployment.Endpoint{ID: id, Service: "engines", DataCentre: centre, Reclaimable: n < reclaimable}
+			}
+		}
+		return &deployment.View{Config: config, Endpoints: endpoints, Listed: true}
+	}
+	sum := func(sizes []Size, reclaimable bool) int {
+		total := 0
+		for _, size := range sizes {
+			if size.Reclaimable == reclaimable {
+				total += size.Count
+			}
+		}
+		return total
+	}
+	steady := func(rate float64) func(string) float64 { return func(string) float64 { return rate } }
+	// run plans for a while and returns the last sizes.
+	run := func(p *Planner, from time.Time, seconds int, v *deployment.View, rate float64) []Size {
+		var sizes []Size
+		for s := range 4 * seconds {
+			sizes = p.Plan(from.Add(time.Duration(s)*250*time.Millisecond), v, steady(rate))
+		}
+		return sizes
+	}
+	start := time.Unix(1000, 0)
+
+	It("plans nothing before the endpoints are known", func() {
+		Expect(NewPlanner(Config{}).Plan(start, &deployment.View{Config: config}, steady(0))).To(BeEmpty())
+	})
+
+	It("carries steady work on reclaimable engines, spread over the data centres", func() {
+		sizes := run(NewPlanner(Config{}), start, 30, view(2, 0), 240_000)
+		Expect(sum(sizes, true)).To(Equal(7))  // 240,000 / (110,000 x 0.35)
+		Expect(sum(sizes, false)).To(Equal(2)) // 240,000 / (110,000 x 1.8)
+		for _, size := range sizes {
+			if size.Reclaimable {
+				Expect(size.Count).To(BeNumerically(">=", 1))
+			}
+			Expect(size.Count).To(BeNumerically("<=", service.Scaling.Max))
+		}
+	})
+
+	// Guards against a service without engines when reclaims take all
+	// reclaimable ones: quiet-1 of zapateo-ops, four reclaims within six seconds.
+	It("orders on demand at the first reclaim, before the others follow", func() {
+		p := NewPlanner(Config{})
+		run(p, start, 30, view(2, 0), 240_000)
+		reclaimed := view(2, 0)
+		for _, endpoint := range reclaimed.Endpoints {
+			if endpoint.DataCentre == "a" {
+				endpoint.Leaving, endpoint.LeavesIn = true, 2*time.Second
+			}
+		}
+		before := run(p, start.Add(30*time.Second), 1, view(2, 0), 300_000)
+		after := run(p, start.Add(31*time.Second), 1, reclaimed, 300_000)
+		Expect(sum(after, false)).To(BeNumerically(">=", sum(before, false)))
+		gone := run(p, start.Add(33*time.Second), 1, view(0, 1), 300_000)
+		Expect(sum(gone, false)).To(BeNumerically(">=", 4))
+	})
+
+	// Guards against engines that are given up in the middle of a wave of reclaims and ordered again.
+	It("gives up no engine on demand during a wave", func() {
+		p := NewPlanner(Config{})
+		run(p, start, 2, view(0, 1), 400_000)
+		leaving := view(1, 1)
+		for _, endpoint := range leaving.Endpoints {
+			if endpoint.Reclaimable {
+				endpoint.Leaving, endpoint.LeavesIn = true, time.Second
+			}
+		}
+		peak := sum(run(p, start.Add(2*time.Second), 1, leaving, 400_000), false)
+		Expect(sum(run(p, start.Add(3*time.Second), 10, view(4, 1), 100_000), false)).To(Equal(peak))
+		Expect(sum(run(p, start.Add(20*time.Second), 20, view(4, 1), 100_000), false)).To(BeNumerically("<", peak))
+	})
+
+	// Guards against orders that swing with the demand of single seconds.
+	It("shrinks only when fewer sufficed for a while", func() {
+		p := NewPlanner(Config{})
+		high := sum(run(p, start, 2, view(2, 1), 400_000), true)
+		Expect(sum(run(p, start.Add(2*time.Second), 5, view(2, 1), 100_000), true)).To(Equal(high))
+		Expect(sum(run(p, start.Add(7*time.Second), 10, view(2, 1), 100_000), true)).To(BeNumerically("<", high))
+	})
+})
--- /dev/null
+++ b/usage/ledger_test.go
@@ -0,0 +1,41 @@
+package usage
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Ledger", func() {
+	self, other := Source{"a", 1}, Source{"b", 2}
+	at := func(s float64) time.Time { return time.Unix(0, int64(s*1e9)) }
+
+	It("counts by windows of the wall clock", func() {
+		l := NewLedger(5*time.Second, self)
+		l.Begin(at(4.9), "t")
+		l.Begin(at(5), "t")
+		l.Begin(at(9.9), "u")
+		Expect(l.Total(0)).To(Equal(Counts{"t": 1}))
+		Expect(l.Total(1)).To(Equal(Counts{"t": 1, "u": 1}))
+		Expect(l.End(1)).To(Equal(at(10)))
+	})
+
+	// Guards against usage that is counted twice, or forgotten, when an instance restarts.
+	It("keeps the counts of each start of an instance", func() {
+		l := NewLedger(5*time.Second, self)
+		l.Observe(other, map[int64]Counts{1: {"t": 3}})
+		l.Observe(other, map[int64]Counts{1: {"t": 2}}) // an older report that arrived late
+		l.Observe(Source{"b", 3}, map[int64]Counts{1: {"t": 4}})
+		l.Begin(at(6), "t")
+		Expect(l.Total(1)).To(Equal(Counts{"t": 8}))
+	})
+
+	It("forgets windows that can no longer be reported", func() {
+		l := NewLedger(5*time.Second, self)
+		l.Begin(at(1), "t")
+		l.Begin(at(200), "t")
+		Expect(l.Total(0)).To(BeEmpty())
+		Expect(l.Local(at(200))).To(Equal(map[int64]Counts{40: {"t": 1}}))
+	})
+})
