Remove the weight store's client, settings and stand-in

Nothing ever placed weights: the client was made by no program. Its only test guarded a refusal's Retry-After; standin/platform_test.go keeps that promise for the object API, whose client is the one in use.

--- a/internal/configdoc/example.go
+++ b/internal/configdoc/example.go
@@ -25,10 +25,6 @@
   address: 127.0.0.1:7503
   credential: cloud-token
   timeout: 5s
-weights:
-  address: 127.0.0.1:7504
-  credential: weights-token
-  timeout: 5s
 fleet_key: "0f1e2d3c4b5a69788796a5b4c3d2e1f00f1e2d3c4b5a69788796a5b4c3d2e1f0"
 operators:
   - name: rosa
--- a/internal/devtool/entry_settings.go
+++ b/internal/devtool/entry_settings.go
@@ -34,7 +34,6 @@
 	cfg.Platform.Address = d.Platform.Addr()
 	cfg.List.Address = d.Roster.Addr()
 	cfg.Cloud.Address = d.Cloud.Addr()
-	cfg.Weights.Address = d.Weights.Addr()
 	cfg.Distances = make(map[string]settings.Duration)
 	for _, datacentre := range d.topology.datacentres {
 		cfg.Distances[datacentre] = settings.Duration(time.Millisecond)
--- a/internal/devtool/fault_query.go
+++ b/internal/devtool/fault_query.go
@@ -11,7 +11,7 @@
 
 // faultQuery is a fault as the console takes it.
 type faultQuery struct {
-	// on is "platform", "cloud", "list", "weights", "endpoints" or the id of an endpoint.
+	// on is "platform", "cloud", "list", "endpoints" or the id of an endpoint.
 	on    string
 	fault standin.Fault
 	// length is how long the fault is in force; 0 leaves it until its count of calls is used up.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,8 +21,6 @@
 	List Remote `yaml:"list"`
 	// Cloud is the cloud API. Without an address the instance plans no capacity.
 	Cloud OptionalRemote `yaml:"cloud"`
-	// Weights is the weight store. Without an address no weights are placed.
-	Weights OptionalRemote `yaml:"weights"`
 	// FleetKey authenticates frames between entry instances: 64 hexadecimal digits. Required.
 	FleetKey Secret `yaml:"fleet_key" validate:"required,len=64,hexadecimal"`
 	// Operators are the people and programs that may use the operators' address; 1 to 64. Required.
