--- a/Makefile
+++ b/Makefile
@@ -46,9 +46,10 @@
 generate:
 	PATH=$(CURDIR)/tools/bin:$$PATH protoc --go_out=. --go_opt=module=knapweedhoist wire/*.proto
 
-# Runs the main job on a sample deployment; fails when a promise broke.
+# Runs the main job on a sample deployment and on stand-ins of the users' platform; fails when a promise broke.
 demo: build
 	bin/hoistdev demo
+	bin/hoistdev platform
 
 # Compares the policies, and runs the Go benchmarks of the hot paths.
 bench: build
--- a/deployment/errors.go
+++ b/deployment/errors.go
@@ -2,5 +2,5 @@
 
 import "errors"
 
-// ErrNoConfig: the instance has no configuration to give.
+// ErrNoConfig tells that the instance has no configuration to give.
 var ErrNoConfig = errors.New("deployment: no configuration")
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -11,7 +11,7 @@
 	"knapweedhoist/deployment"
 )
 
-// ErrNoEndpoint: no endpoint of the service can take the request.
+// ErrNoEndpoint tells that no endpoint of the service can take the request.
 var ErrNoEndpoint = errors.New("dispatch: no endpoint")
 
 // stateMemory is how long an endpoint without requests is remembered.
--- a/entry/internal_http.go
+++ b/entry/internal_http.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/samber/oops"
@@ -55,17 +56,19 @@
 // handleMetrics writes the metrics in the Prometheus text format.
 func (i *Instance) handleMetrics(ctx *fasthttp.RequestCtx) {
 	ctx.SetContentType("text/plain; version=0.0.4")
+	var text strings.Builder
 	i.registry.Each(func(name string, metric any) {
 		switch m := metric.(type) {
 		case metrics.Counter:
-			fmt.Fprintf(ctx, "hoist_%s %d\n", name, m.Count())
+			fmt.Fprintf(&text, "hoist_%s %d\n", name, m.Count())
 		case metrics.Gauge:
-			fmt.Fprintf(ctx, "hoist_%s %d\n", name, m.Value())
+			fmt.Fprintf(&text, "hoist_%s %d\n", name, m.Value())
 		case metrics.Histogram:
 			for _, q := range []float64{0.5, 0.9, 0.99} {
-				fmt.Fprintf(ctx, "hoist_%s{quantile=\"%g\"} %g\n", name, q, m.Percentile(q))
+				fmt.Fprintf(&text, "hoist_%s{quantile=\"%g\"} %g\n", name, q, m.Percentile(q))
 			}
-			fmt.Fprintf(ctx, "hoist_%s_sum %d\nhoist_%s_count %d\n", name, m.Sum(), name, m.Count())
+			fmt.Fprintf(&text, "hoist_%s_sum %d\nhoist_%s_count %d\n", name, m.Sum(), name, m.Count())
 		}
 	})
+	ctx.SetBodyString(text.String())
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"io"
 	"time"
 
@@ -26,7 +27,7 @@
 	stream := &eventStream{exchange: e, answer: answer, events: newEventReader(answer.Body)}
 	ready, err := stream.events.next()
 	if err != nil {
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF // a stream without any event is no answer
 		}
 		return nil, e.broken(answer, err)
@@ -63,7 +64,7 @@
 	switch {
 	case err == nil:
 		s.take(events)
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		s.finish(dispatch.Served)
 		s.err = io.EOF
 	default:
@@ -104,7 +105,7 @@
 func (s *eventStream) Close() error {
 	e := s.exchange
 	switch {
-	case s.err == io.EOF:
+	case errors.Is(s.err, io.EOF):
 		e.logEnd("stream served", 200, nil)
 		e.server.deps.Metrics.Served.Inc(1)
 	case s.err != nil:
--- a/internal/devtool/main.go
+++ b/internal/devtool/main.go
@@ -19,6 +19,10 @@
 			Name: "demo", Description: "Show the main job on a sample deployment and check the outcomes",
 			Data: &demoCommand{stdout: stdout, stderr: stderr},
 		},
+		{
+			Name: "platform", Description: "Run entry instances on stand-ins of the users' platform and check the outcomes",
+			Data: &platformCommand{stdout: stdout, stderr: stderr},
+		},
 		{
 			Name: "standins", Description: "Run stand-ins and write settings files for entry daemons",
 			Data: &standinsCommand{stdout: stdout, stderr: stderr},
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -68,7 +68,7 @@
 	case err == nil:
 		return n, nil
 	case !errors.Is(err, io.EOF):
-		return n, fmt.Errorf("%w: %w", ErrTruncated, err)
+		return n, truncated(err)
 	case b.left > 0:
 		return n, ErrTruncated
 	}
@@ -81,12 +81,17 @@
 	return n, io.EOF
 }
 
+// truncated does not wrap err, which may be io.EOF: an early end must not pass for the end of the body.
+func truncated(err error) error {
+	return fmt.Errorf("%w: %s", ErrTruncated, err.Error())
+}
+
 // skipTrailer reads the fields after the last chunk, up to the empty line.
 func skipTrailer(reader *bufio.Reader) error {
 	for {
 		line, err := reader.ReadSlice('\n')
 		if err != nil {
-			return fmt.Errorf("%w: %w", ErrTruncated, err)
+			return truncated(err)
 		}
 		if len(strings.TrimRight(string(line), "\r\n")) == 0 {
 			return nil
