--- a/internal/devtool/platform.go
+++ b/internal/devtool/platform.go
@@ -1,6 +1,7 @@
 package devtool
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -20,7 +21,7 @@
 }
 
 // Execute implements flags.Commander.
-func (c *platformCommand) Execute([]string) error {
+func (c *platformCommand) Execute([]string) (err error) {
 	lg := slog.New(slog.DiscardHandler)
 	if c.Keep {
 		lg = slog.New(slog.NewJSONHandler(c.stderr, nil))
@@ -29,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	defer sample.Close()
+	defer func() { err = errors.Join(err, sample.Close()) }()
 	if err := sample.Check(c.stdout); err != nil || !c.Keep {
 		return err
 	}
