--- a/entry/control.go
+++ b/entry/control.go
@@ -21,9 +21,11 @@
 
 // control runs the periodic work until the end of ctx.
 func (i *Instance) control(ctx context.Context) {
-	var swept time.Time
+	var swept, ticked time.Time
 	for ctx.Err() == nil {
 		now := clock.Now()
+		i.noticePause(now, ticked)
+		ticked = now
 		members := i.directory.Members()
 		i.sendReport(now, members)
 		i.spread()
@@ -40,6 +42,18 @@
 	}
 }
 
+// pauseTime is the time without a step of the control goroutine that is logged as a pause of the whole process: five
+// steps of a small deployment.
+const pauseTime = 500 * time.Millisecond
+
+// noticePause logs that the process did not run for a while, which shows up nowhere else: requests that arrived
+// meanwhile were read late, and leases may have run out.
+func (i *Instance) noticePause(now, ticked time.Time) {
+	if gap := now.Sub(ticked) - interval(len(i.directory.Members())); !ticked.IsZero() && gap > pauseTime {
+		i.lg.Warn("instance was paused", "ms", gap.Milliseconds(), "in_progress", i.front.InProgress())
+	}
+}
+
 func interval(members int) time.Duration {
 	return max(reportInterval, time.Duration(members)*reportCost)
 }
--- a/entry/join.go
+++ b/entry/join.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// joinPause is the pause after a failed call while joining.
-	joinPause = 300 * time.Millisecond
+	// joinPause is the pause after a failed call; it doubles up to maxJoinPause.
+	joinPause    = 300 * time.Millisecond
+	maxJoinPause = 3 * time.Second
 	// joinInterval is the period in which the instances are read again. New ones make themselves known by their
 	// reports; the list only drops those that are gone.
 	joinInterval = 10 * time.Second
@@ -26,6 +27,7 @@
 // keepJoined writes this instance's object and reads those of the others, until the end of ctx.
 func (i *Instance) keepJoined(ctx context.Context) {
 	written := false
+	retry := joinPause
 	for ctx.Err() == nil {
 		pause := joinInterval
 		var err error
@@ -38,10 +40,12 @@
 		}
 		switch {
 		case err != nil:
-			pause = joinPause
-			i.lg.Warn("instances not read", "error", err.Error())
+			pause, retry = retry, min(2*retry, maxJoinPause)
+			i.lg.Warn("instances not read", "error", err.Error(), "retry_ms", pause.Milliseconds())
 		case !written:
 			pause = joinPause // somebody has taken this instance for gone
+		default:
+			retry = joinPause
 		}
 		select {
 		case <-ctx.Done():
