--- a/internal/configdoc/text.go
+++ b/internal/configdoc/text.go
@@ -25,4 +25,4 @@
 `
 
 const commandsText = "The changes of the last 64 revisions are in `hoistctl preset history`, `service history` and `team history`; see\n" +
-	"[operations.md](operations.md) for the commands.\n"
+	"[operations.md](operations-own-interface.md) for the commands.\n"
