Remove instances that are gone for good, forget restarted endpoints

Cause: the object of a replaced machine kept its share of every limit for ever, so that teams were held to seven eighths of theirs; an endpoint that starts again under its ID was taken to have its cache. The configuration's bound on bodies is kept.

--- a/deployment/config.go
+++ b/deployment/config.go
@@ -15,8 +15,8 @@
 
 // Limits bounds what callers may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int
+	// MaxBodyBytes bounds a request's body; 0 sets no limit.
+	MaxBodyBytes int
 }
 
 // NewConfig returns a Config with its routes and keys indexed.
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -150,6 +150,14 @@
 	return state
 }
 
+// Forget drops what is known of an endpoint that has started again under its ID: its cache is empty, and its
+// failures are those of the start before. Flights in progress keep their state.
+func (t *Table) Forget(endpoint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.states, endpoint)
+}
+
 // Work is the load of one endpoint that comes from one instance.
 type Work struct {
 	Endpoint string
--- a/entry/endpoint_sink.go
+++ b/entry/endpoint_sink.go
@@ -21,6 +21,8 @@
 	adapter Adapter
 	state   *deployment.State
 	now     func() time.Time
+	// restarted is called for an endpoint that has started again under its ID.
+	restarted func(id string)
 
 	mu sync.Mutex
 	// known is the last published map, which is not changed any more.
@@ -32,8 +34,10 @@
 	lost bool
 }
 
-func newEndpointSink(lg *slog.Logger, adapter Adapter, state *deployment.State, now func() time.Time) *endpointSink {
-	return &endpointSink{lg: lg, adapter: adapter, state: state, now: now, missing: make(map[string]time.Time)}
+func newEndpointSink(
+	lg *slog.Logger, adapter Adapter, state *deployment.State, now func() time.Time, restarted func(string),
+) *endpointSink {
+	return &endpointSink{lg: lg, adapter: adapter, state: state, now: now, restarted: restarted, missing: make(map[string]time.Time)}
 }
 
 // Replace implements objectwatch.Sink.
@@ -83,6 +87,9 @@
 		s.lg.Info("endpoint changed", "endpoint", endpoint.ID, "service", endpoint.Service,
 			"address", endpoint.Address, "leaving", endpoint.Leaving, "version", uint64(object.Version))
 	}
+	if known != nil && known.Born != endpoint.Born {
+		s.restarted(endpoint.ID)
+	}
 	next[object.Name] = endpoint
 }
 
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -85,7 +85,7 @@
 	i.config = &configSink{lg: i.lg, adapter: adapter, state: i.state, changed: func(c *deployment.Config) {
 		i.limiter.SetTeams(clock.Now(), c.Teams)
 	}}
-	i.endpoints = newEndpointSink(i.lg, adapter, i.state, time.Now)
+	i.endpoints = newEndpointSink(i.lg, adapter, i.state, time.Now, i.table.Forget)
 	i.front = forward.NewServer(forward.Config{}, forward.Deps{
 		Log: i.lg, Dialect: adapter.Dialect, State: i.state, Table: i.table, Limiter: i.limiter, Budget: i.budget,
 		Pool: i.pool, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Random: rand.Float64,
--- a/entry/join.go
+++ b/entry/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"knapweedhoist/clock"
@@ -38,6 +39,9 @@
 		if err == nil {
 			written, err = i.readInstances(ctx)
 		}
+		if err == nil {
+			err = i.removeGone(ctx)
+		}
 		switch {
 		case err != nil:
 			pause, retry = retry, min(2*retry, maxJoinPause)
@@ -54,6 +58,23 @@
 	}
 }
 
+// removeGone deletes the objects of instances that are gone for good, whose shares of the limits nobody uses. The first
+// of the instances does it.
+func (i *Instance) removeGone(ctx context.Context) error {
+	now := clock.Now()
+	if i.directory.Rank(now, silence(len(i.directory.Members()))) > 0 {
+		return nil
+	}
+	for _, name := range i.directory.Gone(now) {
+		request := objectapi.Request{Op: objectapi.OpDelete, Kind: objectapi.KindInstance, Name: name}
+		if _, err := i.adapter.Store.Do(ctx, request); err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+			return err
+		}
+		i.lg.Info("instance removed", "peer", name)
+	}
+	return nil
+}
+
 func (i *Instance) writeRecord(ctx context.Context) error {
 	value, err := json.Marshal(instanceRecord{Address: i.settings.Listen.Peers, DataCentre: i.settings.DataCentre})
 	if err != nil {
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -36,6 +36,9 @@
 	if refusal := e.findTeam(); refusal != nil {
 		return refusal
 	}
+	if most := e.view.Config.Limits.MaxBodyBytes; most > 0 && len(e.ctx.Request.Body()) > most {
+		return &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: "body larger than the configuration allows"}
+	}
 	e.setDeadline()
 	e.copyRequest()
 	return e.takeLimit()
--- a/forward/config.go
+++ b/forward/config.go
@@ -17,23 +17,20 @@
 	// before a caller is told that a route or key does not exist. Default 2.5 s:
 	// the wait of one watch and its answer.
 	Freshness time.Duration
-	// MaxBodyBytes bounds a request's body before a configuration is known. Default 4 MiB.
+	// MaxBodyBytes bounds a request's body beside the limit of the configuration. Default 16 MiB.
 	MaxBodyBytes int
 	// ReadTimeout bounds the reading of one request. Default 10 s.
 	ReadTimeout time.Duration
 	// IdleTimeout is how long a caller's connection may stay idle. Default 2 min; callers leave earlier by themselves.
 	IdleTimeout time.Duration
-	// WriteTimeout bounds a write to a caller that does not read. Default 20 s.
-	WriteTimeout time.Duration
 }
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.Freshness, 2500*time.Millisecond)
 	setDefault(&c.ReadTimeout, 10*time.Second)
 	setDefault(&c.IdleTimeout, 2*time.Minute)
-	setDefault(&c.WriteTimeout, 20*time.Second)
 	if c.MaxBodyBytes <= 0 {
-		c.MaxBodyBytes = 4 << 20
+		c.MaxBodyBytes = 16 << 20
 	}
 	return c
 }
--- a/forward/server.go
+++ b/forward/server.go
@@ -38,8 +38,8 @@
 	return s
 }
 
-// readBufferBytes bounds a request's header; the platform's limit is 16 KiB.
-const readBufferBytes = 17 << 10
+// readBufferBytes bounds a request's header: twice the 16 KiB that platforms of today allow.
+const readBufferBytes = 33 << 10
 
 // quietLogger drops the library's own lines: they tell of callers that sent no request.
 type quietLogger struct{}
--- a/gossip/directory.go
+++ b/gossip/directory.go
@@ -14,9 +14,9 @@
 	Address string
 	// Listed members have an object in the store.
 	Listed bool
-	// HeardAt is the time of the newest report, zero before the first one.
-	HeardAt time.Time
-	report  Report
+	// SeenAt is when the member became known, HeardAt the time of the newest report, zero before the first one.
+	SeenAt, HeardAt time.Time
+	report          Report
 }
 
 // Directory knows the other entry instances: those listed in the store and
@@ -56,7 +56,7 @@
 			}
 			continue
 		}
-		d.members[name] = &Member{Name: name, Address: address, Listed: true}
+		d.members[name] = &Member{Name: name, Address: address, Listed: true, SeenAt: now}
 	}
 }
 
@@ -69,7 +69,7 @@
 	defer d.mu.Unlock()
 	member := d.members[report.Source.Instance]
 	if member == nil {
-		member = &Member{Name: report.Source.Instance}
+		member = &Member{Name: report.Source.Instance, SeenAt: now}
 		d.members[member.Name] = member
 	}
 	known := member.report
@@ -111,6 +111,41 @@
 	return sums
 }
 
+// goneAfter is how long a listed instance must be silent before it counts as gone for good: longer than cuts and
+// restarts last.
+const goneAfter = 20 * time.Second
+
+// Gone returns the listed instances that are gone for good. It returns none
+// while this instance does not hear most of the others, since it may be cut off
+// itself.
+func (d *Directory) Gone(now time.Time) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var gone []string
+	heard := 0
+	for name, member := range d.members {
+		silent := now.Sub(latest(member.SeenAt, member.HeardAt))
+		switch {
+		case silent < time.Second:
+			heard++
+		case member.Listed && silent >= goneAfter:
+			gone = append(gone, name)
+		}
+	}
+	if 2*heard <= len(d.members) {
+		return nil
+	}
+	sort.Strings(gone)
+	return gone
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Rank returns the position of this instance among those that were heard
 // lately and are not leaving, in the order of their names.
 func (d *Directory) Rank(now time.Time, within time.Duration) int {
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -27,6 +27,9 @@
 	windows map[int64]map[Source]Counts
 }
 
+// localWindows is the number of windows that an instance still tells the others of.
+const localWindows = 4
+
 // NewLedger returns an empty Ledger for windows of the given length.
 func NewLedger(length time.Duration, self Source) *Ledger {
 	return &Ledger{length: length, self: self, windows: make(map[int64]map[Source]Counts)}
@@ -79,7 +82,7 @@
 	now := l.Window(wall)
 	local := make(map[int64]Counts)
 	for window, sources := range l.windows {
-		if counts := sources[l.self]; counts != nil && window > now-4 {
+		if counts := sources[l.self]; counts != nil && window > now-localWindows {
 			local[window] = copyOf(counts)
 		}
 	}
