Take the time between holders of the duties from the settings

Cause: the lease and the wait after a start were fixed at 4.5 s and 4 s, which suits deployments whose holders must not alternate within 3 s; others state another time. The unused share of the processor is gone.

--- a/duty/config.go
+++ b/duty/config.go
@@ -8,12 +8,8 @@
 type Config struct {
 	// Instance is this instance's name, Incarnation is new at each start.
 	Instance, Incarnation string
-	// LeaseDuration is how long the lease holds without renewal. Default 4.5 s: three renewals, and longer than the
-	// time within which holders must not alternate.
-	LeaseDuration time.Duration
-	// StartDelay is how long a process that has just started does not contend, so that an instance whose lease
-	// went to another one and back is not the holder twice within that time. Default 4 s.
-	StartDelay time.Duration
+	// Alternation is the time within which the duties must not go from one instance to another and back. Default 3 s.
+	Alternation time.Duration
 	// NewDeployment tells that there is no former holder to wait for.
 	NewDeployment bool
 	// Reports tells that usage is reported, Orders that endpoints are ordered.
@@ -39,14 +35,18 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.LeaseDuration <= 0 {
-		c.LeaseDuration = 4500 * time.Millisecond
-	}
-	if c.StartDelay <= 0 {
-		c.StartDelay = 4 * time.Second
+	if c.Alternation <= 0 {
+		c.Alternation = 3 * time.Second
 	}
 	if c.UsageDelay <= 0 {
 		c.UsageDelay = 10 * time.Second
 	}
 	return c
 }
+
+// leaseDuration is how long the lease holds without renewal: longer than Alternation, and three renewals.
+func (c Config) leaseDuration() time.Duration { return c.Alternation * 3 / 2 }
+
+// startDelay is how long a process that has just started does not contend, so that an instance that gave the lease up
+// at its stop is not the holder again within Alternation.
+func (c Config) startDelay() time.Duration { return c.Alternation + time.Second }
--- a/duty/holding.go
+++ b/duty/holding.go
@@ -25,7 +25,7 @@
 func newHolding(lg *slog.Logger, cfg Config, store objectapi.Store) *holding {
 	return &holding{lg: lg, store: store, keeper: lease.NewKeeper(lg, lease.Config{
 		Duty: "duties", Holder: cfg.Instance, Incarnation: cfg.Incarnation,
-		Duration: cfg.LeaseDuration, Margin: leaseMargin, LongestOrder: longestOrder,
+		Duration: cfg.leaseDuration(), Margin: leaseMargin, LongestOrder: longestOrder,
 		Checker: invariant.NewReporter(lg, timeline.Discard),
 	})}
 }
--- a/duty/runner.go
+++ b/duty/runner.go
@@ -49,7 +49,7 @@
 // Run contends for the lease and does the duties while it is held, until the end of ctx.
 func (r *Runner) Run(ctx context.Context) {
 	go r.holding.run(ctx, func() bool {
-		return (r.cfg.NewDeployment || time.Since(r.started) >= r.cfg.StartDelay) && r.deps.Candidate()
+		return (r.cfg.NewDeployment || time.Since(r.started) >= r.cfg.startDelay()) && r.deps.Candidate()
 	})
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,8 +35,9 @@
 	ChecksFence bool `yaml:"checks_fence"`
 	// MemoryMB is the memory of the process in MiB; 0 sets no limit.
 	MemoryMB int `yaml:"memory_mb" validate:"gte=0"`
-	// ProcessorShare is the share of a core that the process has. Default 1.
-	ProcessorShare float64 `yaml:"processor_share" validate:"gte=0"`
+	// AlternationMS is the time in milliseconds within which the duties must not go from one instance to another and
+	// back. Default 3000.
+	AlternationMS float64 `yaml:"alternation_ms" validate:"gt=0"`
 	// StopGrace is the time from SIGTERM to the end in seconds. Default 8.
 	StopGrace float64 `yaml:"stop_grace_s" validate:"gte=0"`
 	// Retries bounds the sends beyond the first of each request.
@@ -92,7 +93,7 @@
 // DefaultSettings returns settings with every optional field at its default.
 func DefaultSettings() Settings {
 	return Settings{
-		ProcessorShare: 1, StopGrace: 8,
+		AlternationMS: 3000, StopGrace: 8,
 		Retries: Retries{Ratio: 0.2, Slack: 10, Window: 10},
 		Usage:   Usage{Window: 5, Delay: 10},
 	}
