Order endpoints for a service that has lost all of them

Cause, found by reading: a holder of the duties that starts while a service has no endpoint waits for the first ones to register, and demand cannot be measured without any, so that none were ever ordered. After 5 s without endpoints the least number is ordered; with demand the wait ends at once. The test did not compile before (no such wait); the deadlock itself was not seen in a run.

--- a/sizing/planner.go
+++ b/sizing/planner.go
@@ -20,9 +20,10 @@
 	reclaimable, onDemand held
 	// reclaimed is when an endpoint was last seen that is being taken away.
 	reclaimed time.Time
-	// first is the number of endpoints that the service started with, 0 until all of them have registered: until
-	// seen, their number so far, has not changed since seenAt for a while.
+	// first is the number of endpoints that the service started with. It is known when all of them have registered:
+	// when seen, their number so far, has not changed since seenAt for a while.
 	first, seen int
+	known       bool
 	seenAt      time.Time
 	// served is set by the first demand: before it, endpoints are not given up.
 	served bool
@@ -70,10 +71,10 @@
 	}
 	centres := dataCentres(service.Scaling)
 	have := count(view, service.Name)
-	if !d.registered(now, have) {
+	d.served = d.served || rate > 0
+	if !d.served && !d.registered(now, have) {
 		return nil
 	}
-	d.served = d.served || rate > 0
 	usual, reduced, least := p.engines(rate, p.cfg.UsualLoad), p.engines(rate, p.cfg.ReducedLoad), p.engines(rate, p.cfg.LeastLoad)
 	if !d.served {
 		usual, reduced = d.first, d.first/2
@@ -105,18 +106,25 @@
 // the period in which endpoints write their entries.
 const registerTime = 1500 * time.Millisecond
 
+// emptyTime is the same while there is none: a service that has lost all of its endpoints gets new ones.
+const emptyTime = 5 * time.Second
+
 // registered reports whether the endpoints that the service started with are known.
 func (d *demand) registered(now time.Time, have counts) bool {
-	if d.first > 0 {
+	if d.known {
 		return true
 	}
 	if total := have.total(true) + have.total(false); total != d.seen || d.seenAt.IsZero() {
 		d.seen, d.seenAt = total, now
 	}
-	if now.Sub(d.seenAt) >= registerTime {
-		d.first = d.seen
+	wait := registerTime
+	if d.seen == 0 {
+		wait = emptyTime
+	}
+	if now.Sub(d.seenAt) >= wait {
+		d.first, d.known = d.seen, true
 	}
-	return d.first > 0
+	return d.known
 }
 
 // engines is the number that reads the rate at a load.
--- a/sizing/planner_test.go
+++ b/sizing/planner_test.go
@@ -67,6 +67,15 @@
 		Expect(sum(sizes, false)).To(Equal(4))
 	})
 
+	// Guards against a service without endpoints that never gets any: its demand cannot be measured.
+	It("orders for a service that has lost all of its endpoints", func() {
+		p := NewPlanner(Config{})
+		Expect(p.Plan(start, view(0, 0), steady(0))).To(BeEmpty())
+		sizes := p.Plan(start.Add(emptyTime), view(0, 0), steady(0))
+		Expect(sum(sizes, true)).To(Equal(4))
+		Expect(sum(sizes, false)).To(BeNumerically(">=", 1))
+	})
+
 	It("carries steady work on reclaimable engines, spread over the data centres", func() {
 		sizes := run(NewPlanner(Config{}), start, 30, view(2, 0), 240_000)
 		Expect(sum(sizes, true)).To(Equal(7))  // 240,000 / (110,000 x 0.35)
