Remove functions of the entry instance that nothing calls

Cause: Limiter.Level, Table.Running and Pool.Drop were written for uses that never came, and Limiter kept its silence twice. Behaviour stays. Ruled out: merging the start-up of the three property suites, whose flag belongs to each test binary.

--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -216,19 +216,3 @@
 		}
 	}
 }
-
-// Running returns the requests of all instances at endpoints of a service, and the slots of those that take new ones.
-func (t *Table) Running(service string, endpoints map[string]*deployment.Endpoint) (running, slots int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for id, endpoint := range endpoints {
-		if endpoint.Service != service || endpoint.Leaving {
-			continue
-		}
-		slots += endpoint.Slots
-		if state := t.states[id]; state != nil {
-			running += state.running + state.peerRunning
-		}
-	}
-	return running, slots
-}
--- a/teamlimit/limiter.go
+++ b/teamlimit/limiter.go
@@ -35,8 +35,7 @@
 
 // Limiter admits requests within the teams' limits.
 type Limiter struct {
-	cfg     Config
-	silence time.Duration
+	cfg Config
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
@@ -51,7 +50,7 @@
 		cfg.Silence = DefaultSilence
 	}
 	return &Limiter{
-		cfg: cfg, silence: cfg.Silence, buckets: make(map[string]*bucket), peers: make(map[string]*peerState),
+		cfg: cfg, buckets: make(map[string]*bucket), peers: make(map[string]*peerState),
 		fresh: !cfg.NewDeployment,
 	}
 }
@@ -111,7 +110,7 @@
 func (l *Limiter) share(now time.Time) float64 {
 	heard := 1
 	for _, peer := range l.peers {
-		if peer.boot != 0 && now.Sub(peer.heardAt) <= l.silence {
+		if peer.boot != 0 && now.Sub(peer.heardAt) <= l.cfg.Silence {
 			heard++
 		}
 	}
@@ -149,16 +148,6 @@
 	}
 }
 
-// Level returns the level of a team's bucket, for the log.
-func (l *Limiter) Level(team string) float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if b := l.buckets[team]; b != nil {
-		return b.level
-	}
-	return 0
-}
-
 // Local returns this instance's use, for the other instances.
 func (l *Limiter) Local(now time.Time) []Use {
 	l.mu.Lock()
@@ -204,7 +193,7 @@
 	if peer.boot == 0 {
 		return 0
 	}
-	return max(now.Sub(peer.heardAt)-l.silence, 0)
+	return max(now.Sub(peer.heardAt)-l.cfg.Silence, 0)
 }
 
 func (l *Limiter) observeUse(now time.Time, peer *peerState, use Use, share float64, silent time.Duration, known bool) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -97,13 +97,3 @@
 		p.idle[peer] = clean
 	}
 }
-
-// Drop closes the idle connections to peer, for example after its entry is gone.
-func (p *Pool) Drop(peer Peer) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[peer] {
-		_ = c.Close()
-	}
-	delete(p.idle, peer)
-}
