--- a/entry/control.go
+++ b/entry/control.go
@@ -6,7 +6,6 @@
 
 	"knapweedhoist/clock"
 	"knapweedhoist/gossip"
-	"knapweedhoist/sizing"
 	"knapweedhoist/teamlimit"
 )
 
@@ -57,12 +56,12 @@
 		Sequence: i.sequence, Wall: time.Now().Round(0), Leaving: i.leaving.Load(),
 		ConfigAge: i.state.ConfirmedFor(time.Now()),
 		Uses:      i.limiter.Local(now), Works: i.table.Local(), Windows: i.ledger.Local(i.wallNow()),
-		ReadTokens: i.table.Read(),
+		ReadRates: i.gauge.Observe(now, i.table.Read()),
 	}
 	if config := i.state.View().Config; config != nil {
 		report.ConfigVersion = config.Version
 	}
-	i.meterDemand(now, report)
+	i.meter.Observe(now, report.Source.Instance, report.ReadRates)
 	addresses := make([]string, 0, len(members))
 	for _, member := range members {
 		addresses = append(addresses, member.Address)
@@ -92,16 +91,10 @@
 	i.limiter.Observe(now, report.Source.Instance, report.Source.Boot, report.Uses)
 	i.wall.Observe(now, report.Source.Instance, report.Wall)
 	i.ledger.Observe(report.Source, report.Windows)
-	i.meterDemand(now, report)
+	i.meter.Observe(now, report.Source.Instance, report.ReadRates)
 	i.observeConfig(report)
 }
 
-func (i *Instance) meterDemand(now time.Time, report gossip.Report) {
-	for service, total := range report.ReadTokens {
-		i.meter.Observe(now, sizing.Source(report.Source), service, total)
-	}
-}
-
 // observeConfig uses another instance's knowledge of the configuration where the store does not answer this one.
 func (i *Instance) observeConfig(report gossip.Report) {
 	config := i.state.View().Config
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -42,6 +42,7 @@
 	ledger    *usage.Ledger
 	wall      *walltime.Estimator
 	directory *gossip.Directory
+	gauge     *sizing.Gauge
 	meter     *sizing.Meter
 	planner   *sizing.Planner
 	config    *configSink
@@ -71,6 +72,7 @@
 		pool:      upstream.NewPool(upstream.Config{}),
 		wall:      walltime.NewEstimator(settings.Instance),
 		directory: gossip.NewDirectory(settings.Instance),
+		gauge:     sizing.NewGauge(),
 		meter:     sizing.NewMeter(),
 		planner:   sizing.NewPlanner(sizing.Config{}),
 		registry:  metrics.NewRegistry(),
--- a/gossip/report.go
+++ b/gossip/report.go
@@ -29,15 +29,15 @@
 	Uses    []teamlimit.Use
 	Works   []dispatch.Work
 	Windows map[int64]usage.Counts
-	// ReadTokens are the prompt tokens that endpoints had to read for the sender since its start, by service.
-	ReadTokens map[string]int64
+	// ReadRates are the prompt tokens a second that endpoints have to read for the sender, by service.
+	ReadRates map[string]float64
 }
 
 func (r Report) message() *wire.InstanceReport {
 	message := &wire.InstanceReport{
 		Instance: r.Source.Instance, Boot: r.Source.Boot, Address: r.Address, DataCentre: r.DataCentre,
 		Sequence: r.Sequence, WallNanos: r.Wall.UnixNano(), ConfigVersion: r.ConfigVersion, Leaving: r.Leaving,
-		ConfigAgeMs: r.ConfigAge.Milliseconds(), ReadTokens: r.ReadTokens,
+		ConfigAgeMs: r.ConfigAge.Milliseconds(), ReadRates: r.ReadRates,
 	}
 	for _, use := range r.Uses {
 		message.Uses = append(message.Uses, &wire.ReportedUse{Team: use.Team, Total: use.Total, Level: use.Level})
@@ -62,7 +62,7 @@
 		Source:  usage.Source{Instance: message.Instance, Boot: message.Boot},
 		Address: message.Address, DataCentre: message.DataCentre, Sequence: message.Sequence,
 		Wall: time.Unix(0, message.WallNanos), ConfigVersion: message.ConfigVersion, Leaving: message.Leaving,
-		ConfigAge: time.Duration(message.ConfigAgeMs) * time.Millisecond, ReadTokens: message.ReadTokens,
+		ConfigAge: time.Duration(message.ConfigAgeMs) * time.Millisecond, ReadRates: message.ReadRates,
 		Windows: make(map[int64]usage.Counts, len(message.Windows)),
 	}
 	for _, use := range message.Uses {
--- a/sizing/meter.go
+++ b/sizing/meter.go
@@ -6,57 +6,69 @@
 	"time"
 )
 
-// Source names who counts: an instance, or one start of it.
-type Source struct {
-	Instance string
-	Boot     uint64
-}
-
-// Meter turns the totals that instances report into rates over all of them. It is safe for concurrent use.
-type Meter struct {
-	mu    sync.Mutex
-	rates map[meterKey]*rate
-}
+const (
+	// smoothing is the time constant of rates: a few reports of every instance, and shorter than the start of an
+	// endpoint.
+	smoothing = 2 * time.Second
+	// meterMemory is how long the rate of a silent source counts.
+	meterMemory = 5 * time.Second
+)
 
-type meterKey struct {
-	source  Source
-	service string
+// Gauge turns one instance's own totals into rates. One goroutine uses it.
+type Gauge struct {
+	rates map[string]*gauged
 }
 
-type rate struct {
+type gauged struct {
 	total     int64
 	at        time.Time
 	perSecond float64
 }
 
-const (
-	// smoothing is the time constant of the rates: a few reports of every instance, and shorter than the start of
-	// an endpoint.
-	smoothing = 2 * time.Second
-	// meterMemory is how long the rate of a silent source counts.
-	meterMemory = 5 * time.Second
-)
+// NewGauge returns a Gauge without services.
+func NewGauge() *Gauge { return &Gauge{rates: make(map[string]*gauged)} }
+
+// Observe takes in the totals by service and returns the rates a second.
+func (g *Gauge) Observe(now time.Time, totals map[string]int64) map[string]float64 {
+	rates := make(map[string]float64, len(totals))
+	for service, total := range totals {
+		known := g.rates[service]
+		if known == nil {
+			g.rates[service] = &gauged{total: total, at: now}
+			continue
+		}
+		if elapsed := now.Sub(known.at).Seconds(); elapsed > 0 {
+			weight := 1 - math.Exp(-elapsed/smoothing.Seconds())
+			known.perSecond += weight * (float64(total-known.total)/elapsed - known.perSecond)
+			known.total, known.at = total, now
+		}
+		rates[service] = known.perSecond
+	}
+	return rates
+}
+
+// Meter adds up the rates that instances report. It is safe for concurrent use.
+//
+// Instances report rates and not totals: an instance that was paused reads many
+// old reports at once, whose totals would look like a burst.
+type Meter struct {
+	mu      sync.Mutex
+	sources map[string]reported
+}
+
+type reported struct {
+	rates map[string]float64
+	at    time.Time
+}
 
 // NewMeter returns a Meter without sources.
-func NewMeter() *Meter { return &Meter{rates: make(map[meterKey]*rate)} }
+func NewMeter() *Meter { return &Meter{sources: make(map[string]reported)} }
 
-// Observe takes in the total of a source for a service.
-func (m *Meter) Observe(now time.Time, source Source, service string, total int64) {
+// Observe takes in the rates of an instance by service.
+func (m *Meter) Observe(now time.Time, instance string, rates map[string]float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	key := meterKey{source, service}
-	r := m.rates[key]
-	if r == nil {
-		m.rates[key] = &rate{total: total, at: now}
-		return
-	}
-	elapsed := now.Sub(r.at).Seconds()
-	if elapsed <= 0 || total < r.total {
-		return
-	}
-	weight := 1 - math.Exp(-elapsed/smoothing.Seconds())
-	r.perSecond += weight * (float64(total-r.total)/elapsed - r.perSecond)
-	r.total, r.at = total, now
+	m.sources[instance] = reported{rates: rates, at: now}
 }
 
 // Rate returns the sum of the rates for a service, a second.
@@ -64,14 +76,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	sum := 0.0
-	for key, r := range m.rates {
+	for instance, r := range m.sources {
 		if now.Sub(r.at) > meterMemory {
-			delete(m.rates, key)
+			delete(m.sources, instance)
 			continue
 		}
-		if key.service == service {
-			sum += r.perSecond
-		}
+		sum += r.rates[service]
 	}
 	return sum
 }
--- /dev/null
+++ b/sizing/meter_test.go
@@ -0,0 +1,34 @@
+package sizing
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Meter", func() {
+	start := time.Unix(1000, 0)
+
+	// Guards against 24 engines ordered by a holder that was paused: fleetbench
+	// zapateo-ops trouble-2, where it read seven seconds of reports at once after
+	// node_freeze and took their totals for a burst.
+	It("takes the newest rate of an instance whose reports arrive all at once", func() {
+		meter, gauge := NewMeter(), NewGauge()
+		now := start
+		for i := range int64(200) {
+			now = now.Add(100 * time.Millisecond)
+			rates := gauge.Observe(now, map[string]int64{"s": i * 1000})
+			meter.Observe(start.Add(time.Minute), "peer", rates)
+		}
+		Expect(meter.Rate(start.Add(time.Minute), "s")).To(BeNumerically("~", 10_000, 100))
+	})
+
+	It("adds up the instances that reported lately", func() {
+		meter := NewMeter()
+		meter.Observe(start, "gone", map[string]float64{"s": 500})
+		meter.Observe(start.Add(5*time.Second), "a", map[string]float64{"s": 10, "other": 7})
+		meter.Observe(start.Add(5*time.Second), "b", map[string]float64{"s": 20})
+		Expect(meter.Rate(start.Add(5001*time.Millisecond), "s")).To(Equal(30.0))
+	})
+})
