--- a/sizing/config.go
+++ b/sizing/config.go
@@ -22,8 +22,6 @@
 	// ShrinkAfter is how long a smaller number must suffice before endpoints are given up. Default 6 s: longer than
 	// an endpoint takes to start.
 	ShrinkAfter time.Duration
-	// FirstPerDataCentre is the number of reclaimable engines in a data centre before demand is known. Default 2.
-	FirstPerDataCentre int
 }
 
 func (c Config) withDefaults() Config {
@@ -34,7 +32,6 @@
 	setDefault(&c.WaveTime, 12*time.Second)
 	setDefault(&c.WaveShare, 0.4)
 	setDefault(&c.ShrinkAfter, 6*time.Second)
-	setDefault(&c.FirstPerDataCentre, 2)
 	return c
 }
 
--- a/sizing/planner.go
+++ b/sizing/planner.go
@@ -20,6 +20,10 @@
 	reclaimable, onDemand held
 	// reclaimed is when an endpoint was last seen that is being taken away.
 	reclaimed time.Time
+	// first is the number of endpoints that the service started with, 0 until all of them have registered: until
+	// seen, their number so far, has not changed since seenAt for a while.
+	first, seen int
+	seenAt      time.Time
 	// served is set by the first demand: before it, endpoints are not given up.
 	served bool
 }
@@ -66,11 +70,13 @@
 	}
 	centres := dataCentres(service.Scaling)
 	have := count(view, service.Name)
+	if !d.registered(now, have) {
+		return nil
+	}
 	d.served = d.served || rate > 0
 	usual, reduced, least := p.engines(rate, p.cfg.UsualLoad), p.engines(rate, p.cfg.ReducedLoad), p.engines(rate, p.cfg.LeastLoad)
 	if !d.served {
-		usual = p.cfg.FirstPerDataCentre * len(centres)
-		reduced = usual / 2
+		usual, reduced = d.first, d.first/2
 	}
 	reclaimable := 0
 	if service.Scaling.ReclaimablePrice > 0 {
@@ -95,6 +101,24 @@
 	return spread(service, centres, reclaimable, onDemand, have)
 }
 
+// registerTime is how long the number of endpoints must be unchanged before it counts as the first one: longer than
+// the period in which endpoints write their entries.
+const registerTime = 1500 * time.Millisecond
+
+// registered reports whether the endpoints that the service started with are known.
+func (d *demand) registered(now time.Time, have counts) bool {
+	if d.first > 0 {
+		return true
+	}
+	if total := have.total(true) + have.total(false); total != d.seen || d.seenAt.IsZero() {
+		d.seen, d.seenAt = total, now
+	}
+	if now.Sub(d.seenAt) >= registerTime {
+		d.first = d.seen
+	}
+	return d.first > 0
+}
+
 // engines is the number that reads the rate at a load.
 func (p *Planner) engines(rate, load float64) int {
 	return max(int(math.Ceil(rate/(p.cfg.PrefillRate*load))), 1)
--- a/sizing/planner_test.go
+++ b/sizing/planner_test.go
@@ -55,6 +55,18 @@
 		Expect(NewPlanner(Config{}).Plan(start, &deployment.View{Config: config}, steady(0))).To(BeEmpty())
 	})
 
+	// Guards against a service that is shrunk to what had registered when the first plan was made: fleetbench
+	// hlh-snowdesk scale-1, one engine instead of nine at the start of the traffic.
+	It("plans nothing until the endpoints at the start have registered", func() {
+		p := NewPlanner(Config{})
+		Expect(p.Plan(start, view(0, 0), steady(0))).To(BeEmpty())
+		Expect(p.Plan(start.Add(time.Second), view(0, 1), steady(0))).To(BeEmpty())
+		Expect(p.Plan(start.Add(2*time.Second), view(0, 2), steady(0))).To(BeEmpty())
+		sizes := p.Plan(start.Add(2*time.Second+registerTime), view(0, 2), steady(0))
+		Expect(sum(sizes, true)).To(Equal(8))
+		Expect(sum(sizes, false)).To(Equal(4))
+	})
+
 	It("carries steady work on reclaimable engines, spread over the data centres", func() {
 		sizes := run(NewPlanner(Config{}), start, 30, view(2, 0), 240_000)
 		Expect(sum(sizes, true)).To(Equal(7))  // 240,000 / (110,000 x 0.35)
