Use one client and one stand-in for the object store

Cause: the product's own interface had an object client and protocol of its own (objectapi.Client, standin/platform_http.go) beside platform.Store, and platformtest had a second in-memory store. Two clients meant two copies of timeouts, status mapping and paging.

Change: the own interface calls platform.Store; standin.Platform is the one stand-in, and platformtest.ServeObjects its protocol. platform.Store gained prefixes, page limits, a bearer credential and ErrConflict for an update of a removed object, which the own interface relies on. A new fault runs a write after its reply was lost.

Ruled out: translating prefixes in the stand-in, since the published list has no prefix. A list by prefix begins after the prefix without its last byte.

--- a/instance.go
+++ b/instance.go
@@ -24,12 +24,16 @@
 	"knapweedhoist/objectapi"
 	"knapweedhoist/operator"
 	"knapweedhoist/peer"
+	"knapweedhoist/platform"
 	"knapweedhoist/request"
 	"knapweedhoist/roster"
 	"knapweedhoist/settings"
 	"knapweedhoist/timeline"
 )
 
+// storeConnections bounds the open connections to the store, one for each claim in progress.
+const storeConnections = 256
+
 // Instance is one entry instance.
 type Instance struct {
 	lg          *slog.Logger
@@ -94,8 +98,9 @@
 }
 
 func (i *Instance) wireOutside() {
-	i.store = &meteredStore{registry: i.metrics, Store: objectapi.NewClient(i.lg, objectapi.ClientConfig{
+	i.store = &meteredStore{registry: i.metrics, Store: platform.NewStore(platform.StoreConfig{
 		Address: i.cfg.Platform.Address, Token: string(i.cfg.Platform.Credential), Timeout: i.cfg.Platform.CallTimeout(),
+		MaxConnections: storeConnections,
 	})}
 	i.list = &meteredList{registry: i.metrics, List: roster.NewClient(i.lg, roster.ClientConfig{
 		Address: i.cfg.List.Address, Token: string(i.cfg.List.Credential), Timeout: i.cfg.List.CallTimeout(),
--- a/internal/devtool/deployment.go
+++ b/internal/devtool/deployment.go
@@ -9,6 +9,7 @@
 
 	"knapweedhoist/distribution"
 	"knapweedhoist/objectapi"
+	"knapweedhoist/platform/platformtest"
 	"knapweedhoist/roster"
 	"knapweedhoist/settings"
 	"knapweedhoist/standin"
@@ -41,8 +42,9 @@
 	d := &deployment{topology: size, fleetKey: newFleetKey(), Fleet: standin.NewFleet(lg, standin.FleetConfig{
 		Datacentres: size.datacentres, Engines: size.engines, Services: size.services,
 		ModelService: sampleModelService, PlainService: samplePlainService,
-		Engine: standin.EngineConfig{ChecksFence: true},
-		Cloud:  standin.CloudConfig{Notice: sampleNotice, ChecksFence: true},
+		Platform: standin.PlatformConfig{HTTP: platformtest.ServeObjects},
+		Engine:   standin.EngineConfig{ChecksFence: true},
+		Cloud:    standin.CloudConfig{Notice: sampleNotice, ChecksFence: true},
 	})}
 	if err := d.Start(); err != nil {
 		return nil, err
--- a/internal/devtool/fault_query.go
+++ b/internal/devtool/fault_query.go
@@ -19,7 +19,7 @@
 }
 
 var faultKinds = map[standin.FaultKind]bool{
-	standin.FaultLostReply: true, standin.FaultDelay: true, standin.FaultOutage: true, standin.FaultSilence: true,
+	standin.FaultLostReply: true, standin.FaultLateWrite: true, standin.FaultDelay: true, standin.FaultOutage: true, standin.FaultSilence: true,
 	standin.FaultRefuse: true, standin.FaultLag: true, standin.FaultGap: true, standin.FaultBreak: true,
 }
 
--- a/standin/effect.go
+++ b/standin/effect.go
@@ -8,7 +8,7 @@
 // effect is what the faults in force do to one call.
 type effect struct {
 	outage, refuse, lostReply, silence, broken, gap bool
-	delay, lag, retryAfter                          time.Duration
+	delay, lag, late, retryAfter                    time.Duration
 	afterTokens                                     int
 }
 
@@ -16,6 +16,8 @@
 	switch f.Kind {
 	case FaultLostReply:
 		e.lostReply = true
+	case FaultLateWrite:
+		e.late = f.Delay
 	case FaultDelay:
 		e.delay += f.Delay
 	case FaultOutage:
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -9,6 +9,8 @@
 const (
 	// FaultLostReply runs the call, then closes the connection without a reply.
 	FaultLostReply FaultKind = "lost_reply"
+	// FaultLateWrite closes the connection without a reply and runs the call Delay later.
+	FaultLateWrite FaultKind = "late_write"
 	// FaultDelay waits for Delay before the call runs.
 	FaultDelay FaultKind = "delay"
 	// FaultOutage answers that the system is unavailable; the call does not run.
@@ -38,7 +40,7 @@
 	Skip int
 	// Count is the number of calls that fail; 0 means all until the fault is removed.
 	Count int
-	// Delay applies to FaultDelay and FaultLag.
+	// Delay applies to FaultDelay, FaultLateWrite and FaultLag.
 	Delay time.Duration
 	// RetryAfter is the hint that a refusal carries.
 	RetryAfter time.Duration
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -7,12 +7,9 @@
 	"knapweedhoist/objectapi"
 )
 
-// Bounds of one reply; a reply that would be larger ends early, and Next or
-// Version tell where to continue.
-const (
-	maxPageObjects = 1000
-	maxPageBytes   = 8 << 20
-)
+// maxPageBytes bounds one reply; one that would be larger ends early, and Next
+// or Version tell where to continue.
+const maxPageBytes = 1 << 20
 
 // objects is the state of the object API. Its owner serialises the calls. The
 // values in replies are shared with the store; callers do not change them.
@@ -20,17 +17,19 @@
 	version objectapi.Version
 	kinds   map[objectapi.Kind]map[string]objectapi.Object
 	// log holds the last changes, oldest first; changes up to compacted are gone.
-	log       []objectapi.WatchEvent
-	history   int
-	compacted objectapi.Version
+	log     []objectapi.WatchEvent
+	history int
+	// pageObjects is the number of objects or events in one reply.
+	pageObjects int
+	compacted   objectapi.Version
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
 
-func newObjects(history int) *objects {
+func newObjects(history, pageObjects int) *objects {
 	return &objects{
 		kinds:   make(map[objectapi.Kind]map[string]objectapi.Object),
-		history: history,
+		history: history, pageObjects: pageObjects,
 		changed: make(chan struct{}),
 	}
 }
@@ -104,7 +103,7 @@
 	for _, name := range names {
 		object := o.kinds[request.Kind][name]
 		size += len(object.Value)
-		if len(reply.Objects) > 0 && full(len(reply.Objects), request.Limit, size) {
+		if len(reply.Objects) > 0 && o.full(len(reply.Objects), request.Limit, size) {
 			reply.Next = reply.Objects[len(reply.Objects)-1].Name
 			return reply
 		}
@@ -113,8 +112,8 @@
 	return reply
 }
 
-func full(count, limit, size int) bool {
-	return count >= maxPageObjects || limit > 0 && count >= limit || size > maxPageBytes
+func (o *objects) full(count, limit, size int) bool {
+	return count >= o.pageObjects || limit > 0 && count >= limit || size > maxPageBytes
 }
 
 // names returns the names of a list request, in order.
@@ -162,7 +161,7 @@
 			continue
 		}
 		size += len(event.Object.Value)
-		if len(reply.Events) > 0 && full(len(reply.Events), 0, size) {
+		if len(reply.Events) > 0 && o.full(len(reply.Events), 0, size) {
 			reply.Version = reply.Events[len(reply.Events)-1].Object.Version
 			return reply, o.changed, nil
 		}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"knapweedhoist/objectapi"
 )
 
@@ -30,9 +32,11 @@
 		cfg:     cfg,
 		reads:   newMeter(cfg.ReadsPerSecond),
 		writes:  newMeter(cfg.WritesPerSecond),
-		objects: newObjects(cfg.History),
+		objects: newObjects(cfg.History, cfg.PageObjects),
 	}
-	p.Server = newServer(lg, "platform", p.serveHTTP)
+	p.Server = newServer(lg, "platform", func(ctx context.Context, rc *fasthttp.RequestCtx) {
+		cfg.HTTP(ctx, rc, p)
+	})
 	return p
 }
 
@@ -47,6 +51,11 @@
 	if err := e.before(ctx, p.cfg.Clock, objectapi.ErrUnavailable, refused); err != nil {
 		return objectapi.Reply{}, err
 	}
+	if e.late > 0 {
+		runAfter(context.WithoutCancel(ctx), p.cfg.Clock, e.late, func() { _, _ = p.run(context.Background(), request) })
+		dropConn(ctx)
+		return objectapi.Reply{}, objectapi.ErrUnavailable
+	}
 	reply, err := p.run(ctx, request)
 	if err := e.after(ctx, err, objectapi.ErrUnavailable); err != nil {
 		return conflictOnly(reply, err), err
--- a/standin/platform_config.go
+++ b/standin/platform_config.go
@@ -1,12 +1,24 @@
 package standin
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/objectapi"
+)
+
+// ObjectProtocol serves one HTTP call of an object API from store. Its context
+// ends when the server closes.
+type ObjectProtocol func(ctx context.Context, rc *fasthttp.RequestCtx, store objectapi.Store)
 
 // Defaults of PlatformConfig.
 const (
 	DefaultReadsPerSecond  = 2000
 	DefaultWritesPerSecond = 300
 	DefaultHistory         = 4096
+	DefaultPageObjects     = 500
 )
 
 // PlatformConfig describes an object API.
@@ -21,6 +33,10 @@
 	WritesPerSecond int
 	// History is the number of changes that watches can go back. Default 4096.
 	History int
+	// PageObjects is the number of objects in a page of a list. Default 500.
+	PageObjects int
+	// HTTP is the protocol of the HTTP side; without it each call gets 501.
+	HTTP ObjectProtocol
 }
 
 func (c PlatformConfig) withDefaults() PlatformConfig {
@@ -34,5 +50,15 @@
 	if c.History <= 0 {
 		c.History = DefaultHistory
 	}
+	if c.PageObjects <= 0 {
+		c.PageObjects = DefaultPageObjects
+	}
+	if c.HTTP == nil {
+		c.HTTP = noProtocol
+	}
 	return c
 }
+
+func noProtocol(_ context.Context, rc *fasthttp.RequestCtx, _ objectapi.Store) {
+	writeProblem(rc, fasthttp.StatusNotImplemented, "no protocol is configured")
+}
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -12,14 +12,16 @@
 	"pgregory.net/rapid"
 
 	"knapweedhoist/objectapi"
+	"knapweedhoist/platform"
+	"knapweedhoist/platform/platformtest"
 	"knapweedhoist/standin"
 )
 
 // testConfig has rates that no test reaches by chance.
-var testConfig = standin.PlatformConfig{ReadsPerSecond: 1 << 20, WritesPerSecond: 1 << 20}
+var testConfig = standin.PlatformConfig{ReadsPerSecond: 1 << 20, WritesPerSecond: 1 << 20, HTTP: platformtest.ServeObjects}
 
-func newClient(addr string) *objectapi.Client {
-	client := objectapi.NewClient(lg, objectapi.ClientConfig{Address: addr, Timeout: hangGuard})
+func newClient(addr string) *platform.Store {
+	client := platform.NewStore(platform.StoreConfig{Address: addr, Timeout: hangGuard})
 	DeferCleanup(client.Close)
 	return client
 }
@@ -27,7 +29,7 @@
 var _ = Describe("platform over HTTP", func() {
 	var (
 		server *standin.Platform
-		client *objectapi.Client
+		client *platform.Store
 		ctx    context.Context
 	)
 	BeforeEach(func() {
@@ -122,6 +124,48 @@
 		Expect(reply.Object.Value).To(Equal([]byte("1")))
 	})
 
+	It("guards against a write that takes effect after its reply was lost, and a condition that it ignores", func() {
+		first, err := client.Do(ctx, objectapi.Create("lease", "quota", []byte("1")))
+		Expect(err).NotTo(HaveOccurred())
+		server.Faults.Add(standin.Fault{Kind: standin.FaultLateWrite, Op: "put", Count: 2, Delay: 20 * time.Millisecond})
+		for _, value := range []string{"2", "3"} {
+			_, err = client.Do(ctx, objectapi.Update("lease", "quota", first.Object.Version, []byte(value)))
+			Expect(err).To(MatchError(objectapi.ErrUnavailable))
+		}
+		Eventually(func() int64 { return server.Stats().Conflicts }, hangGuard).Should(Equal(int64(1)))
+		reply, err := client.Do(ctx, objectapi.Get("lease", "quota"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(reply.Object.Value)).To(Or(Equal("2"), Equal("3")))
+	})
+
+	It("guards against a page that has names without the prefix", func() {
+		small := testConfig
+		small.PageObjects = 2
+		client := newClient(start(standin.NewPlatform(lg, small)))
+		for _, name := range []string{"2/9", "3", "3!", "3/1", "3/2", "3/3", "30", "4/1"} {
+			_, err := client.Do(ctx, objectapi.Create("claim", name, nil))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		var names []string
+		request := objectapi.Request{Op: objectapi.OpList, Kind: "claim", Name: "3/"}
+		for more := true; more; more = request.After != "" {
+			reply, err := client.Do(ctx, request)
+			Expect(err).NotTo(HaveOccurred())
+			for _, object := range reply.Objects {
+				names = append(names, object.Name)
+			}
+			request.After = reply.Next
+		}
+		Expect(names).To(Equal([]string{"3/1", "3/2", "3/3"}))
+		first, err := client.Do(ctx, objectapi.Request{Op: objectapi.OpList, Kind: "claim", Name: "3/", Limit: 1})
+		Expect(err).NotTo(HaveOccurred())
+		for first.Objects == nil {
+			first, err = client.Do(ctx, objectapi.Request{Op: objectapi.OpList, Kind: "claim", Name: "3/", After: first.Next, Limit: 1})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(first.Objects[0].Name).To(Equal("3/1"))
+	})
+
 	It("guards against a refusal or an outage that is taken for another error", func() {
 		server.Faults.Add(standin.Fault{Kind: standin.FaultRefuse, Count: 1, RetryAfter: 3 * time.Second})
 		_, err := client.Do(ctx, objectapi.Create("lease", "quota", nil))
