Apply changed bounds without a restart; derive watch times from the bounds

Cause: SIGHUP only logged the settings, changes without a signal were not seen, and the watch wait (1.5 s) and the age at which a configuration counts as old (2.5 s) were fixed although the bounds they serve are settings of a deployment.

Change: apply_ms and leave_ms in the settings; a watch waits 0.75 of the shorter one, and the configuration is old after 1.25 of apply_ms, which gives today's values on today's deployments.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -18,7 +18,7 @@
 // waits for what is in progress.
 func (i *Instance) drain(ctx context.Context) {
 	start := time.Now()
-	grace := seconds(i.settings.StopGrace) - killMargin
+	grace := time.Duration(i.grace.Load()) - killMargin
 	i.leaving.Store(true)
 	i.front.Drain()
 	i.lg.Info("instance stopping", "in_progress", i.front.InProgress(), "grace_ms", grace.Milliseconds())
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -28,7 +28,7 @@
 	i.duties = duty.NewRunner(i.lg, duty.Config{
 		Instance: i.settings.Instance, Incarnation: strconv.FormatUint(i.source.Boot, 36),
 		NewDeployment: i.settings.NewDeployment,
-		Alternation:   time.Duration(i.settings.AlternationMS * float64(time.Millisecond)),
+		Alternation:   milliseconds(i.settings.AlternationMS),
 		Reports:       slices.Contains(i.settings.Duties, dutyUsage),
 		Orders:        slices.Contains(i.settings.Duties, dutyOrders),
 		UsageDelay:    seconds(i.settings.Usage.Delay), ChecksFence: i.settings.ChecksFence,
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -58,6 +58,8 @@
 	relaying relaying
 	leaving  atomic.Bool
 	stop     chan struct{}
+	// grace is the time from SIGTERM to the end in nanoseconds; a reload may change it.
+	grace atomic.Int64
 }
 
 // New returns an Instance that listens on nothing yet.
@@ -78,15 +80,14 @@
 		registry:  metrics.NewRegistry(),
 		stop:      make(chan struct{}, 1),
 	}
-	i.budget = retrybudget.NewBudget(now, retrybudget.Config{
-		Ratio: settings.Retries.Ratio, Slack: settings.Retries.Slack, Window: seconds(settings.Retries.Window),
-	})
+	i.budget = retrybudget.NewBudget(now, settings.Retries.config())
+	i.grace.Store(int64(seconds(settings.StopGrace)))
 	i.ledger = usage.NewLedger(seconds(settings.Usage.Window), i.source)
 	i.config = &configSink{lg: i.lg, adapter: adapter, state: i.state, changed: func(c *deployment.Config) {
 		i.limiter.SetTeams(clock.Now(), c.Teams)
 	}}
 	i.endpoints = newEndpointSink(i.lg, adapter, i.state, time.Now, i.table.Forget)
-	i.front = forward.NewServer(forward.Config{}, forward.Deps{
+	i.front = forward.NewServer(forward.Config{Freshness: settings.freshness()}, forward.Deps{
 		Log: i.lg, Dialect: adapter.Dialect, State: i.state, Table: i.table, Limiter: i.limiter, Budget: i.budget,
 		Pool: i.pool, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Random: rand.Float64,
 		Began: func(team string) { i.ledger.Begin(i.wallNow(), team) },
@@ -141,7 +142,7 @@
 	for kind, sink := range map[objectapi.Kind]objectwatch.Sink{
 		objectapi.KindDeployment: i.config, objectapi.KindEndpoint: i.endpoints,
 	} {
-		go objectwatch.NewWatcher(i.lg, objectwatch.Config{Kind: kind}, i.adapter.Store, sink).Run(ctx)
+		go objectwatch.NewWatcher(i.lg, objectwatch.Config{Kind: kind, Wait: i.settings.watchWait()}, i.adapter.Store, sink).Run(ctx)
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -5,13 +5,12 @@
 
 import (
 	"bytes"
-	"os"
 	"time"
 
 	"github.com/go-playground/validator/v10"
-	"github.com/samber/oops"
 	"go.yaml.in/yaml/v3"
 
+	"knapweedhoist/retrybudget"
 	"knapweedhoist/teamlimit"
 )
 
@@ -40,6 +39,10 @@
 	AlternationMS float64 `yaml:"alternation_ms" validate:"gt=0"`
 	// StopGrace is the time from SIGTERM to the end in seconds. Default 8.
 	StopGrace float64 `yaml:"stop_grace_s" validate:"gte=0"`
+	// ApplyMS is the time in milliseconds within which a change of the configuration is in force everywhere. Default 2000.
+	ApplyMS float64 `yaml:"apply_ms" validate:"gt=0"`
+	// LeaveMS is the time in milliseconds after which no new request goes to an endpoint that leaves. Default 2000.
+	LeaveMS float64 `yaml:"leave_ms" validate:"gt=0"`
 	// Retries bounds the sends beyond the first of each request.
 	Retries Retries `yaml:"retries"`
 	// Usage bounds the reports of usage.
@@ -90,25 +93,36 @@
 	return teamlimit.Config{Overage: l.Overage, Slack: l.Slack, NewDeployment: newDeployment}
 }
 
+func (r Retries) config() retrybudget.Config {
+	return retrybudget.Config{Ratio: r.Ratio, Slack: r.Slack, Window: seconds(r.Window)}
+}
+
+const (
+	// watchShare is the part of the shorter bound that one watch of the store waits, so that a connection that has
+	// gone silent is noticed at about the bound.
+	watchShare = 0.75
+	// freshShare is the age at which the configuration counts as old, relative to the time within which a change is in
+	// force: the wait of one watch and a call of the store.
+	freshShare = 1.25
+)
+
+// watchWait is how long one watch of the store waits for a change.
+func (s Settings) watchWait() time.Duration {
+	return milliseconds(watchShare * min(s.ApplyMS, s.LeaveMS))
+}
+
+// freshness is how recently the configuration must have been confirmed before a caller is told that something does not exist.
+func (s Settings) freshness() time.Duration { return milliseconds(freshShare * s.ApplyMS) }
+
 // DefaultSettings returns settings with every optional field at its default.
 func DefaultSettings() Settings {
 	return Settings{
-		AlternationMS: 3000, StopGrace: 8,
+		AlternationMS: 3000, StopGrace: 8, ApplyMS: 2000, LeaveMS: 2000,
 		Retries: Retries{Ratio: 0.2, Slack: 10, Window: 10},
 		Usage:   Usage{Window: 5, Delay: 10},
 	}
 }
 
-// LoadSettings reads a YAML file.
-func LoadSettings(path string) (Settings, error) {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, oops.With("step", "read settings").Wrap(err)
-	}
-	settings, err := ParseSettings(content)
-	return settings, oops.With("step", "read settings", "file", path).Wrap(err)
-}
-
 // ParseSettings reads settings from YAML.
 func ParseSettings(content []byte) (Settings, error) {
 	settings := DefaultSettings()
@@ -120,4 +134,6 @@
 	return settings, validator.New(validator.WithRequiredStructEnabled()).Struct(settings)
 }
 
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -1,8 +1,13 @@
 package entry
 
 import (
+	"log/slog"
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"knapweedhoist/clock"
 )
 
 var _ = Describe("ParseSettings", func() {
@@ -37,3 +42,53 @@
 		Expect(err).To(MatchError(ContainSubstring("DataCentre")))
 	})
 })
+
+var _ = Describe("Reload", func() {
+	settings := func() Settings {
+		s := DefaultSettings()
+		s.Instance, s.DataCentre = "entry-1", "dc"
+		s.Retries = Retries{Ratio: 0, Slack: 2, Window: 10}
+		return s
+	}
+	extras := func(i *Instance) (n int) {
+		for i.budget.Take(clock.Now(), "service") {
+			n++
+		}
+		return n
+	}
+
+	// Guards against bounds that change in the settings and apply only after a restart.
+	It("changes the bounds in force and keeps what was counted", func() {
+		i := New(slog.New(slog.DiscardHandler), settings(), Adapter{})
+		Expect(extras(i)).To(Equal(1))
+		changed := settings()
+		changed.Retries.Slack = 10
+		changed.StopGrace = 4
+		Expect(i.needsStart(changed)).To(BeFalse())
+		i.Reload(changed)
+		Expect(extras(i)).To(Equal(5)) // 6 of 10, one was used before
+		Expect(time.Duration(i.grace.Load())).To(Equal(4 * time.Second))
+	})
+
+	It("tells that an address applies from the next start", func() {
+		i := New(slog.New(slog.DiscardHandler), settings(), Adapter{})
+		changed := settings()
+		changed.Store = "10.0.0.9:80"
+		Expect(i.needsStart(changed)).To(BeTrue())
+	})
+})
+
+var _ = Describe("Times that follow from the bounds", func() {
+	// Guards against CONFIG and DRAIN on deployments with shorter bounds than those of today.
+	DescribeTable("leave a watch that has gone silent time to be noticed",
+		func(applyMS, leaveMS float64, wait time.Duration) {
+			s := DefaultSettings()
+			s.ApplyMS, s.LeaveMS = applyMS, leaveMS
+			Expect(s.watchWait()).To(Equal(wait))
+			Expect(s.freshness()).To(BeNumerically(">", s.watchWait()))
+		},
+		Entry("deployments of today", 2000.0, 2000.0, 1500*time.Millisecond),
+		Entry("short time to leave", 2000.0, 1000.0, 750*time.Millisecond),
+		Entry("longer bounds", 3000.0, 3000.0, 2250*time.Millisecond),
+	)
+})
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -9,6 +9,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/samber/oops"
+
 	"knapweedhoist/boundedlog"
 	"knapweedhoist/entry"
 	"knapweedhoist/internal/commandline"
@@ -27,16 +29,25 @@
 	if path == "" {
 		path = platform.SettingsPath()
 	}
-	settings, err := entry.LoadSettings(path)
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return &commandline.UsageError{Err: oops.With("step", "read settings").Wrap(err)}
+	}
+	settings, err := entry.ParseSettings(content)
 	if err != nil {
-		return &commandline.UsageError{Err: err}
+		return &commandline.UsageError{Err: oops.With("step", "read settings", "file", path).Wrap(err)}
 	}
 	limitMemory(settings.MemoryMB)
 	log := boundedlog.New(c.stdout, boundedlog.Config{Level: slog.LevelInfo})
 	defer log.Close()
 	instance := entry.New(log.Logger, settings, platform.Adapter(settings.Store, settings.Cloud))
-	go handleSignals(instance, log.Logger, path)
-	return instance.Run(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	go newSettingsFile(log.Logger, path, content, instance.Reload).follow(ctx, changed)
+	go stopAtSignal(instance)
+	return instance.Run(ctx)
 }
 
 // memoryShare is the part of the process's memory that the Go heap may fill
@@ -49,20 +60,10 @@
 	}
 }
 
-// handleSignals stops the instance at SIGTERM and checks changed settings at SIGHUP.
-func handleSignals(instance *entry.Instance, lg *slog.Logger, path string) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	for received := range signals {
-		if received != syscall.SIGHUP {
-			instance.Stop()
-			continue
-		}
-		settings, err := entry.LoadSettings(path)
-		if err != nil {
-			lg.Error("settings not reloaded", "file", path, "error", err.Error())
-			continue
-		}
-		instance.Reload(settings)
-	}
+// stopAtSignal starts a planned stop at SIGTERM.
+func stopAtSignal(instance *entry.Instance) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	instance.Stop()
 }
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -58,6 +58,13 @@
 	b.members = max(n, 1)
 }
 
+// SetBounds changes the ratio and the slack; sends so far stay counted.
+func (b *Budget) SetBounds(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.Ratio, b.cfg.Slack = ratio, slack
+}
+
 // Request counts a request for the service.
 func (b *Budget) Request(now time.Time, service string) {
 	b.mu.Lock()
--- a/teamlimit/limiter.go
+++ b/teamlimit/limiter.go
@@ -87,6 +87,19 @@
 	l.peers = kept
 }
 
+// SetBounds changes what teams may use beyond their limits. Use so far stays counted.
+func (l *Limiter) SetBounds(now time.Time, overage, slack float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	share := l.share(now)
+	l.cfg.Overage, l.cfg.Slack = overage, slack
+	for _, b := range l.buckets {
+		b.fill(now, share)
+		l.setLimit(b, b.limit)
+		b.fill(now, share)
+	}
+}
+
 // SetTeams sets the limits. Use so far stays counted; a lower limit binds at once.
 func (l *Limiter) SetTeams(now time.Time, teams []*deployment.Team) {
 	l.mu.Lock()
