--- a/entry/endpoint_sink_test.go
+++ b/entry/endpoint_sink_test.go
@@ -76,7 +76,7 @@
 		sink.Lost(errors.New("down"))
 		sink.Replace(nil, 1)
 		sink.Regained()
-		sink.Change([]objectapi.WatchEvent{objectapi.WatchEvent{Object: object("a")}}, 2)
+		sink.Change([]objectapi.WatchEvent{{Object: object("a")}}, 2)
 		now = now.Add(2 * returnTime)
 		sink.expire()
 		Expect(names()).To(ConsistOf("a"))
@@ -84,15 +84,15 @@
 
 	// Guards against counting on the cache of a server that has started again under its ID.
 	It("tells of an endpoint that was born again", func() {
-		sink.Change([]objectapi.WatchEvent{objectapi.WatchEvent{Object: object("a")}}, 2)
+		sink.Change([]objectapi.WatchEvent{{Object: object("a")}}, 2)
 		Expect(restarted).To(BeEmpty())
-		sink.Change([]objectapi.WatchEvent{objectapi.WatchEvent{Object: objectapi.Object{Name: "a", Value: []byte("later")}}}, 2)
+		sink.Change([]objectapi.WatchEvent{{Object: objectapi.Object{Name: "a", Value: []byte("later")}}}, 2)
 		Expect(restarted).To(Equal([]string{"a"}))
 	})
 
 	// Guards against sending to an address that another writer put into an entry.
 	It("drops an endpoint whose entry can no longer be read", func() {
-		sink.Change([]objectapi.WatchEvent{objectapi.WatchEvent{Object: objectapi.Object{Name: "a", Value: []byte("unreadable")}}}, 2)
+		sink.Change([]objectapi.WatchEvent{{Object: objectapi.Object{Name: "a", Value: []byte("unreadable")}}}, 2)
 		Expect(names()).To(ConsistOf("b"))
 	})
 })
--- a/objectrelay/source_test.go
+++ b/objectrelay/source_test.go
@@ -36,7 +36,7 @@
 		route = Route{Relays: []string{"r1", "r2"}}
 		note := func(who string, request objectapi.Request) (objectapi.Reply, error) {
 			asked, waits = append(asked, who), append(waits, request.Wait)
-			return objectapi.Reply{}, failed[who]
+			return objectapi.Reply{Version: 1}, failed[who]
 		}
 		source = NewSource(slog.New(slog.DiscardHandler), SourceConfig{
 			Wait: 500 * time.Millisecond, SharedWait: time.Second, Pause: 3 * time.Second, Now: func() time.Time { return now },
