--- a/forward/offer.go
+++ b/forward/offer.go
@@ -168,12 +168,25 @@
 		return nil, e.broken(answer, errEncoded)
 	case status < 300 && !reply.Signed:
 		return nil, e.broken(answer, errUnsigned)
+	case promisesNotRun(status):
+		return nil, e.broken(answer, statusError(status))
 	case e.route.Kind == deployment.Stream && status < 300:
 		return e.openStream(answer)
 	}
 	return e.readWhole(answer, status)
 }
 
+// promisesNotRun reports whether a caller takes the status for a promise that the request did not run. From an endpoint
+// it says so only with the field that Reply.NotRun stands for; without it the request may have run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // notRun ends a send that the endpoint turned away.
 func (e *exchange) notRun(answer *upstream.Answer, status int) *failure {
 	drain(answer)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -63,6 +63,16 @@
 	return reply, nil
 }
 
+// Apply makes a call that no fault, latency or rate affects, as the owner of an object would in a test.
+func (p *Platform) Apply(request objectapi.Request) (objectapi.Reply, error) {
+	if err := request.Validate(); err != nil {
+		return objectapi.Reply{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.objects.run(request)
+}
+
 // conflictOnly keeps the reply of a failed call only for a conflict, whose
 // reply holds the current object.
 func conflictOnly(reply objectapi.Reply, err error) objectapi.Reply {
