Keep relays' copies readable while nothing changes; explain a request from logs

Cause: the age of an answer was counted from the start of its watch, although an answer without changes is true at the end of the wait.

Change: replies tell how long they were held back, and the age counts from there. A watch that brings a change does not tell that, so relays watch 0.22 of the shorter bound and their copies may be as old as two watches.

Also: hoistctl explain ID FILE... prints a request's course, the newest state of its instances before its end and a verdict, from log files alone.

--- a/entry/copies.go
+++ b/entry/copies.go
@@ -16,7 +16,8 @@
 	relayMargin = 300 * time.Millisecond
 	// relayPause is how long an instance that did not answer is left out.
 	relayPause = 3 * time.Second
-	// copyMargin is how much older than one watch of the store a copy may be that others read: the answer of a slow call.
+	// copyMargin is how much older than two watches of the store a copy may be that others read: the answer of a slow
+	// call.
 	copyMargin = 150 * time.Millisecond
 )
 
@@ -27,7 +28,7 @@
 		objectapi.KindDeployment: i.config, objectapi.KindEndpoint: i.endpoints,
 	} {
 		copies[kind] = objectrelay.NewCopy(objectrelay.CopyConfig{
-			Kind: kind, MaxAge: i.settings.sharedWatchWait() + copyMargin, Now: clock.Now,
+			Kind: kind, MaxAge: 2*i.settings.sharedWatchWait() + copyMargin, Now: clock.Now,
 		}, sink)
 	}
 	return copies
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -101,9 +101,10 @@
 	// watchShare is the part of the shorter bound that one watch of the store waits, so that a connection that has
 	// gone silent is noticed at about the bound.
 	watchShare = 0.75
-	// sharedWatchShare is the same for an instance whose copy others read: with relayWait and relayMargin the whole way
-	// stays below the bound.
-	sharedWatchShare = 0.45
+	// sharedWatchShare is the same for an instance whose copy others read. The copy may be as old as two watches, as a
+	// watch that brings a change does not tell when it was asked for; with relayWait and relayMargin the whole way stays
+	// below the bound.
+	sharedWatchShare = 0.22
 	// freshShare is the age at which the configuration counts as old, relative to the time within which a change is in
 	// force: the wait of one watch and a call of the store.
 	freshShare = 1.25
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,60 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestExplain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "explain")
+}
+
+// sample has lines of two instances, one with a collector's prefix.
+const sample = `
+{"time":"2026-04-17T19:07:01.000Z","level":"INFO","msg":"configuration applied","instance":"a","version":3}
+{"time":"2026-04-17T19:07:02.000Z","level":"INFO","msg":"configuration applied","instance":"a","version":4}
+{"time":"2026-04-17T19:07:02.000Z","level":"INFO","msg":"configuration applied","instance":"b","version":4}
+{"time":"2026-04-17T19:07:02.100Z","level":"INFO","msg":"endpoint changed","instance":"a","endpoint":"i-1","leaving":false}
+{"time":"2026-04-17T19:07:02.100Z","level":"INFO","msg":"endpoint changed","instance":"a","endpoint":"i-9","leaving":false}
+{"time":"2026-04-17T19:07:02.300Z","level":"INFO","msg":"endpoint gone","instance":"a","endpoint":"i-1"}
+  3.4 front-a {"time":"2026-04-17T19:07:03.500Z","level":"WARN","msg":"instance was paused","instance":"a","ms":900}
+{"time":"2026-04-17T19:07:03.400Z","level":"INFO","msg":"request repeated","instance":"a","id":"r-1","endpoint":"i-1","reason":"broken","sends":1}
+{"time":"2026-04-17T19:07:03.450Z","level":"WARN","msg":"request failed","instance":"a","id":"r-1","status":504,"ms":1200,"sends":2,"endpoint":"i-2","reason":"timeout"}
+{"time":"2026-04-17T19:07:04.000Z","level":"INFO","msg":"request served","instance":"b","id":"r-2","status":200,"ms":5,"sends":1,"endpoint":"i-2"}
+not a line
+`
+
+var _ = Describe("Log", func() {
+	course := func(id string) Course {
+		log := NewLog(id)
+		Expect(log.Read(strings.NewReader(sample))).To(Succeed())
+		return log.Course()
+	}
+
+	// Guards against an explanation that lacks the state that the decisions were based on.
+	It("shows the request's lines and the newest state of its instance", func() {
+		c := course("r-1")
+		Expect(c.Lines).To(HaveLen(2))
+		var before []string
+		for _, line := range c.Before {
+			before = append(before, line.Message+" "+line.Text("version")+line.Text("endpoint"))
+		}
+		Expect(before).To(Equal([]string{"configuration applied 4", "endpoint gone i-1", "instance was paused "}))
+		Expect(c.Verdict).To(Equal("failed with 504 at i-2 after 2 sends: timeout; the instance took i-1 for gone; " +
+			"the instance was paused for 900 ms until 19:07:03.500"))
+	})
+
+	It("tells a served request", func() {
+		Expect(course("r-2").Verdict).To(Equal("served by i-2 with status 200 after 5 ms and 1 sends"))
+	})
+
+	It("tells what it can mean that no instance has the request", func() {
+		c := course("r-3")
+		Expect(c.Lines).To(BeEmpty())
+		Expect(c.Verdict).To(ContainSubstring("no instance logged the request"))
+	})
+})
--- a/hoistctl/app.go
+++ b/hoistctl/app.go
@@ -39,7 +39,7 @@
 	if _, err := parser.AddGroup("Connection", "", &a.options); err != nil {
 		return err
 	}
-	for _, add := range []func(*flags.Parser) error{a.addItems, a.addViews} {
+	for _, add := range []func(*flags.Parser) error{a.addItems, a.addViews, a.addExplain} {
 		if err := add(parser); err != nil {
 			return err
 		}
--- /dev/null
+++ b/hoistctl/explain_command.go
@@ -0,0 +1,71 @@
+package hoistctl
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/samber/oops"
+
+	"knapweedhoist/explain"
+)
+
+// explainCommand shows the course of one request from log files. It calls no instance.
+type explainCommand struct {
+	app  *app
+	Args struct {
+		ID    string   `positional-arg-name:"ID" description:"the request's id" required:"1"`
+		Files []string `positional-arg-name:"FILE" description:"log files of entry instances; without any, standard input"`
+	} `positional-args:"yes"`
+}
+
+func (a *app) addExplain(parser *flags.Parser) error {
+	_, err := parser.AddCommand("explain", "Show the course of a request from log files",
+		"Reads the JSON log lines of entry instances and shows what happened to one request, and what its instances "+
+			"believed when they decided.", &explainCommand{app: a})
+	return err
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	log := explain.NewLog(c.Args.ID)
+	if len(c.Args.Files) == 0 {
+		if err := log.Read(os.Stdin); err != nil {
+			return oops.With("step", "read standard input").Wrap(err)
+		}
+	}
+	for _, name := range c.Args.Files {
+		if err := readLog(log, name); err != nil {
+			return err
+		}
+	}
+	course := log.Course()
+	if c.app.json() {
+		return c.app.printJSON(course)
+	}
+	c.print(course)
+	return nil
+}
+
+func readLog(log *explain.Log, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return oops.With("step", "read log").Wrap(err)
+	}
+	defer func() { _ = file.Close() }()
+	return oops.With("step", "read log", "file", name).Wrap(log.Read(file))
+}
+
+func (c *explainCommand) print(course explain.Course) {
+	c.app.printf("request %s: %s\n", course.ID, course.Verdict)
+	if len(course.Lines) == 0 {
+		return
+	}
+	c.app.printf("\nstate of its instances\n")
+	for _, line := range course.Before {
+		c.app.printf("  %s\n", line)
+	}
+	c.app.printf("\ncourse\n")
+	for _, line := range course.Lines {
+		c.app.printf("  %s\n", line)
+	}
+}
--- a/objectapi/reply.go
+++ b/objectapi/reply.go
@@ -14,8 +14,10 @@
 	Events []WatchEvent
 	// Version is the store's version at the time of the reply; a watch continues from it.
 	Version Version
-	// Age is how old the copy is that answered; 0 for the store itself.
+	// Age is how old the copy was that answered; 0 for the store itself.
 	Age time.Duration
+	// Waited is how long the answer to a watch was held back at least: the whole wait when nothing changed.
+	Waited time.Duration
 }
 
 // WatchEvent is one change of an object.
--- a/objectrelay/peer.go
+++ b/objectrelay/peer.go
@@ -44,6 +44,9 @@
 		return objectapi.Reply{}, oops.With("step", "read relay", "peer", address).Wrap(err)
 	}
 	reply, err := decode(response, request.Kind)
+	if len(reply.Events) == 0 {
+		reply.Waited = request.Wait
+	}
 	return reply, oops.With("step", "read relay", "peer", address).Wrap(err)
 }
 
--- a/objectwatch/watcher.go
+++ b/objectwatch/watcher.go
@@ -74,17 +74,18 @@
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		asked := clock.Now()
-		age, err := w.step(ctx)
+		answered, err := w.step(ctx)
 		if err != nil {
 			w.fail(ctx, err)
 			continue
 		}
-		w.succeed(clock.Now().Sub(asked) + age)
+		// What was answered was true at the end of the wait at the earliest, and at the time of the copy that answered.
+		w.succeed(max(clock.Now().Sub(asked)-answered.Waited, 0) + answered.Age)
 	}
 }
 
-// step makes the next call and returns the age of its answer.
-func (w *Watcher) step(ctx context.Context) (time.Duration, error) {
+// step makes the next call, or those of a whole list, and returns the first answer.
+func (w *Watcher) step(ctx context.Context) (objectapi.Reply, error) {
 	if !w.listed {
 		return w.list(ctx)
 	}
@@ -93,28 +94,27 @@
 
 // list reads all pages. The watch continues from the version of the first
 // page, so that no change between two pages is missed.
-func (w *Watcher) list(ctx context.Context) (age time.Duration, err error) {
+func (w *Watcher) list(ctx context.Context) (first objectapi.Reply, err error) {
 	var objects []objectapi.Object
-	var version objectapi.Version
 	for after := ""; ; {
 		reply, err := w.store.Do(ctx, objectapi.Request{Op: objectapi.OpList, Kind: w.cfg.Kind, After: after})
 		if err != nil {
-			return 0, err
+			return objectapi.Reply{}, err
 		}
 		if after == "" {
-			version, age = reply.Version, reply.Age
+			first = reply
 		}
 		objects = append(objects, reply.Objects...)
 		if after = reply.Next; after == "" {
 			break
 		}
 	}
-	w.version, w.listed = version, true
-	w.sink.Replace(objects, version)
-	return age, nil
+	w.version, w.listed = first.Version, true
+	w.sink.Replace(objects, first.Version)
+	return first, nil
 }
 
-func (w *Watcher) watch(ctx context.Context) (time.Duration, error) {
+func (w *Watcher) watch(ctx context.Context) (objectapi.Reply, error) {
 	reply, err := w.store.Do(ctx, objectapi.Request{
 		Op: objectapi.OpWatch, Kind: w.cfg.Kind, From: w.version, Wait: w.cfg.Wait,
 	})
@@ -124,13 +124,13 @@
 		return w.list(ctx)
 	}
 	if err != nil {
-		return 0, err
+		return objectapi.Reply{}, err
 	}
 	w.version = max(w.version, reply.Version)
 	if len(reply.Events) > 0 {
 		w.sink.Change(reply.Events, w.version)
 	}
-	return reply.Age, nil
+	return reply, nil
 }
 
 func (w *Watcher) fail(ctx context.Context, err error) {
--- a/objectwatch/watcher_test.go
+++ b/objectwatch/watcher_test.go
@@ -114,6 +114,16 @@
 		Expect(sink.ages[1]).To(BeNumerically(">=", 2*time.Hour))
 	})
 
+	// Guards against a copy that counts as old as the wait of its watch, although nothing changed up to the answer: it
+	// refused reads of other instances for most of the time.
+	It("counts the wait of a watch without changes as time in which the copy was complete", func() {
+		_, sink := run(
+			step{reply: objectapi.Reply{Objects: objects("a"), Version: 5}},
+			step{reply: objectapi.Reply{Version: 6, Waited: time.Hour}},
+		)
+		Expect(sink.ages[1]).To(BeZero())
+	})
+
 	// Guards against a second list, and lost events, after a call without an answer.
 	It("goes on watching from the same version after a lost call", func() {
 		store, sink := run(
