--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STEPS ?= 400
 export CGO_ENABLED := 1
 
-.PHONY: all build test format lint vet link unit race known-red demo bench soak capacity generate
+.PHONY: all build test format lint vet link unit race known-red demo bench soak faultsoak capacity generate
 
 all: build
 
@@ -70,3 +70,8 @@
 # A failing run prints the command that replays it.
 soak:
 	SOAK_SEEDS=$(SEEDS) SOAK_STEPS=$(STEPS) go test ./soak -count=1 -timeout 0 -run TestGuaranteesHold -v
+
+# Runs entry daemons as processes under SEEDS series of faults. A failing run prints the command that replays it;
+# FAULTSOAK_LOGS=DIR keeps the daemons' logs.
+faultsoak:
+	FAULTSOAK_SEED=$$(date +%s) FAULTSOAK_SEEDS=$(SEEDS) FAULTSOAK_STEPS=40 go test ./faultsoak -count=1 -timeout 0 -v
--- a/internal/configdoc/configdoc_test.go
+++ b/internal/configdoc/configdoc_test.go
@@ -31,7 +31,7 @@
 // documented are the structs that the page shows, by package.
 func documented() map[string][]field {
 	fields := make(map[string][]field)
-	for dir, tagKey := range map[string]string{"settings": "yaml", "catalog": "json"} {
+	for dir, tagKey := range map[string]string{"settings": "yaml", "entry": "yaml", "catalog": "json"} {
 		all, err := parseStructs(filepath.Join(root, dir), tagKey)
 		Expect(err).NotTo(HaveOccurred())
 		tops := []string{"Settings"}
@@ -51,6 +51,32 @@
 
 var bound = regexp.MustCompile(`(?:min|max)=([0-9]+)`)
 
+// placeholder is a value or the section of the duties in the deploy template.
+var placeholder = regexp.MustCompile(`\{\{#.*/[A-Za-z.]+\}\}|\{\{[^}]*\}\}`)
+
+// fillTemplate puts a value in the place of each placeholder, as a platform does: text where it asks for JSON or has
+// quotes around it, numbers elsewhere.
+func fillTemplate(template string) string {
+	return placeholder.ReplaceAllStringFunc(template, func(found string) string {
+		switch {
+		case strings.HasPrefix(found, "{{#"):
+			return `"usage_report","autoscale"`
+		case strings.Contains(found, "Bootstrap"), strings.Contains(found, "RequireFence"):
+			return "true"
+		case strings.Contains(found, "Ip"):
+			return "10.1.0.14"
+		case strings.Contains(found, "PortRange"):
+			return "7600"
+		case strings.Contains(found, "CloudApi.Address"):
+			return "10.200.0.35:8225"
+		case strings.Contains(found, "json"):
+			return `"10.1.0.14:8221"`
+		default:
+			return "5"
+		}
+	})
+}
+
 var _ = Describe("configuration page", func() {
 	It("guards against a page that differs from the code", func() {
 		page, err := Page(root)
@@ -119,6 +145,23 @@
 		}
 	})
 
+	It("guards against a deploy template that the entry daemon refuses or that leaves a field out", func() {
+		template, err := os.ReadFile(root + "/deploy/settings.yaml.tmpl")
+		Expect(err).NotTo(HaveOccurred())
+		filled := fillTemplate(string(template))
+		path := filepath.Join(GinkgoT().TempDir(), "entry.yaml")
+		Expect(os.WriteFile(path, []byte(filled), 0o600)).To(Succeed())
+		var out, fault bytes.Buffer
+		Expect(daemon.Main([]string{"check-config", "--entry", "-c", path}, &out, &fault)).To(Equal(commandline.ExitOK), fault.String()+filled)
+		all, err := parseStructs(filepath.Join(root, "entry"), "yaml")
+		Expect(err).NotTo(HaveOccurred())
+		for _, typeName := range []string{"Settings", "Listen", "Retries", "Usage", "Limits"} {
+			for _, f := range all[typeName] {
+				Expect(filled).To(MatchRegexp(`(?m)^ *`+f.name+`:`), typeName+"."+f.name)
+			}
+		}
+	})
+
 	It("guards against an example that check-config refuses or that leaves a field out", func() {
 		path := filepath.Join(GinkgoT().TempDir(), "hoist.yaml")
 		Expect(os.WriteFile(path, []byte(Example), 0o600)).To(Succeed())
--- a/internal/configdoc/page.go
+++ b/internal/configdoc/page.go
@@ -16,6 +16,10 @@
 	if err != nil {
 		return "", err
 	}
+	entry, err := parseStructs(filepath.Join(root, "entry"), "yaml")
+	if err != nil {
+		return "", err
+	}
 	catalog, err := parseStructs(filepath.Join(root, "catalog"), "json")
 	if err != nil {
 		return "", err
@@ -25,6 +29,8 @@
 	page.WriteString("\n## Settings of a process\n\n" + settingsText + "\n")
 	writeTable(&page, settings, "Settings", "")
 	page.WriteString("\n### Example\n\n" + exampleText + "\n```yaml\n" + Example + "```\n")
+	page.WriteString("\n## Settings of an entry instance on a platform\n\n" + entryText + "\n")
+	writeTable(&page, entry, "Settings", "")
 	page.WriteString("\n## Shared configuration\n\n" + catalogText)
 	for _, item := range []string{"Service", "Team", "Preset"} {
 		fmt.Fprintf(&page, "\n### %s\n\n", item)
--- a/internal/configdoc/rule.go
+++ b/internal/configdoc/rule.go
@@ -29,7 +29,13 @@
 		return "a name"
 	case "ip_port":
 		return "IP number and port"
-	case "min":
+	case "required":
+		return "required"
+	case "hostname_port":
+		return "host and port"
+	case "gt":
+		return "more than " + value
+	case "min", "gte":
 		return "at least " + value
 	case "max":
 		return "at most " + value
--- a/internal/configdoc/text.go
+++ b/internal/configdoc/text.go
@@ -2,7 +2,7 @@
 
 const introduction = `# Configuration
 
-This page is generated from the doc comments and validate tags in the packages ` + "`settings` and `catalog`" + `
+This page is generated from the doc comments and validate tags in the packages ` + "`settings`, `entry` and `catalog`" + `
 (` + "`go generate ./internal/configdoc`" + `); a test fails when it differs from them.
 
 There are two kinds of configuration. The *settings* of a process are one YAML file, read once at start. The *shared
@@ -16,6 +16,10 @@
 with a letter or digit at both ends. A field without a stated default is required or empty.
 `
 
+const entryText = "`knapweedhoist entry` reads these from the YAML file that the platform fills in from `deploy/settings.yaml.tmpl`;\n" +
+	"`knapweedhoist check-config --entry -c FILE` checks one. An unknown key, a missing field or a value out of bounds ends the\n" +
+	"process with status 2.\n"
+
 const exampleText = "`knapweedhoist check-config -c FILE` accepts this file; a test checks that. The `key_hash` is the hash of the key\n" +
 	"`dev-operator`, as `printf %s dev-operator | sha256sum` prints it. Use your own keys.\n"
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -29,13 +29,9 @@
 	if path == "" {
 		path = platform.SettingsPath()
 	}
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return &commandline.UsageError{Err: oops.With("step", "read settings").Wrap(err)}
-	}
-	settings, err := entry.ParseSettings(content)
+	settings, content, err := loadEntry(path)
 	if err != nil {
-		return &commandline.UsageError{Err: oops.With("step", "read settings", "file", path).Wrap(err)}
+		return err
 	}
 	limitMemory(settings.MemoryMB)
 	log := boundedlog.New(c.stdout, boundedlog.Config{Level: slog.LevelInfo})
@@ -50,6 +46,19 @@
 	return instance.Run(ctx)
 }
 
+// loadEntry reads the settings of an entry instance; a fault in them is a UsageError.
+func loadEntry(path string) (entry.Settings, []byte, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return entry.Settings{}, nil, &commandline.UsageError{Err: oops.With("step", "read settings").Wrap(err)}
+	}
+	settings, err := entry.ParseSettings(content)
+	if err != nil {
+		return entry.Settings{}, nil, &commandline.UsageError{Err: oops.With("step", "read settings", "file", path).Wrap(err)}
+	}
+	return settings, content, nil
+}
+
 // memoryShare is the part of the process's memory that the Go heap may fill
 // before the collector works harder; the rest is for stacks and sockets.
 const memoryShare = 0.6
