--- a/sizing/planner.go
+++ b/sizing/planner.go
@@ -64,42 +64,67 @@
 }
 
 func (p *Planner) planService(now time.Time, view *deployment.View, service *deployment.Service, rate float64) []Size {
-	d := p.services[service.Name]
-	if d == nil {
-		d = &demand{}
-		p.services[service.Name] = d
-	}
-	centres := dataCentres(service.Scaling)
+	d := p.demand(service.Name)
 	have := count(view, service.Name)
 	d.served = d.served || rate > 0
 	if !d.served && !d.registered(now, have) {
 		return nil
 	}
-	usual, reduced, least := p.engines(rate, p.cfg.UsualLoad), p.engines(rate, p.cfg.ReducedLoad), p.engines(rate, p.cfg.LeastLoad)
-	if !d.served {
-		usual, reduced = d.first, d.first/2
+	if have.leaving > 0 {
+		d.reclaimed = now
 	}
+	centres := dataCentres(service.Scaling)
+	wanted := p.wanted(d, rate)
 	reclaimable := 0
 	if service.Scaling.ReclaimablePrice > 0 {
-		reclaimable = d.reclaimable.want(now, max(usual, len(centres)), p.cfg.ShrinkAfter)
+		reclaimable = d.reclaimable.want(now, max(wanted.usual, len(centres)), p.cfg.ShrinkAfter)
+	} else {
+		wanted.reduced = wanted.usual // nothing but engines on demand carries the load
 	}
-	ready := min(have.total(true), reclaimable)
-	if have.leaving > 0 {
-		d.reclaimed = now
+	missing := wanted.reduced - p.counted(now, d, min(have.total(true), reclaimable))
+	if p.wave(now, d) || !d.served {
+		d.onDemand.keep()
+	}
+	onDemand := d.onDemand.want(now, max(wanted.least, missing), p.cfg.ShrinkAfter)
+	return spread(service, centres, reclaimable, onDemand, have)
+}
+
+func (p *Planner) demand(service string) *demand {
+	d := p.services[service]
+	if d == nil {
+		d = &demand{}
+		p.services[service] = d
 	}
-	wave := !d.reclaimed.IsZero() && now.Sub(d.reclaimed) < p.cfg.WaveTime
-	if wave {
-		ready = int(float64(ready) * p.cfg.WaveShare)
+	return d
+}
+
+// numbers are the engines that a rate needs: usually, at least where reclaimable ones are missing, and on demand always.
+type numbers struct {
+	usual, reduced, least int
+}
+
+// wanted returns the numbers for a rate. Before the first demand they follow from the endpoints at the start.
+func (p *Planner) wanted(d *demand, rate float64) numbers {
+	n := numbers{
+		usual: p.engines(rate, p.cfg.UsualLoad), reduced: p.engines(rate, p.cfg.ReducedLoad), least: p.engines(rate, p.cfg.LeastLoad),
 	}
-	missing := reduced - ready
-	if service.Scaling.ReclaimablePrice <= 0 {
-		missing = usual
+	if !d.served {
+		n.usual, n.reduced = d.first, d.first/2
 	}
-	if wave || !d.served {
-		d.onDemand.keep()
+	return n
+}
+
+// wave reports whether more reclaims are expected.
+func (p *Planner) wave(now time.Time, d *demand) bool {
+	return !d.reclaimed.IsZero() && now.Sub(d.reclaimed) < p.cfg.WaveTime
+}
+
+// counted returns how many of the reclaimable engines that are ready the plan relies on.
+func (p *Planner) counted(now time.Time, d *demand, ready int) int {
+	if p.wave(now, d) {
+		return int(float64(ready) * p.cfg.WaveShare)
 	}
-	onDemand := d.onDemand.want(now, max(least, missing), p.cfg.ShrinkAfter)
-	return spread(service, centres, reclaimable, onDemand, have)
+	return ready
 }
 
 // registerTime is how long the number of endpoints must be unchanged before it counts as the first one: longer than
