Refuse requests that arrive late in a planned stop

Change: from 2.8 s on, requests are refused with 503 and Retry-After; they reach no endpoint, and callers return to another instance.

Ruled out: a longer stop, as the grace is the platform's; closing the listener earlier, as new connections come until two of the platform's questions were missed.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -9,13 +9,16 @@
 	// leaveTime is how long an instance that leaves still takes new connections: the platform asks every second,
 	// and stops sending them after two misses.
 	leaveTime = 3500 * time.Millisecond
+	// acceptTime is how long an instance that leaves still sends requests to endpoints. What arrives later is refused, as
+	// too little of the grace is left for it: an answer of an engine under load takes several seconds.
+	acceptTime = 2800 * time.Millisecond
 	// killMargin is the time before the end of the grace at which the process ends by itself.
 	killMargin = 300 * time.Millisecond
 )
 
 // drain ends the instance without cutting a request: it stops being ready,
-// makes each answer the last on its connection, then closes what is idle and
-// waits for what is in progress.
+// makes each answer the last on its connection, refuses what comes late, then
+// closes what is idle and waits for what is in progress.
 func (i *Instance) drain(ctx context.Context) {
 	start := time.Now()
 	grace := time.Duration(i.grace.Load()) - killMargin
@@ -25,10 +28,12 @@
 	if i.duties != nil {
 		i.duties.Release(ctx)
 	}
-	select {
-	case <-ctx.Done():
+	if !waitUntil(ctx, start.Add(acceptTime)) {
+		return
+	}
+	i.front.Refuse()
+	if !waitUntil(ctx, start.Add(leaveTime)) {
 		return
-	case <-time.After(leaveTime):
 	}
 	ctx, cancel := context.WithDeadline(ctx, start.Add(grace))
 	defer cancel()
@@ -37,3 +42,13 @@
 	}
 	i.lg.Info("instance stopped", "ms", time.Since(start).Milliseconds())
 }
+
+// waitUntil returns false when ctx ends before the time.
+func waitUntil(ctx context.Context, at time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(at)):
+		return true
+	}
+}
--- a/forward/server.go
+++ b/forward/server.go
@@ -16,6 +16,7 @@
 	deps     Deps
 	http     *fasthttp.Server
 	draining atomic.Bool
+	refusing atomic.Bool
 }
 
 // NewServer returns a Server that accepts nothing yet.
@@ -55,6 +56,9 @@
 // Drain makes every further answer the last one on its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Refuse turns away every further request, which reaches no endpoint.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
 // Shutdown closes the listener and idle connections and waits for requests in progress until the end of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	return s.http.ShutdownWithContext(ctx)
@@ -68,6 +72,10 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	if s.refusing.Load() {
+		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "instance is stopping", retryAfter: minRetryAfter})
+		return
+	}
 	if refusal := e.admit(); refusal != nil {
 		e.refuse(refusal)
 		return
