--- a/attacher.go
+++ b/attacher.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"knapweedhoist/internal/wait"
 	"knapweedhoist/objectapi"
 	"knapweedhoist/peer"
 	"knapweedhoist/request"
@@ -53,7 +54,7 @@
 		case time.Now().After(giveUp):
 			return err
 		}
-		pause(ctx, attachRetry)
+		wait.For(ctx, attachRetry)
 	}
 }
 
@@ -155,19 +156,9 @@
 		if !errors.Is(err, request.ErrNotFound) || !held {
 			return err
 		}
-		pause(ctx, attachRetry)
+		wait.For(ctx, attachRetry)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/boundedlog/handler.go
+++ b/boundedlog/handler.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"knapweedhoist/internal/defaults"
 )
 
 // Config bounds the lines of a process.
@@ -43,12 +45,8 @@
 
 // New returns a logger that writes JSON lines to w until Close.
 func New(w io.Writer, cfg Config) *Logger {
-	if cfg.LinesPerSecond <= 0 {
-		cfg.LinesPerSecond = 100
-	}
-	if cfg.Queue <= 0 {
-		cfg.Queue = 1024
-	}
+	defaults.Set(&cfg.LinesPerSecond, 100)
+	defaults.Set(&cfg.Queue, 1024)
 	out := &output{lines: make(chan []byte, cfg.Queue), stop: make(chan struct{}), done: make(chan struct{})}
 	go out.run(w)
 	burst := int(2 * cfg.LinesPerSecond)
--- a/claimer.go
+++ b/claimer.go
@@ -8,6 +8,7 @@
 	"knapweedhoist/backend"
 	"knapweedhoist/claim"
 	"knapweedhoist/control"
+	"knapweedhoist/internal/wait"
 	"knapweedhoist/request"
 	"knapweedhoist/wire"
 )
@@ -121,7 +122,7 @@
 			if result == claim.NoClaim && time.Since(end.At) > lateClaim {
 				return
 			}
-			pause(ctx, claimReportRetry)
+			wait.For(ctx, claimReportRetry)
 		}
 	}()
 }
--- a/departure.go
+++ b/departure.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"knapweedhoist/control"
+	"knapweedhoist/internal/wait"
 	"knapweedhoist/membership"
 	"knapweedhoist/objectapi"
 	"knapweedhoist/timeline"
@@ -75,6 +76,6 @@
 		if _, err := i.store.Do(ctx, write); err == nil {
 			return
 		}
-		pause(ctx, departureRetry)
+		wait.For(ctx, departureRetry)
 	}
 }
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"knapweedhoist/internal/defaults"
+)
 
 // Config has the weights of the choice. The zero value stands for the defaults.
 type Config struct {
@@ -29,23 +33,17 @@
 	FailureMemory time.Duration
 }
 
-// maxFailureSteps bounds the doubling of FailurePenalty and FailureMemory: 4 steps are 6.4 s and 32 s.
+// maxFailureSteps bounds the doubling of FailurePenalty and FailureMemory: three doublings are 3.2 s and 16 s.
 const maxFailureSteps = 3
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.PrefillRate, 110)
-	setDefault(&c.RereadWeight, 3)
-	setDefault(&c.DistanceCost, 8*time.Millisecond)
-	setDefault(&c.RunCost, 400*time.Microsecond)
-	setDefault(&c.PlainWork, 20*time.Millisecond)
-	setDefault(&c.CacheMemory, 20*time.Second)
-	setDefault(&c.FailurePenalty, 400*time.Millisecond)
-	setDefault(&c.FailureMemory, 2*time.Second)
+	defaults.Set(&c.PrefillRate, 110)
+	defaults.Set(&c.RereadWeight, 3)
+	defaults.Set(&c.DistanceCost, 8*time.Millisecond)
+	defaults.Set(&c.RunCost, 400*time.Microsecond)
+	defaults.Set(&c.PlainWork, 20*time.Millisecond)
+	defaults.Set(&c.CacheMemory, 20*time.Second)
+	defaults.Set(&c.FailurePenalty, 400*time.Millisecond)
+	defaults.Set(&c.FailureMemory, 2*time.Second)
 	return c
 }
-
-func setDefault[T float64 | time.Duration](value *T, def T) {
-	if *value <= 0 {
-		*value = def
-	}
-}
--- a/duty/config.go
+++ b/duty/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"knapweedhoist/internal/defaults"
 )
 
 // Config has the times of the duties.
@@ -35,12 +37,8 @@
 )
 
 func (c Config) withDefaults() Config {
-	if c.Alternation <= 0 {
-		c.Alternation = 3 * time.Second
-	}
-	if c.UsageDelay <= 0 {
-		c.UsageDelay = 10 * time.Second
-	}
+	defaults.Set(&c.Alternation, 3*time.Second)
+	defaults.Set(&c.UsageDelay, 10*time.Second)
 	return c
 }
 
--- a/entry/control.go
+++ b/entry/control.go
@@ -6,6 +6,7 @@
 
 	"knapweedhoist/clock"
 	"knapweedhoist/gossip"
+	"knapweedhoist/internal/wait"
 	"knapweedhoist/teamlimit"
 )
 
@@ -35,10 +36,7 @@
 			i.pool.Sweep(time.Now())
 			i.table.Sweep(time.Now(), i.state.View().Endpoints)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(interval(len(members))):
-		}
+		wait.For(ctx, interval(len(members)))
 	}
 }
 
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"knapweedhoist/internal/wait"
 )
 
 const (
@@ -28,11 +30,11 @@
 	if i.duties != nil {
 		i.duties.Release(ctx)
 	}
-	if !waitUntil(ctx, start.Add(acceptTime)) {
+	if !wait.For(ctx, time.Until(start.Add(acceptTime))) {
 		return
 	}
 	i.front.Refuse()
-	if !waitUntil(ctx, start.Add(leaveTime)) {
+	if !wait.For(ctx, time.Until(start.Add(leaveTime))) {
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, start.Add(grace))
@@ -42,13 +44,3 @@
 	}
 	i.lg.Info("instance stopped", "ms", time.Since(start).Milliseconds())
 }
-
-// waitUntil returns false when ctx ends before the time.
-func waitUntil(ctx context.Context, at time.Time) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(time.Until(at)):
-		return true
-	}
-}
--- a/entry/join.go
+++ b/entry/join.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"knapweedhoist/clock"
+	"knapweedhoist/internal/wait"
 	"knapweedhoist/objectapi"
 )
 
@@ -51,10 +52,7 @@
 		default:
 			retry = joinPause
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		wait.For(ctx, pause)
 	}
 }
 
--- a/forward/config.go
+++ b/forward/config.go
@@ -6,6 +6,7 @@
 
 	"knapweedhoist/deployment"
 	"knapweedhoist/dispatch"
+	"knapweedhoist/internal/defaults"
 	"knapweedhoist/retrybudget"
 	"knapweedhoist/teamlimit"
 	"knapweedhoist/upstream"
@@ -26,21 +27,13 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Freshness, 2500*time.Millisecond)
-	setDefault(&c.ReadTimeout, 10*time.Second)
-	setDefault(&c.IdleTimeout, 2*time.Minute)
-	if c.MaxBodyBytes <= 0 {
-		c.MaxBodyBytes = 16 << 20
-	}
+	defaults.Set(&c.Freshness, 2500*time.Millisecond)
+	defaults.Set(&c.ReadTimeout, 10*time.Second)
+	defaults.Set(&c.IdleTimeout, 2*time.Minute)
+	defaults.Set(&c.MaxBodyBytes, 16<<20)
 	return c
 }
 
-func setDefault(value *time.Duration, def time.Duration) {
-	if *value <= 0 {
-		*value = def
-	}
-}
-
 // Deps are the parts that a Server uses. All are safe for concurrent use.
 type Deps struct {
 	Log     *slog.Logger
--- a/objectwatch/watcher.go
+++ b/objectwatch/watcher.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"knapweedhoist/clock"
+	"knapweedhoist/internal/defaults"
+	"knapweedhoist/internal/wait"
 	"knapweedhoist/objectapi"
 )
 
@@ -58,15 +60,9 @@
 
 // NewWatcher returns a Watcher that makes no call before Run.
 func NewWatcher(lg *slog.Logger, cfg Config, store objectapi.Store, sink Sink) *Watcher {
-	if cfg.Wait <= 0 {
-		cfg.Wait = DefaultWait
-	}
-	if cfg.Pause <= 0 {
-		cfg.Pause = DefaultPause
-	}
-	if cfg.MaxPause <= 0 {
-		cfg.MaxPause = DefaultMaxPause
-	}
+	defaults.Set(&cfg.Wait, DefaultWait)
+	defaults.Set(&cfg.Pause, DefaultPause)
+	defaults.Set(&cfg.MaxPause, DefaultMaxPause)
 	return &Watcher{lg: lg.With("objects", string(cfg.Kind)), cfg: cfg, store: store, sink: sink, pause: cfg.Pause}
 }
 
@@ -141,10 +137,7 @@
 		w.failing = true
 		w.sink.Lost(err)
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(w.pause):
-	}
+	wait.For(ctx, w.pause)
 	w.pause = min(2*w.pause, w.cfg.MaxPause)
 }
 
--- a/planner.go
+++ b/planner.go
@@ -11,6 +11,7 @@
 	"knapweedhoist/catalog"
 	"knapweedhoist/cloud"
 	"knapweedhoist/control"
+	"knapweedhoist/internal/wait"
 	"knapweedhoist/lease"
 	"knapweedhoist/membership"
 	"knapweedhoist/timeline"
@@ -45,7 +46,7 @@
 // run plans until ctx ends.
 func (p *planner) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, p.cfg.PlanInterval)
+		wait.For(ctx, p.cfg.PlanInterval)
 		if _, err := p.instance.permit(ctx, control.DutyCapacity, true); err != nil {
 			p.reset()
 			continue
--- a/pollers.go
+++ b/pollers.go
@@ -9,6 +9,7 @@
 
 	"knapweedhoist/catalog"
 	"knapweedhoist/control"
+	"knapweedhoist/internal/wait"
 	"knapweedhoist/membership"
 	"knapweedhoist/roster"
 )
@@ -52,7 +53,7 @@
 				entries, readAt = len(snapshot.Entries), time.Now()
 			}
 		}
-		pause(ctx, rosterRetry)
+		wait.For(ctx, rosterRetry)
 	}
 }
 
@@ -92,7 +93,7 @@
 				go i.readLoad(ctx, endpoint, service.Kind)
 			}
 		}
-		pause(ctx, loadInterval)
+		wait.For(ctx, loadInterval)
 	}
 }
 
@@ -120,7 +121,7 @@
 		if view := i.view.Load().Fleet; view.WatchesConfig() || view.Self.State == membership.Leaving {
 			from = i.readNotices(ctx, from)
 		}
-		pause(ctx, noticeInterval)
+		wait.For(ctx, noticeInterval)
 	}
 }
 
--- a/quotas.go
+++ b/quotas.go
@@ -8,6 +8,7 @@
 
 	"knapweedhoist/catalog"
 	"knapweedhoist/control"
+	"knapweedhoist/internal/wait"
 	"knapweedhoist/lease"
 	"knapweedhoist/membership"
 	"knapweedhoist/objectapi"
@@ -47,7 +48,7 @@
 			q.round(ctx, view.Fleet, teams)
 		}
 		near := len(view.Fleet.LiveIn(q.instance.cfg.Datacentre))
-		pause(ctx, max(quotaInterval, time.Duration(near)*time.Second/askersPerSecond))
+		wait.For(ctx, max(quotaInterval, time.Duration(near)*time.Second/askersPerSecond))
 	}
 }
 
--- a/run.go
+++ b/run.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"knapweedhoist/handover"
+	"knapweedhoist/internal/wait"
 )
 
 // handoverTick is the time between two looks at a handover in progress.
@@ -47,7 +48,7 @@
 		now := time.Now()
 		i.registry.Sweep(now)
 		i.host.Tick(now)
-		pause(ctx, housekeepInterval)
+		wait.For(ctx, housekeepInterval)
 	}
 }
 
--- a/sizing/config.go
+++ b/sizing/config.go
@@ -1,6 +1,10 @@
 package sizing
 
-import "time"
+import (
+	"time"
+
+	"knapweedhoist/internal/defaults"
+)
 
 // Config has the shares and times of a Planner. The zero value stands for the defaults.
 type Config struct {
@@ -25,18 +29,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.PrefillRate, 110_000)
-	setDefault(&c.UsualLoad, 0.35)
-	setDefault(&c.LeastLoad, 1.8)
-	setDefault(&c.ReducedLoad, 0.75)
-	setDefault(&c.WaveTime, 12*time.Second)
-	setDefault(&c.WaveShare, 0.4)
-	setDefault(&c.ShrinkAfter, 6*time.Second)
+	defaults.Set(&c.PrefillRate, 110_000)
+	defaults.Set(&c.UsualLoad, 0.35)
+	defaults.Set(&c.LeastLoad, 1.8)
+	defaults.Set(&c.ReducedLoad, 0.75)
+	defaults.Set(&c.WaveTime, 12*time.Second)
+	defaults.Set(&c.WaveShare, 0.4)
+	defaults.Set(&c.ShrinkAfter, 6*time.Second)
 	return c
 }
-
-func setDefault[T float64 | time.Duration | int](value *T, def T) {
-	if *value <= 0 {
-		*value = def
-	}
-}
--- a/standin/platform_config.go
+++ b/standin/platform_config.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"knapweedhoist/internal/defaults"
 	"knapweedhoist/objectapi"
 )
 
@@ -41,18 +42,10 @@
 
 func (c PlatformConfig) withDefaults() PlatformConfig {
 	c.Clock = orWallClock(c.Clock)
-	if c.ReadsPerSecond <= 0 {
-		c.ReadsPerSecond = DefaultReadsPerSecond
-	}
-	if c.WritesPerSecond <= 0 {
-		c.WritesPerSecond = DefaultWritesPerSecond
-	}
-	if c.History <= 0 {
-		c.History = DefaultHistory
-	}
-	if c.PageObjects <= 0 {
-		c.PageObjects = DefaultPageObjects
-	}
+	defaults.Set(&c.ReadsPerSecond, DefaultReadsPerSecond)
+	defaults.Set(&c.WritesPerSecond, DefaultWritesPerSecond)
+	defaults.Set(&c.History, DefaultHistory)
+	defaults.Set(&c.PageObjects, DefaultPageObjects)
 	if c.HTTP == nil {
 		c.HTTP = noProtocol
 	}
--- a/teamlimit/limiter.go
+++ b/teamlimit/limiter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"knapweedhoist/deployment"
+	"knapweedhoist/internal/defaults"
 )
 
 // DefaultSilence is how long another instance counts as heard after its last
@@ -46,9 +47,7 @@
 
 // NewLimiter returns a Limiter without teams.
 func NewLimiter(cfg Config) *Limiter {
-	if cfg.Silence <= 0 {
-		cfg.Silence = DefaultSilence
-	}
+	defaults.Set(&cfg.Silence, DefaultSilence)
 	return &Limiter{
 		cfg: cfg, buckets: make(map[string]*bucket), peers: make(map[string]*peerState),
 		fresh: !cfg.NewDeployment,
--- a/upstream/config.go
+++ b/upstream/config.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"knapweedhoist/internal/defaults"
 )
 
 // Config describes how endpoints are reached.
@@ -28,12 +30,8 @@
 const tcpUserTimeout = 0x12
 
 func (c Config) withDefaults() Config {
-	if c.DialTimeout <= 0 {
-		c.DialTimeout = 300 * time.Millisecond
-	}
-	if c.IdleTimeout <= 0 {
-		c.IdleTimeout = 4 * time.Second
-	}
+	defaults.Set(&c.DialTimeout, 300*time.Millisecond)
+	defaults.Set(&c.IdleTimeout, 4*time.Second)
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
