Count instances without copying them; decode the head of an answer once

Five places copied and sorted all instances for their number, one of them for every read through a relay; the number was also kept in a field beside the directory; and each answer's head was decoded twice, for its id and again for the rest.

Change: gossip.Directory.Count, Instance.silence, and the reply of the one decoding. spread still reads the instances itself: a list that was read earlier would give an instance the shares of those that joined in between.

--- a/entry/control.go
+++ b/entry/control.go
@@ -47,7 +47,7 @@
 // noticePause logs that the process did not run for a while, which shows up nowhere else: requests that arrived
 // meanwhile were read late, and leases may have run out.
 func (i *Instance) noticePause(now, ticked time.Time) {
-	if gap := now.Sub(ticked) - interval(len(i.directory.Members())); !ticked.IsZero() && gap > pauseTime {
+	if gap := now.Sub(ticked) - interval(i.directory.Count()); !ticked.IsZero() && gap > pauseTime {
 		i.lg.Warn("instance was paused", "ms", gap.Milliseconds(), "in_progress", i.front.InProgress())
 	}
 }
@@ -57,8 +57,8 @@
 }
 
 // silence is the time after which an instance counts as not heard.
-func silence(members int) time.Duration {
-	return max(teamlimit.DefaultSilence, 4*interval(members))
+func (i *Instance) silence() time.Duration {
+	return max(teamlimit.DefaultSilence, 4*interval(i.directory.Count()))
 }
 
 func (i *Instance) sendReport(now time.Time, members []gossip.Member) {
@@ -84,15 +84,14 @@
 // spread gives what is known of the other instances to the parts that divide something among them.
 func (i *Instance) spread() {
 	now := clock.Now()
-	members := i.directory.Members()
+	members := i.directory.Members() // read here: an older list would give this instance the shares of new ones
 	names := make([]string, 0, len(members))
 	for _, member := range members {
 		names = append(names, member.Name)
 	}
 	i.limiter.SetMembers(names)
 	i.budget.SetMembers(len(names) + 1)
-	i.instances.Store(int64(len(names) + 1))
-	i.table.SetPeers(i.directory.Work(now, silence(len(names))))
+	i.table.SetPeers(i.directory.Work(now, i.silence()))
 }
 
 // observe takes in another instance's report.
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -36,7 +36,6 @@
 
 // relays returns where this instance reads the store's objects.
 func (i *Instance) relays() objectrelay.Route {
-	members := len(i.directory.Members())
-	addresses, read := i.directory.Relays(clock.Now(), silence(members), i.settings.DataCentre)
+	addresses, read := i.directory.Relays(clock.Now(), i.silence(), i.settings.DataCentre)
 	return objectrelay.Route{Relays: addresses, Read: read}
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -45,6 +45,5 @@
 }
 
 func (i *Instance) candidate() bool {
-	members := len(i.directory.Members())
-	return i.ready() && i.directory.Rank(clock.Now(), silence(members)) < candidates
+	return i.ready() && i.directory.Rank(clock.Now(), i.silence()) < candidates
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -61,8 +61,6 @@
 	relaying relaying
 	leaving  atomic.Bool
 	stop     chan struct{}
-	// instances is the number of entry instances, this one included.
-	instances atomic.Int64
 	// grace is the time from SIGTERM to the end in nanoseconds; a reload may change it.
 	grace atomic.Int64
 }
@@ -96,7 +94,7 @@
 	i.front = forward.NewServer(forward.Config{Freshness: settings.freshness()}, forward.Deps{
 		Log: i.lg, Dialect: adapter.Dialect, State: i.state, Table: i.table, Limiter: i.limiter, Budget: i.budget,
 		Pool: i.pool, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Random: rand.Float64,
-		Instances: func() int { return int(i.instances.Load()) },
+		Instances: func() int { return i.directory.Count() + 1 },
 		Began:     func(team string) { i.ledger.Begin(i.wallNow(), team) },
 	})
 	return i
--- a/entry/join.go
+++ b/entry/join.go
@@ -60,7 +60,7 @@
 // of the instances does it.
 func (i *Instance) removeGone(ctx context.Context) error {
 	now := clock.Now()
-	if i.directory.Rank(now, silence(len(i.directory.Members()))) > 0 {
+	if i.directory.Rank(now, i.silence()) > 0 {
 		return nil
 	}
 	for _, name := range i.directory.Gone(now) {
--- a/forward/offer.go
+++ b/forward/offer.go
@@ -85,17 +85,20 @@
 		header.SetContentLength(len(e.body))
 	}
 	e.sends++
+	var reply Reply // of the newest head that was read, which is the answer's when there is one
 	answer, err := e.server.deps.Pool.Do(e.context, upstream.Request{
 		Peer:   upstream.Peer{Address: e.flight.Endpoint.Address, ID: e.flight.Endpoint.ID},
 		Header: header, Body: e.body, ID: e.request.ID,
-		AnswerID:  func(h *fasthttp.ResponseHeader) string { return e.server.deps.Dialect.DecodeReply(h).RequestID },
+		AnswerID: func(h *fasthttp.ResponseHeader) string {
+			reply = e.server.deps.Dialect.DecodeReply(h)
+			return reply.RequestID
+		},
 		Deadline:  e.deadline,
 		IdleLimit: upstream.IdleLimit(e.service.MaxConnections, e.server.deps.Instances()),
 	})
 	if err != nil {
 		return nil, Reply{}, err
 	}
-	reply := e.server.deps.Dialect.DecodeReply(&answer.Header)
 	if reply.Load != nil {
 		reply.Load.At = time.Now()
 		e.flight.Report(*reply.Load)
--- a/gossip/directory.go
+++ b/gossip/directory.go
@@ -92,6 +92,13 @@
 	return all
 }
 
+// Count returns the number of other instances.
+func (d *Directory) Count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.members)
+}
+
 // Work returns the work of all instances heard within the given time, by endpoint.
 func (d *Directory) Work(now time.Time, within time.Duration) map[string]dispatch.Work {
 	d.mu.Lock()
