Drop what the soak and its caller kept or returned for nobody

Cause: reading the change again. Caller.Do returned a second value that no one used; the soak kept addresses that follow from each daemon's own IP address.

Measured: faultsoak, platform and devtool tests pass; no assertion changed.

--- a/faultsoak/process_test.go
+++ b/faultsoak/process_test.go
@@ -11,15 +11,22 @@
 	"time"
 )
 
+// Ports of every daemon; each has an IP address of its own.
+const (
+	callersPort = ":7600"
+	readyPort   = ":7601"
+	peersPort   = ":7602"
+)
+
 // process is one entry daemon, which may be started again.
 type process struct {
 	name     string
 	binary   string
 	settings string
 	log      *os.File
-	// ready is where the daemon tells that it takes connections; callers go through link.
-	ready string
-	link  *link
+	// host is the IP address that the daemon listens on; callers go through link.
+	host string
+	link *link
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -71,7 +78,7 @@
 
 func (p *process) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + p.ready + "/")
+	response, err := client.Get("http://" + p.host + readyPort)
 	if err != nil {
 		return false
 	}
@@ -86,7 +93,7 @@
 }
 
 // writeSettings writes the settings of the daemon; slack is a bound that may change while it runs.
-func (p *process) writeSettings(store, cloud, callers, peers string, slack int) error {
+func (p *process) writeSettings(store, cloud string, slack int) error {
 	text := fmt.Sprintf(`instance: %q
 data_centre: sample
 new_deployment: true
@@ -98,7 +105,7 @@
 stop_grace_s: 6
 usage: {window_s: 1, delay_s: 3}
 retries: {slack: %d}
-`, p.name, callers, p.ready, peers, store, cloud, slack)
+`, p.name, p.host+callersPort, p.host+readyPort, p.host+peersPort, store, cloud, slack)
 	next := p.settings + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
--- a/faultsoak/soak_test.go
+++ b/faultsoak/soak_test.go
@@ -114,8 +114,7 @@
 				return 0
 			}
 			defer caller.Close()
-			outcome, _ := caller.Do("GET", probePath, "probe-"+p.name, patience)
-			return outcome.Status
+			return caller.Do("GET", probePath, "probe-"+p.name, patience).Status
 		}, hangGuard).Should(Equal(200), p.name)
 	}
 }
--- a/faultsoak/world_test.go
+++ b/faultsoak/world_test.go
@@ -39,9 +39,7 @@
 	// stores are the links between each daemon and the store.
 	stores  []*link
 	servers []*server
-	// addresses are those that each daemon listens on for callers and peers.
-	addresses [][2]string
-	ledger    ledger
+	ledger  ledger
 
 	stop    chan struct{}
 	callers sync.WaitGroup
@@ -95,8 +93,7 @@
 		return err
 	}
 	host := loopback(w.seed, len(w.processes))
-	listen, ready, peers := host+":7600", host+":7601", host+":7602"
-	callers, err := newLink(listen)
+	callers, err := newLink(host + callersPort)
 	if err != nil {
 		return err
 	}
@@ -105,16 +102,14 @@
 		return err
 	}
 	p := &process{
-		name: name, binary: binary, settings: filepath.Join(dir, name+".yaml"), log: log, ready: ready, link: callers,
+		name: name, binary: binary, settings: filepath.Join(dir, name+".yaml"), log: log, host: host, link: callers,
 	}
 	w.processes, w.stores = append(w.processes, p), append(w.stores, store)
-	w.addresses = append(w.addresses, [2]string{listen, peers})
 	return errors.Join(w.writeSettings(len(w.processes)-1, retrySlack), p.start())
 }
 
 func (w *world) writeSettings(n, slack int) error {
-	return w.processes[n].writeSettings(
-		w.stores[n].address(), w.site.Cloud.Address(), w.addresses[n][0], w.addresses[n][1], slack)
+	return w.processes[n].writeSettings(w.stores[n].address(), w.site.Cloud.Address(), slack)
 }
 
 // startCallers starts callers that use their connections as long as these last.
@@ -143,7 +138,7 @@
 			caller = dialled
 		}
 		e := exchange{id: fmt.Sprintf("%s-%d", name, n), path: paths[rng.IntN(len(paths))]}
-		e.outcome, _ = caller.Do("POST", e.path, e.id, patience)
+		e.outcome = caller.Do("POST", e.path, e.id, patience)
 		w.ledger.add(e)
 		if e.outcome.Last {
 			caller.Close()
