--- a/deployment/state.go
+++ b/deployment/state.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"knapweedhoist/clock"
 )
 
 // View is what an entry instance knows of its deployment at one moment.
@@ -20,14 +22,15 @@
 type State struct {
 	mu   sync.Mutex // orders updates
 	view atomic.Pointer[View]
-	// confirmed is the time since base at which the store last confirmed the configuration.
+	// confirmed is the time since base at which the store last confirmed the configuration, by a clock that counts
+	// suspended time.
 	base      time.Time
 	confirmed atomic.Int64
 }
 
 // NewState returns a State without configuration.
 func NewState() *State {
-	s := &State{base: time.Now().Add(-time.Hour)}
+	s := &State{base: clock.Now().Add(-time.Hour)}
 	s.view.Store(&View{Endpoints: map[string]*Endpoint{}})
 	return s
 }
@@ -58,7 +61,7 @@
 	s.view.Store(&view)
 }
 
-// Confirm notes that the configuration in force was the newest at the given time.
+// Confirm notes that the configuration in force was the newest at the given time of package clock.
 func (s *State) Confirm(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,7 +70,7 @@
 	}
 }
 
-// ConfirmedFor returns how long ago the configuration was last known to be the newest.
+// ConfirmedFor returns how long before now, of package clock, the configuration was last known to be the newest.
 func (s *State) ConfirmedFor(now time.Time) time.Duration {
 	return now.Sub(s.base) - time.Duration(s.confirmed.Load())
 }
--- a/entry/config_sink.go
+++ b/entry/config_sink.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"knapweedhoist/clock"
 	"knapweedhoist/deployment"
 	"knapweedhoist/objectapi"
 )
@@ -21,21 +22,23 @@
 }
 
 // Replace implements objectwatch.Sink.
-func (s *configSink) Replace(objects []objectapi.Object) {
+func (s *configSink) Replace(objects []objectapi.Object, _ objectapi.Version) {
 	for _, object := range objects {
 		s.take(object, "store")
 	}
 }
 
 // Change implements objectwatch.Sink.
-func (s *configSink) Change(event objectapi.WatchEvent) {
-	if !event.Deleted {
-		s.take(event.Object, "store")
+func (s *configSink) Change(events []objectapi.WatchEvent, _ objectapi.Version) {
+	for _, event := range events {
+		if !event.Deleted {
+			s.take(event.Object, "store")
+		}
 	}
 }
 
 // Current implements objectwatch.Sink.
-func (s *configSink) Current(since time.Time) { s.state.Confirm(since) }
+func (s *configSink) Current(age time.Duration) { s.state.Confirm(clock.Now().Add(-age)) }
 
 // Lost implements objectwatch.Sink.
 func (s *configSink) Lost(err error) { s.lg.Warn("configuration watch lost", "error", err.Error()) }
--- a/entry/control.go
+++ b/entry/control.go
@@ -68,7 +68,7 @@
 	report := gossip.Report{
 		Source: i.source, Address: i.settings.Listen.Peers, DataCentre: i.settings.DataCentre,
 		Sequence: i.sequence, Wall: time.Now().Round(0), Leaving: i.leaving.Load(),
-		ConfigAge: i.state.ConfirmedFor(time.Now()),
+		ConfigAge: i.state.ConfirmedFor(clock.Now()),
 		Uses:      i.limiter.Local(now), Works: i.table.Local(), Windows: i.ledger.Local(i.wallNow()),
 		ReadRates: i.gauge.Observe(now, i.table.Read()),
 	}
@@ -93,6 +93,7 @@
 	}
 	i.limiter.SetMembers(names)
 	i.budget.SetMembers(len(names) + 1)
+	i.instances.Store(int64(len(names) + 1))
 	i.table.SetPeers(i.directory.Work(now, silence(len(names))))
 }
 
@@ -114,7 +115,7 @@
 	config := i.state.View().Config
 	switch {
 	case config != nil && report.ConfigVersion == config.Version:
-		i.state.Confirm(time.Now().Add(-report.ConfigAge))
+		i.state.Confirm(clock.Now().Add(-report.ConfigAge))
 	case config == nil || report.ConfigVersion > config.Version:
 		i.relay(report)
 	}
--- a/entry/endpoint_sink.go
+++ b/entry/endpoint_sink.go
@@ -41,7 +41,7 @@
 }
 
 // Replace implements objectwatch.Sink.
-func (s *endpointSink) Replace(objects []objectapi.Object) {
+func (s *endpointSink) Replace(objects []objectapi.Object, _ objectapi.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := make(map[string]*deployment.Endpoint, len(objects))
@@ -57,18 +57,20 @@
 }
 
 // Change implements objectwatch.Sink.
-func (s *endpointSink) Change(event objectapi.WatchEvent) {
+func (s *endpointSink) Change(events []objectapi.WatchEvent, _ objectapi.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := maps.Clone(s.known)
 	if next == nil {
 		next = make(map[string]*deployment.Endpoint)
 	}
-	if event.Deleted {
-		delete(next, event.Object.Name)
-		s.disappeared(next, event.Object.Name)
-	} else {
-		s.put(next, event.Object)
+	for _, event := range events {
+		if event.Deleted {
+			delete(next, event.Object.Name)
+			s.disappeared(next, event.Object.Name)
+		} else {
+			s.put(next, event.Object)
+		}
 	}
 	s.publish(next)
 }
@@ -119,7 +121,7 @@
 }
 
 // Current implements objectwatch.Sink.
-func (s *endpointSink) Current(time.Time) {}
+func (s *endpointSink) Current(time.Duration) {}
 
 // expire drops endpoints that did not come back after an outage.
 func (s *endpointSink) expire() {
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -18,6 +18,7 @@
 	"knapweedhoist/forward"
 	"knapweedhoist/gossip"
 	"knapweedhoist/objectapi"
+	"knapweedhoist/objectrelay"
 	"knapweedhoist/objectwatch"
 	"knapweedhoist/retrybudget"
 	"knapweedhoist/sizing"
@@ -47,9 +48,11 @@
 	planner   *sizing.Planner
 	config    *configSink
 	endpoints *endpointSink
-	front     *forward.Server
-	duties    *duty.Runner
-	registry  metrics.Registry
+	// copies are what was read of the store, for this instance and others of its data centre.
+	copies   map[objectapi.Kind]*objectrelay.Copy
+	front    *forward.Server
+	duties   *duty.Runner
+	registry metrics.Registry
 
 	socket   *gossip.Socket
 	sequence uint64
@@ -58,6 +61,8 @@
 	relaying relaying
 	leaving  atomic.Bool
 	stop     chan struct{}
+	// instances is the number of entry instances, this one included.
+	instances atomic.Int64
 	// grace is the time from SIGTERM to the end in nanoseconds; a reload may change it.
 	grace atomic.Int64
 }
@@ -87,10 +92,12 @@
 		i.limiter.SetTeams(clock.Now(), c.Teams)
 	}}
 	i.endpoints = newEndpointSink(i.lg, adapter, i.state, time.Now, i.table.Forget)
+	i.copies = i.newCopies()
 	i.front = forward.NewServer(forward.Config{Freshness: settings.freshness()}, forward.Deps{
 		Log: i.lg, Dialect: adapter.Dialect, State: i.state, Table: i.table, Limiter: i.limiter, Budget: i.budget,
 		Pool: i.pool, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Random: rand.Float64,
-		Began: func(team string) { i.ledger.Begin(i.wallNow(), team) },
+		Instances: func() int { return int(i.instances.Load()) },
+		Began:     func(team string) { i.ledger.Begin(i.wallNow(), team) },
 	})
 	return i
 }
@@ -139,10 +146,12 @@
 }
 
 func (i *Instance) watch(ctx context.Context) {
-	for kind, sink := range map[objectapi.Kind]objectwatch.Sink{
-		objectapi.KindDeployment: i.config, objectapi.KindEndpoint: i.endpoints,
-	} {
-		go objectwatch.NewWatcher(i.lg, objectwatch.Config{Kind: kind, Wait: i.settings.watchWait()}, i.adapter.Store, sink).Run(ctx)
+	peers := objectrelay.NewPeers(relayWait + relayMargin)
+	for kind, copied := range i.copies {
+		source := objectrelay.NewSource(i.lg, objectrelay.SourceConfig{
+			Wait: relayWait, SharedWait: i.settings.sharedWatchWait(), Pause: relayPause, Now: clock.Now,
+		}, i.adapter.Store, peers.Ask, i.relays)
+		go objectwatch.NewWatcher(i.lg, objectwatch.Config{Kind: kind, Wait: i.settings.watchWait()}, source, copied).Run(ctx)
 	}
 }
 
--- a/entry/internal_http.go
+++ b/entry/internal_http.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"strings"
@@ -8,6 +9,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/objectrelay"
 )
 
 // serveInternal answers the platform's question for readiness, other instances and the reader of metrics.
@@ -45,6 +48,10 @@
 }
 
 func (i *Instance) handlePeer(ctx *fasthttp.RequestCtx) {
+	if bytes.HasPrefix(ctx.Path(), []byte(objectrelay.Path)) {
+		objectrelay.Serve(ctx, i.copies)
+		return
+	}
 	value := i.config.raw.Load()
 	if string(ctx.Path()) != configPath || value == nil {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -101,6 +101,9 @@
 	// watchShare is the part of the shorter bound that one watch of the store waits, so that a connection that has
 	// gone silent is noticed at about the bound.
 	watchShare = 0.75
+	// sharedWatchShare is the same for an instance whose copy others read: with relayWait and relayMargin the whole way
+	// stays below the bound.
+	sharedWatchShare = 0.45
 	// freshShare is the age at which the configuration counts as old, relative to the time within which a change is in
 	// force: the wait of one watch and a call of the store.
 	freshShare = 1.25
@@ -111,6 +114,11 @@
 	return milliseconds(watchShare * min(s.ApplyMS, s.LeaveMS))
 }
 
+// sharedWatchWait is how long one watch of the store waits while others read the copy.
+func (s Settings) sharedWatchWait() time.Duration {
+	return milliseconds(sharedWatchShare * min(s.ApplyMS, s.LeaveMS))
+}
+
 // freshness is how recently the configuration must have been confirmed before a caller is told that something does not exist.
 func (s Settings) freshness() time.Duration { return milliseconds(freshShare * s.ApplyMS) }
 
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -84,7 +84,7 @@
 // unknown refuses for what the configuration does not have. An instance whose
 // configuration may be old cannot know, and sends the caller to another one.
 func (e *exchange) unknown(status int, reason string) *refusal {
-	if e.server.deps.State.ConfirmedFor(e.arrived) > e.server.cfg.Freshness {
+	if e.server.deps.State.ConfirmedFor(e.server.deps.Now()) > e.server.cfg.Freshness {
 		return &refusal{
 			status: fasthttp.StatusServiceUnavailable, reason: reason + " in a configuration that may be old",
 			retryAfter: retryUnready,
--- a/forward/config.go
+++ b/forward/config.go
@@ -53,6 +53,8 @@
 	Metrics *Metrics
 	// Began is called when a request of the team began to run.
 	Began func(team string)
+	// Instances returns the number of entry instances, this one included.
+	Instances func() int
 	// Now returns the time of the clock that limits are kept by.
 	Now func() time.Time
 	// Random returns a number in [0, 1).
--- a/forward/offer.go
+++ b/forward/offer.go
@@ -88,8 +88,9 @@
 	answer, err := e.server.deps.Pool.Do(e.context, upstream.Request{
 		Peer:   upstream.Peer{Address: e.flight.Endpoint.Address, ID: e.flight.Endpoint.ID},
 		Header: header, Body: e.body, ID: e.request.ID,
-		AnswerID: func(h *fasthttp.ResponseHeader) string { return e.server.deps.Dialect.DecodeReply(h).RequestID },
-		Deadline: e.deadline,
+		AnswerID:  func(h *fasthttp.ResponseHeader) string { return e.server.deps.Dialect.DecodeReply(h).RequestID },
+		Deadline:  e.deadline,
+		IdleLimit: upstream.IdleLimit(e.service.MaxConnections, e.server.deps.Instances()),
 	})
 	if err != nil {
 		return nil, Reply{}, err
--- a/objectapi/reply.go
+++ b/objectapi/reply.go
@@ -1,5 +1,7 @@
 package objectapi
 
+import "time"
+
 // Reply is the answer to a Request.
 type Reply struct {
 	// Object is the object read or written. With ErrConflict it is the current
@@ -12,6 +14,8 @@
 	Events []WatchEvent
 	// Version is the store's version at the time of the reply; a watch continues from it.
 	Version Version
+	// Age is how old the copy is that answered; 0 for the store itself.
+	Age time.Duration
 }
 
 // WatchEvent is one change of an object.
--- /dev/null
+++ b/objectrelay/copy_test.go
@@ -0,0 +1,118 @@
+package objectrelay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/objectapi"
+)
+
+// ignored is a sink that takes everything.
+type ignored struct{}
+
+func (ignored) Replace([]objectapi.Object, objectapi.Version)    {}
+func (ignored) Change([]objectapi.WatchEvent, objectapi.Version) {}
+func (ignored) Current(time.Duration)                            {}
+func (ignored) Lost(error)                                       {}
+func (ignored) Regained()                                        {}
+
+var _ = Describe("Copy", func() {
+	const maxAge = time.Second
+	var (
+		now  time.Time
+		copy *Copy
+	)
+	object := func(name string, version objectapi.Version) objectapi.Object {
+		return objectapi.Object{Kind: objectapi.KindEndpoint, Name: name, Version: version}
+	}
+	list := func() (objectapi.Reply, error) {
+		return copy.Do(context.Background(), objectapi.Request{Op: objectapi.OpList})
+	}
+	watch := func(from objectapi.Version) (objectapi.Reply, error) {
+		return copy.Do(context.Background(), objectapi.Request{Op: objectapi.OpWatch, From: from})
+	}
+
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		copy = NewCopy(CopyConfig{Kind: objectapi.KindEndpoint, MaxAge: maxAge, Now: func() time.Time { return now }}, ignored{})
+	})
+
+	// Guards against an instance that takes a copy without any object for an empty deployment.
+	It("does not answer before the first list and while the store does not answer", func() {
+		_, err := list()
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
+		copy.Replace([]objectapi.Object{object("a", 3)}, 5)
+		copy.Current(0)
+		Expect(list()).To(HaveField("Version", objectapi.Version(5)))
+		copy.Lost(errors.New("reset"))
+		_, err = watch(5)
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
+	})
+
+	// Guards against DRAIN and CONFIG: an instance that is cut off or was paused passes old objects on as new ones.
+	It("tells its age and does not answer when it is too old", func() {
+		copy.Replace(nil, 5)
+		copy.Current(300 * time.Millisecond)
+		now = now.Add(400 * time.Millisecond)
+		Expect(list()).To(HaveField("Age", 700*time.Millisecond))
+		now = now.Add(400 * time.Millisecond)
+		_, err := list()
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
+	})
+
+	It("answers a watch with the changes behind a version", func() {
+		copy.Replace([]objectapi.Object{object("a", 3)}, 5)
+		copy.Change([]objectapi.WatchEvent{{Object: object("b", 7)}}, 8)
+		copy.Change([]objectapi.WatchEvent{{Deleted: true, Object: object("a", 3)}}, 9)
+		copy.Current(0)
+		reply, err := watch(5)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.Events).To(HaveLen(2))
+		Expect(reply.Version).To(Equal(objectapi.Version(9)))
+		Expect(watch(8)).To(HaveField("Events", HaveLen(1)))
+		Expect(watch(9)).To(HaveField("Events", BeEmpty()))
+		Expect(list()).To(HaveField("Objects", ConsistOf(object("b", 7))))
+	})
+
+	// Guards against a reader that was ahead of the copy and goes back with it.
+	It("does not move a reader back that knows a later version", func() {
+		copy.Replace(nil, 5)
+		copy.Current(0)
+		Expect(watch(9)).To(HaveField("Version", objectapi.Version(9)))
+	})
+
+	It("has a reader list again whose version is forgotten", func() {
+		copy.Replace(nil, 5)
+		copy.Current(0)
+		for n := range maxHistory + 1 {
+			version := objectapi.Version(6 + n)
+			copy.Change([]objectapi.WatchEvent{{Object: object(fmt.Sprint(n), version)}}, version)
+		}
+		_, err := watch(5)
+		Expect(err).To(MatchError(objectapi.ErrCompacted))
+		Expect(watch(6)).To(HaveField("Events", HaveLen(maxHistory)))
+	})
+
+	It("ends the wait of a watch at a change and at the loss of the store", func() {
+		copy.Replace(nil, 5)
+		copy.Current(0)
+		replies, errs := make(chan objectapi.Reply, 1), make(chan error, 1)
+		wait := func(from objectapi.Version) {
+			reply, err := copy.Do(context.Background(), objectapi.Request{Op: objectapi.OpWatch, From: from, Wait: time.Hour})
+			replies <- reply
+			errs <- err
+		}
+		go wait(5)
+		copy.Change([]objectapi.WatchEvent{{Object: object("a", 6)}}, 6)
+		Eventually(replies).Should(Receive())
+		Eventually(errs).Should(Receive(Not(HaveOccurred())))
+		go wait(6)
+		copy.Lost(errors.New("reset"))
+		Eventually(errs).Should(Receive(MatchError(objectapi.ErrUnavailable)))
+	})
+})
--- /dev/null
+++ b/objectrelay/source_test.go
@@ -0,0 +1,114 @@
+package objectrelay
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/clock"
+	"knapweedhoist/objectapi"
+)
+
+// storeFunc is an objectapi.Store.
+type storeFunc func(objectapi.Request) (objectapi.Reply, error)
+
+func (f storeFunc) Do(_ context.Context, request objectapi.Request) (objectapi.Reply, error) {
+	return f(request)
+}
+
+var _ = Describe("Source", func() {
+	var (
+		now    time.Time
+		route  Route
+		asked  []string
+		failed map[string]error
+		waits  []time.Duration
+		source *Source
+	)
+	BeforeEach(func() {
+		now, asked, waits, failed = time.Unix(1000, 0), nil, nil, make(map[string]error)
+		route = Route{Relays: []string{"r1", "r2"}}
+		note := func(who string, request objectapi.Request) (objectapi.Reply, error) {
+			asked, waits = append(asked, who), append(waits, request.Wait)
+			return objectapi.Reply{}, failed[who]
+		}
+		source = NewSource(slog.New(slog.DiscardHandler), SourceConfig{
+			Wait: 500 * time.Millisecond, SharedWait: time.Second, Pause: 3 * time.Second, Now: func() time.Time { return now },
+		}, storeFunc(func(request objectapi.Request) (objectapi.Reply, error) { return note("store", request) }),
+			func(_ context.Context, address string, request objectapi.Request) (objectapi.Reply, error) {
+				return note(address, request)
+			}, func() Route { return route })
+	})
+	read := func() error {
+		_, err := source.Do(context.Background(), objectapi.Request{Op: objectapi.OpWatch, Wait: 2 * time.Second})
+		return err
+	}
+
+	// Guards against an instance that knows nothing new while the instance it reads from is down: fleetbench DRAIN.
+	It("reads the store in the same call when a relay fails, and another relay next", func() {
+		failed["r1"] = errors.New("timeout")
+		Expect(read()).To(Succeed())
+		Expect(read()).To(Succeed())
+		Expect(asked).To(Equal([]string{"r1", "store", "r2"}))
+		now = now.Add(4 * time.Second)
+		Expect(read()).To(Succeed())
+		Expect(asked[3]).To(Equal("r1"))
+	})
+
+	It("passes on that a version is forgotten", func() {
+		failed["r1"] = objectapi.ErrCompacted
+		Expect(read()).To(MatchError(objectapi.ErrCompacted))
+		Expect(asked).To(Equal([]string{"r1"}))
+	})
+
+	It("bounds the age of a copy that others read by shorter watches", func() {
+		Expect(read()).To(Succeed())
+		route = Route{Read: true}
+		Expect(read()).To(Succeed())
+		route = Route{}
+		Expect(read()).To(Succeed())
+		Expect(waits).To(Equal([]time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second}))
+	})
+})
+
+var _ = Describe("Peers", func() {
+	// Guards against fields that are lost between two instances.
+	It("read a copy over HTTP", func() {
+		copied := NewCopy(CopyConfig{Kind: objectapi.KindEndpoint, MaxAge: time.Hour, Now: clock.Now}, ignored{})
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := &fasthttp.Server{Handler: func(rc *fasthttp.RequestCtx) {
+			Serve(rc, map[objectapi.Kind]*Copy{objectapi.KindEndpoint: copied})
+		}}
+		go func() { _ = server.Serve(ln) }()
+		DeferCleanup(server.Shutdown)
+		peers := NewPeers(10 * time.Second)
+		ask := func(request objectapi.Request) (objectapi.Reply, error) {
+			return peers.Ask(context.Background(), ln.Addr().String(), request)
+		}
+
+		_, err = ask(objectapi.Request{Op: objectapi.OpList, Kind: objectapi.KindEndpoint})
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
+		a := objectapi.Object{Kind: objectapi.KindEndpoint, Name: "a", Version: 4, Value: []byte("value")}
+		copied.Replace([]objectapi.Object{a}, 5)
+		copied.Change([]objectapi.WatchEvent{{Deleted: true, Object: a}}, 8)
+		copied.Current(time.Minute)
+		list, err := ask(objectapi.Request{Op: objectapi.OpList, Kind: objectapi.KindEndpoint})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(list.Version).To(Equal(objectapi.Version(8)))
+		Expect(list.Age).To(BeNumerically(">=", time.Minute))
+		watch, err := ask(objectapi.Request{Op: objectapi.OpWatch, Kind: objectapi.KindEndpoint, From: 5})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(watch.Events).To(Equal([]objectapi.WatchEvent{{Deleted: true, Object: a}}))
+		_, err = ask(objectapi.Request{Op: objectapi.OpWatch, Kind: objectapi.KindEndpoint, From: 2})
+		Expect(err).To(MatchError(objectapi.ErrCompacted))
+		_, err = ask(objectapi.Request{Op: objectapi.OpList, Kind: objectapi.KindLease})
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
+	})
+})
--- a/objectwatch/watcher.go
+++ b/objectwatch/watcher.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"time"
 
+	"knapweedhoist/clock"
 	"knapweedhoist/objectapi"
 )
 
@@ -31,12 +32,12 @@
 
 // Sink receives the objects. All calls come from one goroutine.
 type Sink interface {
-	// Replace gives all objects.
-	Replace(objects []objectapi.Object)
-	// Change gives one change.
-	Change(event objectapi.WatchEvent)
-	// Current tells that the copy was complete at a time after since.
-	Current(since time.Time)
+	// Replace gives all objects, as of a version.
+	Replace(objects []objectapi.Object, version objectapi.Version)
+	// Change gives the changes up to a version, oldest first.
+	Change(events []objectapi.WatchEvent, version objectapi.Version)
+	// Current tells that the copy was complete at most age ago.
+	Current(age time.Duration)
 	// Lost tells that the store no longer answers, Regained that it does again.
 	Lost(err error)
 	Regained()
@@ -72,16 +73,18 @@
 // Run lists and watches until the end of ctx.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		asked := time.Now()
-		if err := w.step(ctx); err != nil {
+		asked := clock.Now()
+		age, err := w.step(ctx)
+		if err != nil {
 			w.fail(ctx, err)
 			continue
 		}
-		w.succeed(asked)
+		w.succeed(clock.Now().Sub(asked) + age)
 	}
 }
 
-func (w *Watcher) step(ctx context.Context) error {
+// step makes the next call and returns the age of its answer.
+func (w *Watcher) step(ctx context.Context) (time.Duration, error) {
 	if !w.listed {
 		return w.list(ctx)
 	}
@@ -90,16 +93,16 @@
 
 // list reads all pages. The watch continues from the version of the first
 // page, so that no change between two pages is missed.
-func (w *Watcher) list(ctx context.Context) error {
+func (w *Watcher) list(ctx context.Context) (age time.Duration, err error) {
 	var objects []objectapi.Object
 	var version objectapi.Version
 	for after := ""; ; {
 		reply, err := w.store.Do(ctx, objectapi.Request{Op: objectapi.OpList, Kind: w.cfg.Kind, After: after})
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if after == "" {
-			version = reply.Version
+			version, age = reply.Version, reply.Age
 		}
 		objects = append(objects, reply.Objects...)
 		if after = reply.Next; after == "" {
@@ -107,11 +110,11 @@
 		}
 	}
 	w.version, w.listed = version, true
-	w.sink.Replace(objects)
-	return nil
+	w.sink.Replace(objects, version)
+	return age, nil
 }
 
-func (w *Watcher) watch(ctx context.Context) error {
+func (w *Watcher) watch(ctx context.Context) (time.Duration, error) {
 	reply, err := w.store.Do(ctx, objectapi.Request{
 		Op: objectapi.OpWatch, Kind: w.cfg.Kind, From: w.version, Wait: w.cfg.Wait,
 	})
@@ -121,13 +124,13 @@
 		return w.list(ctx)
 	}
 	if err != nil {
-		return err
-	}
-	for _, event := range reply.Events {
-		w.sink.Change(event)
+		return 0, err
 	}
 	w.version = max(w.version, reply.Version)
-	return nil
+	if len(reply.Events) > 0 {
+		w.sink.Change(reply.Events, w.version)
+	}
+	return reply.Age, nil
 }
 
 func (w *Watcher) fail(ctx context.Context, err error) {
@@ -145,11 +148,11 @@
 	w.pause = min(2*w.pause, w.cfg.MaxPause)
 }
 
-func (w *Watcher) succeed(asked time.Time) {
+func (w *Watcher) succeed(age time.Duration) {
 	if w.failing {
 		w.failing = false
 		w.sink.Regained()
 	}
 	w.pause = w.cfg.Pause
-	w.sink.Current(asked)
+	w.sink.Current(age)
 }
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -92,3 +92,49 @@
 		}
 	})
 }
+
+var _ = Describe("Budget of a deployment whose instances come and go", func() {
+	cfg := Config{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	start := time.Unix(1000, 0)
+
+	// Guards against BUDGET when half of the instances are frozen and wake, or are replaced by new ones, inside one
+	// window: those that go on do not take the share of the others, and the new ones begin with a share of their own.
+	DescribeTable("stays within the bound in one window",
+		func(half func(budgets []*Budget, now time.Time)) {
+			const members, perSecond = 8, 4
+			budgets := make([]*Budget, members)
+			for n := range budgets {
+				budgets[n] = NewBudget(start, cfg)
+				budgets[n].SetMembers(members)
+			}
+			requests, extras := 0, 0
+			for second := range 10 {
+				now := start.Add(time.Duration(second) * time.Second)
+				running := budgets
+				if second >= 3 && second < 7 {
+					running = budgets[members/2:]
+				}
+				if second == 7 {
+					half(budgets[:members/2], now)
+				}
+				for _, b := range running {
+					for range perSecond {
+						requests++
+						b.Request(now, "s")
+						for b.Take(now, "s") {
+							extras++
+						}
+					}
+				}
+			}
+			Expect(float64(extras)).To(BeNumerically("<=", cfg.Ratio*float64(requests)+cfg.Slack))
+		},
+		Entry("frozen and awake again", func([]*Budget, time.Time) {}),
+		Entry("killed and started again", func(budgets []*Budget, now time.Time) {
+			for n := range budgets {
+				budgets[n] = NewBudget(now, cfg)
+				budgets[n].SetMembers(8)
+			}
+		}),
+	)
+})
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -19,12 +19,14 @@
 	// Body ends with io.EOF only when the framing says that it is complete.
 	Body *Body
 
-	pool    *Pool
-	peer    Peer
-	conn    *conn
-	written chan error
-	unhook  func() bool
-	closed  bool
+	pool *Pool
+	peer Peer
+	// idleLimit is that of the request.
+	idleLimit int
+	conn      *conn
+	written   chan error
+	unhook    func() bool
+	closed    bool
 }
 
 // Body reads a body by its framing.
@@ -106,11 +108,11 @@
 		return
 	}
 	if !a.reusable() || !a.unhook() {
-		a.abort()
+		a.Abort()
 		return
 	}
 	a.closed = true
-	a.pool.release(a.peer, a.conn, a.keepFor())
+	a.pool.release(a.peer, a.conn, a.keepFor(), a.idleLimit)
 }
 
 func (a *Answer) reusable() bool {
@@ -128,9 +130,7 @@
 }
 
 // Abort closes the connection, which tells the endpoint to stop working on the request.
-func (a *Answer) Abort() { a.abort() }
-
-func (a *Answer) abort() {
+func (a *Answer) Abort() {
 	if a.closed {
 		return
 	}
--- a/upstream/config.go
+++ b/upstream/config.go
@@ -15,8 +15,6 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long a connection is kept when the endpoint states no time. Default 4 s.
 	IdleTimeout time.Duration
-	// MaxIdle bounds the idle connections to one endpoint, which all instances share. Default 8.
-	MaxIdle int
 	// Dial opens a connection; the default is TCP with keep-alive probes.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -36,9 +34,6 @@
 	if c.IdleTimeout <= 0 {
 		c.IdleTimeout = 4 * time.Second
 	}
-	if c.MaxIdle <= 0 {
-		c.MaxIdle = 8
-	}
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -21,6 +21,8 @@
 	AnswerID func(*fasthttp.ResponseHeader) string
 	// Deadline ends the exchange.
 	Deadline time.Time
+	// IdleLimit is the number of idle connections to the endpoint that are kept, see IdleLimit.
+	IdleLimit int
 }
 
 // maxStrayAnswers bounds the answers of other requests that are skipped on one connection.
@@ -37,12 +39,12 @@
 	if err != nil {
 		return nil, err
 	}
-	answer := &Answer{pool: p, peer: request.Peer, conn: c, written: make(chan error, 1)}
+	answer := &Answer{pool: p, peer: request.Peer, idleLimit: request.IdleLimit, conn: c, written: make(chan error, 1)}
 	answer.unhook = context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(request.Deadline)
 	go func() { answer.written <- writeRequest(c, request) }()
 	if err := answer.readHead(request); err != nil {
-		answer.abort()
+		answer.Abort()
 		return nil, oops.With("step", "exchange with endpoint", "peer", request.Peer.Address).
 			Wrap(errors.Join(ErrBroken, err))
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -59,9 +59,9 @@
 	return nil
 }
 
-// release keeps a connection for the next request. keepFor is the time that
-// the endpoint stated, 0 when it stated none.
-func (p *Pool) release(peer Peer, c *conn, keepFor time.Duration) {
+// release keeps a connection for the next request unless limit idle ones are
+// kept already. keepFor is the time that the endpoint stated, 0 when it stated none.
+func (p *Pool) release(peer Peer, c *conn, keepFor time.Duration, limit int) {
 	if keepFor <= 0 {
 		keepFor = p.cfg.IdleTimeout
 	}
@@ -70,7 +70,7 @@
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[peer]) >= p.cfg.MaxIdle {
+	if len(p.idle[peer]) >= limit {
 		_ = c.Close()
 		return
 	}
