Log the prompt parts of failed requests and the crashes of endpoints

Cause: the logs named endpoint and error of a failure, neither the content of the request nor whether the endpoint had crashed, so that the three hypotheses could not be told apart. Change: failed and repeated requests log the parts that other requests share; after a lost exchange whose answer had made no progress, one connection attempt shows whether the endpoint's host refuses, and endpoint crashed is logged and counted. No decision changes.

--- a/dispatch/query.go
+++ b/dispatch/query.go
@@ -10,6 +10,8 @@
 type Part struct {
 	// ID is the hash of the part and all parts before it, because a cached part is usable only behind the same parts.
 	ID uint64
+	// Content identifies the part whatever comes before it.
+	Content uint64
 	// Tokens is the length of the part.
 	Tokens int
 }
@@ -35,9 +37,12 @@
 }
 
 // sharedParts returns the prefix of the prompt that other requests can have in common with this one.
-func (q Query) sharedParts() []Part {
-	if len(q.Prompt) < 2 {
+func (q Query) sharedParts() []Part { return SharedParts(q.Prompt) }
+
+// SharedParts returns the parts of a prompt that other requests can have in common with it: all but the last one.
+func SharedParts(prompt []Part) []Part {
+	if len(prompt) < 2 {
 		return nil
 	}
-	return q.Prompt[:len(q.Prompt)-1]
+	return prompt[:len(prompt)-1]
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -45,7 +45,7 @@
 		}
 		e.server.deps.Metrics.Repeated.Inc(1)
 		e.server.deps.Log.Info("request repeated", "id", e.request.ID, "endpoint", e.inFlight.Endpoint.ID,
-			"reason", err.Error(), "sends", e.sends)
+			"reason", err.Error(), "sends", e.sends, "parts", formatContents(e.contents))
 	}
 }
 
@@ -90,6 +90,7 @@
 		header.SetContentLength(len(e.body))
 	}
 	e.sends++
+	e.firstEventAt, e.progressed = time.Time{}, false
 	var answerHeader AnswerHeader // from the last header read, which is the answer's if there is an answer
 	answer, err := e.server.deps.Pool.Do(e.context, upstream.Request{
 		Target: upstream.Target{Address: e.inFlight.Endpoint.Address, ID: e.inFlight.Endpoint.ID},
@@ -99,7 +100,7 @@
 			return answerHeader.RequestID
 		},
 		Deadline:  e.deadline,
-		IdleLimit: upstream.IdleLimit(e.service.MaxConnections, e.server.deps.Instances()),
+		IdleLimit: e.idleLimit(),
 	})
 	if err != nil {
 		return nil, AnswerHeader{}, err
@@ -111,6 +112,11 @@
 	return answer, answerHeader, nil
 }
 
+// idleLimit returns the number of idle connections that this instance keeps to an endpoint of the service.
+func (e *exchange) idleLimit() int {
+	return upstream.IdleLimit(e.service.MaxConnections, e.server.deps.Instances())
+}
+
 // priority returns the request's rank for the engine, first by the team's priority, then by the route's; -1 for services
 // without an engine.
 func (e *exchange) priority() int {
@@ -153,6 +159,7 @@
 	default:
 		e.inFlight.Done(now, dispatch.Failed)
 		e.mayHaveRun = true
+		e.investigateLoss(err)
 		return &failure{cause: causeBroken, err: err}
 	}
 }
@@ -234,6 +241,7 @@
 	}
 	answer.Close()
 	e.recordStart()
+	e.recordProgress()
 	buffered := &endpointAnswer{header: &answer.Header, body: body}
 	if status < 500 {
 		e.inFlight.Done(time.Now(), dispatch.Served)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -46,6 +46,11 @@
 	// lastEventID is the last event id in the stream read for the caller, "" before the first one.
 	lastEventID string
 	inFlight    *dispatch.InFlight
+	// contents identifies the parts of the prompt that other requests can have in common with this one.
+	contents []uint64
+	// firstEventAt is the time of the first event of the current send, progressed whether its answer went on after that.
+	firstEventAt time.Time
+	progressed   bool
 	// answerBytes is the memory that buffered answers took.
 	answerBytes int64
 	watchedConn *clientConn
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -133,5 +133,8 @@
 		e.server.deps.Log.Info(message, append(attributes, extra...)...)
 		return
 	}
+	if len(e.contents) > 0 {
+		attributes = append(attributes, "parts", formatContents(e.contents))
+	}
 	e.server.deps.Log.Warn(message, append(append(attributes, "reason", err.Error()), extra...)...)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -34,7 +34,9 @@
 		}
 		return nil, e.abortSend(answer, err)
 	}
-	e.inFlight.FirstToken(time.Now())
+	now := time.Now()
+	e.inFlight.FirstToken(now)
+	e.observeEvents(now)
 	e.recordStart()
 	stream.setPending(pending)
 	return &endpointAnswer{header: &answer.Header, stream: stream}, nil
@@ -70,9 +72,11 @@
 	events, err := s.reader.next()
 	switch {
 	case err == nil:
+		s.exchange.observeEvents(time.Now())
 		s.setPending(events)
 	case errors.Is(err, io.EOF):
 		s.endSend(dispatch.Served)
+		s.exchange.recordProgress()
 		s.err = io.EOF
 	default:
 		s.resume(err)
