Quarantine prompt parts that crash endpoints

Cause: failures were recorded by endpoint only, and by each instance for itself. Nothing connected a crash to the content of the requests in progress there, so that every instance went on placing and repeating requests with the part. Change: package quarantine holds a part responsible that was in progress without an answer at three crashes of different endpoints (four if it was answered before) and has no answer since; of several, the one never answered. Instances exchange crashes, answers and quarantines in their reports and keep the quarantines in the store. Further requests with the part get 503 at once; one trial after 1 min, then after twice the time each.

--- a/duty/runner.go
+++ b/duty/runner.go
@@ -74,6 +74,12 @@
 // Release releases the lease before a planned stop.
 func (r *Runner) Release(ctx context.Context) { r.leaseRunner.release(ctx) }
 
+// Holds reports whether this instance holds the lease.
+func (r *Runner) Holds() bool {
+	_, err := r.leaseRunner.permit(r.cfg.ChecksFence)
+	return err == nil
+}
+
 // permit returns the holder for one call to the cloud, or the reason why none may be sent now.
 func (r *Runner) permit() (Holder, error) {
 	fence, err := r.leaseRunner.permit(r.cfg.ChecksFence)
--- a/entry/control.go
+++ b/entry/control.go
@@ -50,6 +50,7 @@
 func (i *Instance) control(now time.Time) {
 	i.updateWallTime()
 	i.updateOthers(now)
+	i.updateQuarantine(now)
 	i.sendMessages(now)
 	i.endpointSink.expire()
 }
@@ -85,6 +86,7 @@
 		connectivity.Share, connectivity.Isolated = 0, 0 // the other instances are not known yet
 	}
 	i.limiter.Observe(now, slot, others, connectivity)
+	i.quarantine.Observe(now, others.Evidence)
 	i.budget.SetInstances(total)
 	i.balancer.SetOtherLoads(others.Endpoints, others.EndpointKnown, others.Delay)
 	i.otherServices.Store(&others.Services)
@@ -113,7 +115,9 @@
 
 // ownState returns the state of this instance for its reports.
 func (i *Instance) ownState(now time.Time) fleetstate.State {
-	state := fleetstate.State{Started: i.ledger.Own(i.wallNow()), Endpoints: i.balancer.OwnLoads(time.Now())}
+	state := fleetstate.State{
+		Started: i.ledger.Own(i.wallNow()), Endpoints: i.balancer.OwnLoads(time.Now()), Evidence: i.quarantine.Own(now),
+	}
 	state.Used, state.Offered, state.Levels = i.limiter.Own(now)
 	state.Services = i.ownServiceLoads(now)
 	i.ownServices.Store(&state.Services)
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -23,6 +23,7 @@
 	"knapweedhoist/objectapi"
 	"knapweedhoist/objectrelay"
 	"knapweedhoist/objectwatch"
+	"knapweedhoist/quarantine"
 	"knapweedhoist/retrybudget"
 	"knapweedhoist/sizing"
 	"knapweedhoist/teamlimit"
@@ -43,10 +44,13 @@
 	balancer *dispatch.Balancer
 	limiter  *teamlimit.Limiter
 	budget   *retrybudget.Budget
-	pool     *upstream.Pool
-	ledger   *usage.Ledger
-	wall     *walltime.Estimator
-	fleet    *fleetstate.Fleet
+	// quarantine refuses requests with prompt parts that crash endpoints, quarantineStore keeps its state in the store.
+	quarantine      *quarantine.Guard
+	quarantineStore *quarantineStore
+	pool            *upstream.Pool
+	ledger          *usage.Ledger
+	wall            *walltime.Estimator
+	fleet           *fleetstate.Fleet
 	// localEndpoints holds the endpoints in the data centre of this instance.
 	localEndpoints localEndpoints
 	// wallOffset is the difference in nanoseconds between the estimated true time of day and the decision clock.
@@ -99,6 +103,7 @@
 		rateEstimator: sizing.NewRateEstimator(),
 		inFlight:      make(sizing.Averages),
 		planner:       sizing.NewPlanner(sizing.Config{}),
+		quarantine:    quarantine.NewGuard(quarantine.Config{}),
 		registry:      metrics.NewRegistry(),
 		stop:          make(chan struct{}, 1),
 		started:       make(chan struct{}),
@@ -120,12 +125,13 @@
 		i.limiter.SetTeams(clock.Now(), c.Teams)
 	}}
 	i.endpointSink = newEndpointSink(i.lg, adapter, i.state, time.Now, i.balancer.Forget)
+	i.quarantineStore = newQuarantineStore(i.lg, adapter.Store, i.quarantine)
 	i.copies = i.newCopies()
 	i.server = forward.NewServer(forward.Config{
 		MaxConfigAge: settings.maxConfigAge(), MaxAnswerMemory: settings.maxAnswerMemory(),
 	}, forward.Deps{
 		Log: i.lg, Codec: adapter.Codec, State: i.state, Balancer: i.balancer, Limiter: i.limiter, Budget: i.budget,
-		Pool: i.pool, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Slot: i.slot, Random: rand.Float64,
+		Pool: i.pool, Quarantine: i.quarantine, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Slot: i.slot, Random: rand.Float64,
 		Instances:   func() int { return i.fleet.Total(clock.Now()) },
 		Started:     i.started,
 		RecordStart: func(team string) { i.ledger.RecordStart(i.wallNow(), team) },
@@ -172,6 +178,7 @@
 	go i.maintainMembership(ctx)
 	go i.controlLoop(ctx)
 	go i.awaitStart(ctx)
+	go i.quarantineStore.run(ctx, i.isCandidate)
 	i.startDuties(ctx)
 	served := make(chan error, 1)
 	go func() { served <- i.server.Serve(ln) }()
--- a/fleetstate/fleet.go
+++ b/fleetstate/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"knapweedhoist/quarantine"
 )
 
 // Fleet is one instance's view of the deployment, built from the messages that it receives.
@@ -58,6 +60,8 @@
 	Offered   map[string]float64
 	Endpoints map[uint32]EndpointLoad
 	Services  map[string]ServiceLoad
+	// Evidence holds what all instances, this one included, know of crashes and quarantines.
+	Evidence quarantine.Evidence
 	// EndpointKnown reports whether Endpoints is complete for an endpoint. If not, the last known load still applies.
 	EndpointKnown func(key uint32) bool
 	// Levels holds the level of each team's bucket according to the newest message, nil without a recent one.
@@ -87,6 +91,7 @@
 	others.Share = f.share(now)
 	others.Levels = f.newestLevels(now)
 	others.Delay = f.delay(now)
+	others.Evidence = f.evidence(now)
 	return others
 }
 
--- a/fleetstate/fleet_test.go
+++ b/fleetstate/fleet_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"knapweedhoist/quarantine"
 )
 
 var _ = ginkgo.Describe("Fleet", func() {
@@ -190,3 +192,22 @@
 		}
 	})
 })
+
+// Guards against crashes that only the instances which saw them know of, so that no instance has seen enough of them.
+var _ = ginkgo.Describe("Evidence of crashes", func() {
+	ginkgo.It("reaches the members of other data centres through aggregators", func() {
+		a, b := nodesOf("a", 3), nodesOf("b", 3)
+		for i, n := range []*node{a[2], b[2]} {
+			n.SetOwn(State{Evidence: quarantine.Evidence{Crashes: []quarantine.Crash{{Process: uint64(i + 1), Parts: []uint64{7}}}}})
+		}
+		a[2].report(start, a[0])
+		b[2].report(start, b[0])
+		a[0].summarise(start, b[0])
+		later := start.Add(200 * time.Millisecond)
+		b[1].ObserveDigest(later, b[0].digest(later, b[1]))
+		Expect(b[1].Advance(later, 1).Evidence.Crashes).To(ConsistOf(
+			quarantine.Crash{Process: 1, Age: 200 * time.Millisecond, Parts: []uint64{7}},
+			quarantine.Crash{Process: 2, Age: 200 * time.Millisecond, Parts: []uint64{7}},
+		))
+	})
+})
--- a/fleetstate/state.go
+++ b/fleetstate/state.go
@@ -1,6 +1,10 @@
 package fleetstate
 
-import "maps"
+import (
+	"maps"
+
+	"knapweedhoist/quarantine"
+)
 
 // State is the part of a report that is merged: that of one instance, of a data centre or of the deployment.
 type State struct {
@@ -14,6 +18,8 @@
 	// Endpoints holds the load at each endpoint by EndpointKey, Services the demand for each service.
 	Endpoints map[uint32]EndpointLoad
 	Services  map[string]ServiceLoad
+	// Evidence holds the crashes and answers that the instances have seen, and the quarantines of prompt parts.
+	Evidence quarantine.Evidence
 }
 
 // newState returns a State without entries.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -52,6 +52,9 @@
 // attempt sends the request to one endpoint. An answer returned together with a
 // failure is passed on to the caller if the request is not sent again.
 func (e *exchange) attempt() (*endpointAnswer, *failure) {
+	if err := e.server.deps.Quarantine.Admit(e.server.deps.Now(), e.contents); err != nil {
+		return nil, &failure{cause: causeQuarantined, err: err}
+	}
 	now := time.Now()
 	if err := e.chooseEndpoint(now); err != nil {
 		return nil, &failure{cause: causeNoEndpoint, err: err}
@@ -241,7 +244,9 @@
 	}
 	answer.Close()
 	e.recordStart()
-	e.recordProgress()
+	if status < fasthttp.StatusBadRequest {
+		e.recordProgress()
+	}
 	buffered := &endpointAnswer{header: &answer.Header, body: body}
 	if status < 500 {
 		e.inFlight.Done(time.Now(), dispatch.Served)
--- a/forward/config.go
+++ b/forward/config.go
@@ -7,6 +7,7 @@
 	"knapweedhoist/deployment"
 	"knapweedhoist/dispatch"
 	"knapweedhoist/internal/defaults"
+	"knapweedhoist/quarantine"
 	"knapweedhoist/retrybudget"
 	"knapweedhoist/teamlimit"
 	"knapweedhoist/upstream"
@@ -51,7 +52,9 @@
 	Limiter  *teamlimit.Limiter
 	Budget   *retrybudget.Budget
 	Pool     *upstream.Pool
-	Metrics  *Metrics
+	// Quarantine refuses requests with prompt parts that crash endpoints.
+	Quarantine *quarantine.Guard
+	Metrics    *Metrics
 	// Started is closed once the instance has read the configuration, the endpoints and the list of instances. Requests do
 	// not wait if it is nil.
 	Started <-chan struct{}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -10,6 +10,7 @@
 
 	"knapweedhoist/dispatch"
 	"knapweedhoist/internal/contain"
+	"knapweedhoist/quarantine"
 	"knapweedhoist/upstream"
 )
 
@@ -46,7 +47,12 @@
 }
 
 // recordProgress notes that the endpoint was able to answer the request.
-func (e *exchange) recordProgress() { e.progressed = true }
+func (e *exchange) recordProgress() {
+	e.progressed = true
+	if len(e.contents) > 0 {
+		e.server.deps.Quarantine.RecordAnswer(e.server.deps.Now(), e.contents)
+	}
+}
 
 // connectionLost reports whether err ended an exchange without any statement of the endpoint, as its crash does.
 func connectionLost(err error) bool {
@@ -68,6 +74,7 @@
 			if !s.deps.Pool.Refuses(context.Background(), target, idleLimit) {
 				return
 			}
+			s.deps.Quarantine.RecordCrash(s.deps.Now(), quarantine.ProcessKey(endpoint.ID, endpoint.StartedAtMs), contents)
 			s.deps.Metrics.Crashes.Inc(1)
 			s.deps.Log.Warn("endpoint crashed", "endpoint", endpoint.ID, "started_ms", endpoint.StartedAtMs, "id", id,
 				"parts", formatContents(contents))
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -16,6 +16,8 @@
 	causeTimeout
 	// causeCallerClosed: the caller closed its connection.
 	causeCallerClosed
+	// causeQuarantined: a part of the prompt has crashed endpoints.
+	causeQuarantined
 	// causeNoEndpoint: every endpoint of the service is leaving, full or was tried, or it has none.
 	causeNoEndpoint
 )
@@ -32,6 +34,8 @@
 		return "timeout"
 	case causeCallerClosed:
 		return "caller gone"
+	case causeQuarantined:
+		return "quarantined"
 	default:
 		return "no endpoint"
 	}
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -23,6 +23,8 @@
 	// Resumed counts the continuations of a broken stream by a further send. Repeated counts the other retries of failed
 	// requests; a retry sends nothing if no endpoint is available.
 	Resumed, Repeated metrics.Counter
+	// Quarantined counts the requests that were refused, or not sent again, because of a quarantined part of their prompt.
+	Quarantined metrics.Counter
 	// Crashes counts the sends that were in progress at an endpoint that crashed before it had answered them.
 	Crashes metrics.Counter
 	// FirstByte is the time from the arrival of a request to its answer or first event, in microseconds.
@@ -41,8 +43,9 @@
 		Served: counter("forward_served"), Refused: counter("forward_refused"), Limited: counter("forward_limited"),
 		Failed: counter("forward_failed"), TimedOut: counter("forward_timed_out"), Abandoned: counter("forward_abandoned"),
 		Resumed: counter("forward_resumed"), Repeated: counter("forward_repeated"),
-		Crashes:    counter("forward_endpoint_crashes"),
-		InProgress: counter("forward_in_progress"),
+		Crashes:     counter("forward_endpoint_crashes"),
+		Quarantined: counter("forward_quarantined"),
+		InProgress:  counter("forward_in_progress"),
 		FirstByte: metrics.NewRegisteredHistogram("forward_first_byte_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, 0.015)),
 	}
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"knapweedhoist/dispatch"
+	"knapweedhoist/quarantine"
 )
 
 // statusError returns errUnexpectedAnswer with the status of the endpoint's answer.
@@ -72,19 +73,26 @@
 	}
 }
 
-// retryAfter returns when the caller should try again: the wait for a slot if every endpoint is full, but at least
-// retryAfterNoEndpoint. Random parts spread the retries of callers that are refused at the same time.
+// retryAfter returns when the caller should try again: when a quarantined part is tried again, or the wait for a slot if every
+// endpoint is full, but at least retryAfterNoEndpoint. Random parts spread the retries of callers that are refused at the same time.
 func (e *exchange) retryAfter(failed *failure) time.Duration {
 	wait := retryAfterNoEndpoint
 	var overloaded *dispatch.OverloadedError
 	if errors.As(failed, &overloaded) {
 		wait = min(max(wait, overloaded.Wait), maxRetryAfter)
 	}
+	var refused *quarantine.RefusedError
+	if errors.As(failed, &refused) {
+		return refused.RetryAfter
+	}
 	return wait/2 + time.Duration(e.server.deps.Random()*float64(wait))
 }
 
 func (e *exchange) countFailure(status int, failed *failure) {
 	counters := e.server.deps.Metrics
+	if failed.cause == causeQuarantined {
+		counters.Quarantined.Inc(1)
+	}
 	switch {
 	case failed.cause == causeCallerClosed:
 		counters.Abandoned.Inc(1)
--- a/gossip/decode.go
+++ b/gossip/decode.go
@@ -131,7 +131,10 @@
 		state.Services[load.Service] = decoded
 	}
 	var err error
-	state.Endpoints, err = decodeLoads(m.Endpoints)
+	if state.Endpoints, err = decodeLoads(m.Endpoints); err != nil {
+		return fleetstate.State{}, err
+	}
+	state.Evidence, err = decodeEvidence(m.Evidence)
 	return state, err
 }
 
--- a/gossip/encode.go
+++ b/gossip/encode.go
@@ -79,6 +79,7 @@
 		message.Teams = append(message.Teams, encoded)
 	}
 	message.Endpoints = encodeLoads(s.Endpoints)
+	message.Evidence = encodeEvidence(s.Evidence)
 	for name, load := range s.Services {
 		encoded := &wire.ServiceLoad{
 			Service: name, Prefill: float32(load.Prefill), InFlight: float32(load.InFlight), Waiting: float32(load.Waiting),
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -9,6 +9,7 @@
 
 	"knapweedhoist/enginemodel"
 	"knapweedhoist/fleetstate"
+	"knapweedhoist/quarantine"
 )
 
 func TestGossip(t *testing.T) {
@@ -30,6 +31,11 @@
 		Endpoints: map[uint32]fleetstate.EndpointLoad{5: {Running: 3, PendingTokens: 17_000, Failed: 1, Served: 4, Slowdown: 4.5}},
 		Services:  map[string]fleetstate.ServiceLoad{"s": {Prefill: 1024, InFlight: 2.5, Waiting: 1, Samples: enginemodel.Samples{Count: 8, Residence: 0.25}}},
 	}
+	state.Evidence = quarantine.Evidence{
+		Crashes: []quarantine.Crash{{Process: 1, Age: time.Second, Parts: []uint64{2, 3}}, {Process: 4, Explained: true}},
+		Answers: []quarantine.Answer{{Part: 2, Age: 20 * time.Millisecond}},
+		Records: []quarantine.Record{{Part: 3, Epoch: 2, Lifted: true, Age: time.Minute, RefusedAge: time.Second}},
+	}
 	state.Used.Add("t", 1000, 500)
 	state.Used.Add("t", 1003, 700)
 	state.Used.Add("u", 1002, 1)
--- a/objectapi/object.go
+++ b/objectapi/object.go
@@ -16,6 +16,8 @@
 	KindDuty Kind = "duty"
 	// KindInstance holds one object for each entry instance.
 	KindInstance Kind = "instance"
+	// KindQuarantine holds the prompt parts that crash endpoints.
+	KindQuarantine Kind = "quarantine"
 )
 
 // Kinds of objects that others write.
--- /dev/null
+++ b/quarantine/change.go
@@ -0,0 +1,34 @@
+package quarantine
+
+// ChangeKind is the kind of a Change.
+type ChangeKind uint8
+
+// Kinds of changes.
+const (
+	// Imposed means that a quarantine began, Lifted that it ended with an answer to the part, and Expired that it ended since no
+	// request with the part arrived any more.
+	Imposed ChangeKind = iota + 1
+	Lifted
+	Expired
+)
+
+// String returns the text for the log.
+func (k ChangeKind) String() string {
+	switch k {
+	case Imposed:
+		return "prompt part quarantined"
+	case Lifted:
+		return "quarantine of prompt part lifted"
+	default:
+		return "quarantine of prompt part expired"
+	}
+}
+
+// Change is the beginning or the end of a quarantine at this instance.
+type Change struct {
+	Kind ChangeKind
+	Part uint64
+	// Crashes is the number of crashes that led to the quarantine, 0 if another instance decided it.
+	Crashes int
+	Epoch   int
+}
--- /dev/null
+++ b/quarantine/config.go
@@ -0,0 +1,43 @@
+package quarantine
+
+import (
+	"time"
+
+	"knapweedhoist/internal/defaults"
+)
+
+// Config holds the limits of a Guard. Zero fields take their defaults.
+type Config struct {
+	// MinCrashes is the number of crashes at which a part must have been in progress, without an answer since the first of
+	// them, before it is quarantined. Default 3.
+	MinCrashes int
+	// MinCrashesAnswered replaces MinCrashes for a part that was answered within EvidenceTTL. Default 4.
+	MinCrashesAnswered int
+	// DecisionDelay is the time between the crash that reaches the limit and the quarantine, in which an answer to the part
+	// can become known. Default 800 ms: a first token, its progress and three reports.
+	DecisionDelay time.Duration
+	// EvidenceTTL is how long crashes and answers are remembered. Default 2 min.
+	EvidenceTTL time.Duration
+	// ExplainedTTL replaces EvidenceTTL for the crashes that a quarantined part explains. Default 10 s: longer than other
+	// instances need to learn the cause of a crash that they have seen too.
+	ExplainedTTL time.Duration
+	// TrialWait is the time from the start of a quarantine to the first trial. It doubles with each further quarantine of the
+	// part, up to maxTrialDoublings times. Default 1 min.
+	TrialWait time.Duration
+	// Retention is how long a quarantine is kept after the last request that it refused. Default 10 min.
+	Retention time.Duration
+}
+
+// maxTrialDoublings bounds the doubling of Config.TrialWait: four doublings give 16 min.
+const maxTrialDoublings = 4
+
+func (c Config) withDefaults() Config {
+	defaults.Set(&c.MinCrashes, 3)
+	defaults.Set(&c.MinCrashesAnswered, 4)
+	defaults.Set(&c.DecisionDelay, 800*time.Millisecond)
+	defaults.Set(&c.EvidenceTTL, 2*time.Minute)
+	defaults.Set(&c.ExplainedTTL, 10*time.Second)
+	defaults.Set(&c.TrialWait, time.Minute)
+	defaults.Set(&c.Retention, 10*time.Minute)
+	return c
+}
--- /dev/null
+++ b/quarantine/evidence.go
@@ -0,0 +1,168 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Bounds of Evidence.
+const (
+	// MaxCrashes is the number of crashes in an Evidence.
+	MaxCrashes = 64
+	// MaxParts is the number of parts of its crashes together.
+	MaxParts = 2048
+	// MaxAnswers is the number of answered parts in an Evidence.
+	MaxAnswers = 256
+	// MaxRecords is the number of quarantines in an Evidence.
+	MaxRecords = 256
+)
+
+// Crash is the crash of one process of an endpoint.
+type Crash struct {
+	// Process identifies the process, see ProcessKey.
+	Process uint64
+	Age     time.Duration
+	// Parts holds the parts that were in progress without an answer. A part stands behind those that precede it in a prompt.
+	Parts []uint64
+	// Explained is set if a quarantined part was in progress, so that the crash does not count for other parts.
+	Explained bool
+}
+
+// Answer states that a part was answered.
+type Answer struct {
+	Part uint64
+	// Age is the time since the last answer.
+	Age time.Duration
+}
+
+// Record is the quarantine of one part.
+type Record struct {
+	Part uint64
+	// Epoch is the number of quarantines of the part so far.
+	Epoch int
+	// Lifted is set once the latest quarantine has ended with an answer to the part.
+	Lifted bool
+	// Age is the time since the quarantine began or was lifted, RefusedAge that since the sender refused a request because
+	// of it, or Age if it refused none.
+	Age, RefusedAge time.Duration
+}
+
+// newerThan reports whether r describes a later state of the part's quarantine than other.
+func (r Record) newerThan(other Record) bool {
+	if r.Epoch != other.Epoch {
+		return r.Epoch > other.Epoch
+	}
+	return r.Lifted && !other.Lifted
+}
+
+// Evidence is what instances tell each other: crashes, answers to parts that were in progress at them, and quarantines.
+type Evidence struct {
+	Crashes []Crash
+	Answers []Answer
+	Records []Record
+}
+
+// Aged returns the evidence as it is after a further time.
+func (e Evidence) Aged(by time.Duration) Evidence {
+	aged := Evidence{
+		Crashes: slices.Clone(e.Crashes), Answers: slices.Clone(e.Answers), Records: slices.Clone(e.Records),
+	}
+	for i := range aged.Crashes {
+		aged.Crashes[i].Age += by
+	}
+	for i := range aged.Answers {
+		aged.Answers[i].Age += by
+	}
+	for i := range aged.Records {
+		aged.Records[i].Age += by
+		aged.Records[i].RefusedAge += by
+	}
+	return aged
+}
+
+// Merge adds the evidence of other, which is of the same time. Merging the same evidence again changes nothing. Of more
+// entries than the bounds allow, the newest are kept.
+func (e *Evidence) Merge(other Evidence) {
+	e.Crashes = boundCrashes(mergeBy(e.Crashes, other.Crashes, func(c Crash) uint64 { return c.Process }, mergeCrashes))
+	e.Answers = mergeBy(e.Answers, other.Answers, func(a Answer) uint64 { return a.Part }, func(a, b Answer) Answer {
+		return Answer{Part: a.Part, Age: min(a.Age, b.Age)}
+	})
+	e.Answers = newest(e.Answers, MaxAnswers, func(a Answer) time.Duration { return a.Age })
+	e.Records = mergeBy(e.Records, other.Records, func(r Record) uint64 { return r.Part }, mergeRecords)
+	e.Records = newest(e.Records, MaxRecords, func(r Record) time.Duration { return r.Age })
+}
+
+// mergeBy merges two lists of entries with unique keys. It does not change them.
+func mergeBy[T any](a, b []T, key func(T) uint64, merge func(T, T) T) []T {
+	if len(b) == 0 {
+		return a
+	}
+	merged, index := slices.Clone(a), make(map[uint64]int, len(a)+len(b))
+	for i, entry := range merged {
+		index[key(entry)] = i
+	}
+	for _, entry := range b {
+		if i, ok := index[key(entry)]; ok {
+			merged[i] = merge(merged[i], entry)
+			continue
+		}
+		index[key(entry)] = len(merged)
+		merged = append(merged, entry)
+	}
+	return merged
+}
+
+// mergeCrashes returns the crash with the parts of both and the age of the earlier observation.
+func mergeCrashes(a, b Crash) Crash {
+	merged := Crash{Process: a.Process, Age: max(a.Age, b.Age), Explained: a.Explained || b.Explained}
+	if !merged.Explained {
+		merged.Parts = addParts(slices.Clone(a.Parts), b.Parts)
+	}
+	return merged
+}
+
+// addParts appends the parts that are missing in parts.
+func addParts(parts, added []uint64) []uint64 {
+	for _, part := range added {
+		if !slices.Contains(parts, part) {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
+// mergeRecords returns the later state of a quarantine, and of two equal ones the earlier observation of it and the latest
+// refusal.
+func mergeRecords(a, b Record) Record {
+	switch {
+	case a.newerThan(b):
+		return a
+	case b.newerThan(a):
+		return b
+	default:
+		a.Age, a.RefusedAge = max(a.Age, b.Age), min(a.RefusedAge, b.RefusedAge)
+		return a
+	}
+}
+
+// newest returns the limit entries with the lowest age.
+func newest[T any](entries []T, limit int, age func(T) time.Duration) []T {
+	if len(entries) <= limit {
+		return entries
+	}
+	sorted := slices.SortedStableFunc(slices.Values(entries), func(a, b T) int { return cmp.Compare(age(a), age(b)) })
+	return sorted[:limit]
+}
+
+// boundCrashes returns the newest crashes within MaxCrashes and MaxParts.
+func boundCrashes(crashes []Crash) []Crash {
+	kept := newest(crashes, MaxCrashes, func(c Crash) time.Duration { return c.Age })
+	parts := 0
+	for i, crash := range kept {
+		if parts += len(crash.Parts); parts > MaxParts {
+			return kept[:i]
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/quarantine/guard_test.go
@@ -0,0 +1,125 @@
+package quarantine
+
+import (
+	"errors"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("Guard", func() {
+	var g *Guard
+	delay := Config{}.withDefaults().DecisionDelay
+	ginkgo.BeforeEach(func() { g = NewGuard(Config{}) })
+
+	// Guards against requests that crash one endpoint after the other, and against refusing sound requests that share the
+	// parts before the one that does.
+	ginkgo.It("quarantines the part that was never answered, not the ones in progress beside it", func() {
+		g.RecordAnswer(start, []uint64{first})
+		now := crashes(g, start, 5, []uint64{first, crashing}, []uint64{first, other})
+		g.RecordAnswer(now, []uint64{first, other})
+		Expect(g.Update(now.Add(delay))).To(Equal([]Change{{Kind: Imposed, Part: crashing, Crashes: 5, Epoch: 1}}))
+		Expect(refuses(g, now.Add(delay), crashing)).To(BeTrue())
+		Expect(refuses(g, now.Add(delay), first)).To(BeFalse())
+		Expect(g.Update(now.Add(time.Minute))).To(BeEmpty())
+	})
+
+	// Guards against refusing the first part of the prompts, which no request has used before, instead of the one behind it.
+	ginkgo.It("quarantines the later one of two parts that explain the same crashes", func() {
+		now := crashes(g, start, 3, []uint64{first, crashing})
+		changes := g.Update(now.Add(delay))
+		Expect(changes).To(HaveLen(1))
+		Expect(changes[0].Part).To(Equal(crashing))
+	})
+
+	// Guards against refusing a popular part after many endpoints were lost at the same time.
+	ginkgo.It("does not quarantine a part that is answered after the crashes", func() {
+		g.RecordAnswer(start, []uint64{first})
+		for process := range uint64(20) {
+			g.RecordCrash(start.Add(time.Second), process, []uint64{first})
+		}
+		g.RecordAnswer(start.Add(1100*time.Millisecond), []uint64{first})
+		Expect(g.Update(start.Add(3 * time.Second))).To(BeEmpty())
+	})
+
+	// Guards against counting one crash once for each request that it broke.
+	ginkgo.It("counts a crash once", func() {
+		for range 10 {
+			g.RecordCrash(start, 7, []uint64{crashing})
+		}
+		Expect(g.Update(start.Add(delay))).To(BeEmpty())
+	})
+
+	// Guards against a sound part that is held responsible for crashes which another instance can explain.
+	ginkgo.It("does not count crashes for which another instance knows the cause", func() {
+		elsewhere := NewGuard(Config{})
+		now := crashes(elsewhere, start, 3, []uint64{crashing})
+		elsewhere.Update(now.Add(delay))
+		crashes(g, start, 3, []uint64{other})
+		g.Observe(now.Add(delay), elsewhere.Own(now.Add(delay)))
+		changes := g.Update(now.Add(2 * delay))
+		Expect(changes).To(HaveLen(1))
+		Expect(changes[0].Part).To(Equal(crashing))
+	})
+
+	// Guards against a quarantine that never ends although the part does no harm.
+	ginkgo.It("lifts a quarantine at the next answer to the part", func() {
+		now := crashes(g, start, 3, []uint64{crashing}).Add(delay)
+		g.Update(now)
+		g.RecordAnswer(now.Add(time.Second), []uint64{crashing})
+		Expect(g.Update(now.Add(time.Second))).To(Equal([]Change{{Kind: Lifted, Part: crashing, Epoch: 1}}))
+		Expect(refuses(g, now.Add(time.Second), crashing)).To(BeFalse())
+	})
+
+	// Guards against more than three requests that reach endpoints after the quarantine began, within ten minutes.
+	ginkgo.It("tries a part again with single requests, each after twice the time", func() {
+		now := crashes(g, start, 3, []uint64{crashing}).Add(delay)
+		g.Update(now)
+		g.SetMayTry(true)
+		var trials []time.Duration
+		for at := time.Duration(0); at < 10*time.Minute; at += time.Second {
+			if refuses(g, now.Add(at), crashing) {
+				continue
+			}
+			trials = append(trials, at)
+			g.RecordCrash(now.Add(at), uint64(at), []uint64{crashing})
+		}
+		Expect(trials).To(Equal([]time.Duration{time.Minute, 3 * time.Minute, 7 * time.Minute}))
+		Expect(g.Update(now)).To(HaveLen(3))
+	})
+
+	// Guards against trials at each instance.
+	ginkgo.It("tries a part at one instance only, and states the time until then", func() {
+		now := crashes(g, start, 3, []uint64{crashing}).Add(delay)
+		g.Update(now)
+		var refused *RefusedError
+		Expect(errors.As(g.Admit(now.Add(20*time.Second), []uint64{crashing}), &refused)).To(BeTrue())
+		Expect(*refused).To(Equal(RefusedError{Part: crashing, RetryAfter: 40 * time.Second}))
+		Expect(refuses(g, now.Add(5*time.Minute), crashing)).To(BeTrue())
+	})
+
+	// Guards against state that grows for ever, and against a quarantine that ends while its requests still come.
+	ginkgo.It("keeps a quarantine until no request with the part has come for a while at any instance", func() {
+		now := crashes(g, start, 3, []uint64{crashing}).Add(delay)
+		g.Update(now)
+		Expect(refuses(g, now.Add(9*time.Minute), crashing)).To(BeTrue())
+		Expect(g.Update(now.Add(18 * time.Minute))).To(BeEmpty())
+		g.Observe(now.Add(18*time.Minute), Evidence{Records: []Record{{
+			Part: crashing, Epoch: 1, Age: 18 * time.Minute, RefusedAge: time.Minute,
+		}}})
+		Expect(g.Update(now.Add(26 * time.Minute))).To(BeEmpty())
+		Expect(g.Update(now.Add(28 * time.Minute))).To(Equal([]Change{{Kind: Expired, Part: crashing, Epoch: 1}}))
+		Expect(g.Own(now.Add(28 * time.Minute))).To(Equal(Evidence{}))
+	})
+
+	// Guards against a restarted instance that lets the part through again.
+	ginkgo.It("takes over the quarantines of other instances", func() {
+		now := crashes(g, start, 3, []uint64{crashing}).Add(delay)
+		g.Update(now)
+		restarted := NewGuard(Config{})
+		restarted.Observe(now, g.Own(now))
+		Expect(refuses(restarted, now, crashing)).To(BeTrue())
+		Expect(restarted.Update(now)).To(Equal([]Change{{Kind: Imposed, Part: crashing, Epoch: 1}}))
+	})
+})
