Avoid endpoints that leave, pause or have crashed by what they state and show

Cause: neither field of an answer was read, and a refused connection counted as any other failure. Change: platform decodes both fields; dispatch/avoidance.go holds all reasons not to choose an endpoint for one process of it, and every choice, also for repeats and resumed streams, goes through it. Load returns over 1 s after a pause. While all endpoints pause, requests get 503 with the time until the first pause ends. Sizes of services are planned without endpoints that have stated that they leave. Weighed: telling the other instances; each is bound by its own answers only, and a wrong statement then stays at one instance. Measured: the two whole-path tests failed before (6 and 30 requests arrived instead of 1).

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -53,22 +53,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	choice := &choice{
-		balancer: b, now: now, query: query, preferred: b.preferredEndpoint(query), engine: b.learner.Engine(query.Service.Name),
-		sharedTokens: sharedTokens(query),
+		balancer: b, now: now, query: query, engine: b.learner.Engine(query.Service.Name), sharedTokens: sharedTokens(query),
 	}
-	if preferred := query.Endpoints[choice.preferred]; preferred != nil {
-		choice.preferredFull = preferred.Slots > 0 && b.runningAt(preferred.ID) >= preferred.Slots
+	candidates := choice.candidates()
+	if len(candidates) == 0 {
+		choice.ignoreRamps = true
+		candidates = choice.candidates()
 	}
 	var best *deployment.Endpoint
 	var bestCost time.Duration
-	for _, endpoint := range choice.candidates() {
+	for _, endpoint := range candidates {
 		cost := choice.cost(endpoint)
 		if best == nil || cost < bestCost || cost == bestCost && endpoint.ID < best.ID {
 			best, bestCost = endpoint, cost
 		}
 	}
 	if best == nil {
-		return nil, ErrNoEndpoint
+		return nil, choice.noEndpoint()
 	}
 	if err := choice.checkOverload(best); err != nil {
 		return nil, err
@@ -76,24 +77,19 @@
 	return b.startRequest(choice, best, bestCost), nil
 }
 
-// eligible reports whether the endpoint belongs to the service of the query, is not leaving and was not tried.
-func eligible(endpoint *deployment.Endpoint, query Query) bool {
-	return endpoint.Service == query.Service.Name && !endpoint.Leaving && !query.Tried[endpoint.ID]
-}
-
 // preferredEndpoint returns the ID of the eligible endpoint that ranks first by
 // rendezvous hashing of the shared parts of the prompt, which is the same on
 // every instance. It returns "" when the prompt has no shared parts.
-func (b *Balancer) preferredEndpoint(query Query) string {
-	shared := query.sharedParts()
+func (c *choice) preferredEndpoint() string {
+	shared := c.query.sharedParts()
 	if len(shared) == 0 {
 		return ""
 	}
 	key := shared[len(shared)-1].ID
 	var best string
 	var bestRank uint64
-	for id, endpoint := range query.Endpoints {
-		if !eligible(endpoint, query) {
+	for id, endpoint := range c.query.Endpoints {
+		if !c.eligible(endpoint) {
 			continue
 		}
 		if rank := xxh3.HashStringSeed(id, key); best == "" || rank > bestRank {
@@ -113,7 +109,7 @@
 
 // startRequest counts the request in the load of the endpoint. The caller holds mu.
 func (b *Balancer) startRequest(c *choice, endpoint *deployment.Endpoint, cost time.Duration) *InFlight {
-	state := b.state(endpoint.ID)
+	state := b.state(endpoint)
 	service := c.query.Service
 	flight := &InFlight{
 		Endpoint: endpoint, Cost: cost, balancer: b, state: state, service: service.Name,
@@ -137,15 +133,23 @@
 }
 
 // state returns the state of the endpoint, which it creates if necessary. The caller holds mu.
-func (b *Balancer) state(id string) *endpointState {
-	state := b.states[id]
+func (b *Balancer) state(endpoint *deployment.Endpoint) *endpointState {
+	state := b.current(endpoint)
 	if state == nil {
-		state = &endpointState{others: b.otherLoads[fleetstate.EndpointKey(id)]}
-		b.states[id] = state
+		state = &endpointState{startedAtMs: endpoint.StartedAtMs, others: b.otherLoads[fleetstate.EndpointKey(endpoint.ID)]}
+		b.states[endpoint.ID] = state
 	}
 	return state
 }
 
+// current returns the state of the endpoint's process, nil if there is none. The caller holds mu.
+func (b *Balancer) current(endpoint *deployment.Endpoint) *endpointState {
+	if state := b.states[endpoint.ID]; state != nil && state.startedAtMs == endpoint.StartedAtMs {
+		return state
+	}
+	return nil
+}
+
 // runningAt returns the number of requests of all instances at the endpoint. The caller holds mu.
 func (b *Balancer) runningAt(id string) int {
 	if state := b.states[id]; state != nil {
@@ -223,19 +227,28 @@
 }
 
 // Sweep deletes expired prompt parts, and the state of endpoints that are not listed in endpoints, have no requests in
-// flight and were last used more than idleStateTTL ago.
-func (b *Balancer) Sweep(now time.Time, endpoints map[string]*deployment.Endpoint) {
+// flight and were last used more than idleStateTTL ago. It returns the IDs of the endpoints that are no longer avoided.
+func (b *Balancer) Sweep(now time.Time, endpoints map[string]*deployment.Endpoint) (usedAgain []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, state := range b.states {
-		if endpoints[id] == nil && state.running == 0 && now.Sub(state.lastUsedAt) > idleStateTTL {
+		ttl := idleStateTTL
+		if state.leaving {
+			ttl = leavingStateTTL
+		}
+		if endpoints[id] == nil && state.running == 0 && now.Sub(state.lastUsedAt) > ttl {
 			delete(b.states, id)
 			continue
 		}
+		if reason, _ := state.avoidance(now); reason == NotAvoided && state.reported != NotAvoided {
+			state.reported = NotAvoided
+			usedAgain = append(usedAgain, id)
+		}
 		for part, lastUse := range state.cachedParts {
 			if now.Sub(lastUse) > b.cfg.CacheTTL {
 				delete(state.cachedParts, part)
 			}
 		}
 	}
+	return usedAgain
 }
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -22,10 +22,14 @@
 // sample / endpoints requests go to an endpoint that looks idle to all; the sample is as large as the slots of an endpoint
 // allow.
 func (c *choice) candidates() []*deployment.Endpoint {
+	c.preferred = c.preferredEndpoint()
+	if preferred := c.query.Endpoints[c.preferred]; preferred != nil {
+		c.preferredFull = preferred.Slots > 0 && c.balancer.runningAt(preferred.ID) >= preferred.Slots
+	}
 	eligibleEndpoints := make([]*deployment.Endpoint, 0, len(c.query.Endpoints))
 	slots, running := 0, 0
 	for id, endpoint := range c.query.Endpoints {
-		if eligible(endpoint, c.query) {
+		if c.eligible(endpoint) {
 			eligibleEndpoints = append(eligibleEndpoints, endpoint)
 			slots = max(slots, endpoint.Slots)
 			running += c.balancer.runningAt(id)
--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -12,6 +12,8 @@
 	balancer *Balancer
 	now      time.Time
 	query    Query
+	// ignoreRamps is set if all endpoints that are not avoided have just ended a pause.
+	ignoreRamps bool
 	// preferred is the ID of the endpoint that preferredEndpoint returned.
 	preferred string
 	// engine is the estimated speed of the service's endpoints.
@@ -35,7 +37,7 @@
 
 // cost returns the estimated latency of the request at the endpoint, plus penalties.
 func (c *choice) cost(endpoint *deployment.Endpoint) time.Duration {
-	cfg, state := c.balancer.cfg, c.balancer.state(endpoint.ID)
+	cfg, state := c.balancer.cfg, c.balancer.state(endpoint)
 	cost := state.failurePenalty(c.now, cfg)
 	if endpoint.DataCentre != cfg.DataCentre {
 		cost += cfg.CrossDataCentreCost
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -11,6 +11,11 @@
 // other costs of the preferred engine are higher than the cost of prefilling the
 // prefix again on another engine.
 //
+// Load pattern: an endpoint that leaves, pauses or has crashed is told to each
+// instance by its own answers and connections. All reasons not to choose an endpoint
+// are in avoidance.go; every choice, also one for a repeat or a resumed stream, goes
+// through them.
+//
 // The package does no network I/O, reads no clock and uses no randomness.
 // Balancer is safe for concurrent use.
 package dispatch
--- a/dispatch/endpoint_state.go
+++ b/dispatch/endpoint_state.go
@@ -9,6 +9,13 @@
 
 // endpointState holds the load, failures and cached prefixes of one endpoint. Balancer.mu guards it.
 type endpointState struct {
+	// startedAtMs is the start of the endpoint's process. The state of an earlier process does not apply to a later one.
+	startedAtMs int64
+	// leaving is set once an answer has stated that the endpoint leaves. pausedUntil and crashedUntil are the ends of the
+	// other reasons to avoid it. reported is the reason that was last logged, until its end is logged.
+	leaving                   bool
+	pausedUntil, crashedUntil time.Time
+	reported                  Reason
 	// running is the number of this instance's requests in flight at the endpoint.
 	running int
 	// pendingTokens is the number of uncached prompt tokens of those requests that have no first token yet.
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -38,7 +38,7 @@
 // so that a queue that is as long as the objective makes every answer late. Requests that would be late are refused
 // instead, as long as the endpoints are full, and the others are on time.
 func (c *choice) checkOverload(endpoint *deployment.Endpoint) error {
-	state := c.balancer.state(endpoint.ID)
+	state := c.balancer.state(endpoint)
 	wait := c.slotWait(state.total(), endpoint.Slots)
 	if wait == 0 || c.query.Objective <= 0 || c.engine.Ended < minEnded {
 		return nil
--- a/entry/control.go
+++ b/entry/control.go
@@ -58,7 +58,9 @@
 // sweep closes idle connections and deletes the outdated state of endpoints.
 func (i *Instance) sweep() {
 	i.pool.Sweep(time.Now())
-	i.balancer.Sweep(time.Now(), i.state.View().Endpoints)
+	for _, id := range i.balancer.Sweep(time.Now(), i.state.View().Endpoints) {
+		i.lg.Info("endpoint used again", "endpoint", id)
+	}
 	i.localEndpoints.set(i.state.View().Endpoints)
 }
 
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -40,7 +40,9 @@
 // planSizes plans the sizes of the services for the demand at all instances. Only the goroutine of the duties may call
 // it, since the planner is not safe for concurrent use.
 func (i *Instance) planSizes(now time.Time) []sizing.Size {
-	return i.planner.Plan(now, i.state.View(), func(service string) sizing.Demand {
+	view := *i.state.View()
+	view.Endpoints = i.balancer.LeavingKnown(view.Endpoints)
+	return i.planner.Plan(now, &view, func(service string) sizing.Demand {
 		own, others := (*i.ownServices.Load())[service], (*i.otherServices.Load())[service]
 		engine := i.learner.Engine(service)
 		return sizing.Demand{
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -108,10 +108,7 @@
 	if err != nil {
 		return nil, AnswerHeader{}, err
 	}
-	if answerHeader.Load != nil {
-		answerHeader.Load.At = time.Now()
-		e.inFlight.RecordLoad(*answerHeader.Load)
-	}
+	e.observeAnswer(answer.Header.StatusCode(), answerHeader)
 	return answer, answerHeader, nil
 }
 
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -66,8 +66,8 @@
 	if e.progressed || len(e.contents) == 0 || !connectionLost(err) {
 		return
 	}
-	s, endpoint, id, contents := e.server, e.inFlight.Endpoint, e.request.ID, e.contents
-	idleLimit := e.idleLimit()
+	s, inFlight, id, contents := e.server, e.inFlight, e.request.ID, e.contents
+	endpoint, idleLimit := inFlight.Endpoint, e.idleLimit()
 	go func() {
 		_ = contain.Run(s.deps.Log, "investigate a lost exchange", func() {
 			target := upstream.Target{Address: endpoint.Address, ID: endpoint.ID}
@@ -75,6 +75,9 @@
 				return
 			}
 			s.deps.Quarantine.RecordCrash(s.deps.Now(), quarantine.ProcessKey(endpoint.ID, endpoint.StartedAtMs), contents)
+			if inFlight.RecordCrash(time.Now()) {
+				s.logAvoidance(inFlight, id, dispatch.Crashed, 0)
+			}
 			s.deps.Metrics.Crashes.Inc(1)
 			s.deps.Log.Warn("endpoint crashed", "endpoint", endpoint.ID, "started_ms", endpoint.StartedAtMs, "id", id,
 				"parts", formatContents(contents))
--- a/forward/header_codec.go
+++ b/forward/header_codec.go
@@ -60,6 +60,10 @@
 	NotRun bool
 	// Encoded is set if the body has a content encoding, so that its bytes are not those that the endpoint produced.
 	Encoded bool
+	// Leaving is set if the endpoint states that it leaves.
+	Leaving bool
+	// RetryAfter is the time within which the endpoint wants no further request, 0 if it states none.
+	RetryAfter time.Duration
 	// Load is nil if the endpoint does not report its load.
 	Load *dispatch.Load
 }
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"knapweedhoist/dispatch"
 )
 
 // Metrics holds the counters and the latency histogram of a Server. The counters
@@ -25,6 +27,8 @@
 	Resumed, Repeated metrics.Counter
 	// Quarantined counts the requests that were refused, or not sent again, because of a quarantined part of their prompt.
 	Quarantined metrics.Counter
+	// Avoided counts how often an endpoint began to be avoided, by reason.
+	Avoided map[dispatch.Reason]metrics.Counter
 	// Crashes counts the sends that were in progress at an endpoint that crashed before it had answered them.
 	Crashes metrics.Counter
 	// FirstByte is the time from the arrival of a request to its answer or first event, in microseconds.
@@ -43,6 +47,10 @@
 		Served: counter("forward_served"), Refused: counter("forward_refused"), Limited: counter("forward_limited"),
 		Failed: counter("forward_failed"), TimedOut: counter("forward_timed_out"), Abandoned: counter("forward_abandoned"),
 		Resumed: counter("forward_resumed"), Repeated: counter("forward_repeated"),
+		Avoided: map[dispatch.Reason]metrics.Counter{
+			dispatch.Leaving: counter("forward_avoided_leaving"), dispatch.Paused: counter("forward_avoided_paused"),
+			dispatch.Crashed: counter("forward_avoided_crashed"),
+		},
 		Crashes:     counter("forward_endpoint_crashes"),
 		Quarantined: counter("forward_quarantined"),
 		InProgress:  counter("forward_in_progress"),
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -73,14 +73,18 @@
 	}
 }
 
-// retryAfter returns when the caller should try again: when a quarantined part is tried again, or the wait for a slot if every
-// endpoint is full, but at least retryAfterNoEndpoint. Random parts spread the retries of callers that are refused at the same time.
+// retryAfter returns when the caller should try again: when a quarantined part is tried again, after the first of the pauses
+// that the endpoints have asked for, or after the wait for a slot if every endpoint is full, but at least retryAfterNoEndpoint. Random parts spread the retries of callers that are refused at the same time.
 func (e *exchange) retryAfter(failed *failure) time.Duration {
 	wait := retryAfterNoEndpoint
 	var overloaded *dispatch.OverloadedError
 	if errors.As(failed, &overloaded) {
 		wait = min(max(wait, overloaded.Wait), maxRetryAfter)
 	}
+	var paused *dispatch.PausedError
+	if errors.As(failed, &paused) {
+		return paused.Wait + time.Duration(e.server.deps.Random()*float64(retryAfterNoEndpoint))
+	}
 	var refused *quarantine.RefusedError
 	if errors.As(failed, &refused) {
 		return refused.RetryAfter
