--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -25,6 +25,9 @@
 {"time":"2026-04-17T19:07:03.400Z","level":"INFO","msg":"request repeated","instance":"a","id":"r-1","endpoint":"i-1","reason":"broken","sends":1}
 {"time":"2026-04-17T19:07:03.450Z","level":"WARN","msg":"request failed","instance":"a","id":"r-1","status":504,"ms":1200,"sends":2,"endpoint":"i-2","reason":"timeout"}
 {"time":"2026-04-17T19:07:04.000Z","level":"INFO","msg":"request served","instance":"b","id":"r-2","status":200,"ms":5,"sends":1,"endpoint":"i-2"}
+{"time":"2026-04-17T19:07:05.000Z","level":"WARN","msg":"request failed","instance":"b","id":"r-4","status":502,"ms":9,"sends":1,"endpoint":"i-2","reason":"broken"}
+{"time":"2026-04-17T19:07:05.010Z","level":"WARN","msg":"endpoint crashed","instance":"b","id":"r-4","endpoint":"i-2","parts":"a1"}
+{"time":"2026-04-17T19:07:05.020Z","level":"WARN","msg":"prompt part quarantined","instance":"b","part":"a1","crashes":3,"epoch":1}
 not a line
 `
 
@@ -53,6 +56,13 @@
 		Expect(history("r-2").Verdict).To(Equal("served by i-2 with status 200 after 5 ms and 1 sends"))
 	})
 
+	// Guards against a finding that is logged after the end of a request and hides how it ended.
+	It("names the end of a request whose endpoint is found to have crashed later", func() {
+		got := history("r-4")
+		Expect(got.Lines).To(HaveLen(2))
+		Expect(got.Verdict).To(Equal("failed with 502 at i-2 after 1 sends: broken; the instance refused requests with the prompt part a1"))
+	})
+
 	// Guards against an empty or wrong verdict for a request without log lines.
 	It("lists the possible causes if no instance logged the request", func() {
 		got := history("r-3")
--- a/explain/history.go
+++ b/explain/history.go
@@ -66,6 +66,8 @@
 	"configuration applied": true, "configuration watch lost": true, "configuration watch regained": true,
 	"endpoint watch lost": true, "endpoint watch regained": true, "relay lost": true,
 	"endpoint changed": true, "endpoint gone": true, "endpoint entry missing after an outage of the store": true,
+	"endpoint crashed": true, "endpoint avoided": true, "endpoint used again": true,
+	"prompt part quarantined": true, "quarantine of prompt part lifted": true, "quarantine of prompt part expired": true,
 }
 
 func isStateMessage(message string) bool { return stateMessages[message] }
@@ -116,7 +118,10 @@
 var subjects = map[string]string{
 	"configuration watch lost": "configuration watch", "configuration watch regained": "configuration watch",
 	"endpoint watch lost": "endpoint watch", "endpoint watch regained": "endpoint watch",
-	"endpoint changed": "endpoint", "endpoint gone": "endpoint",
+	"endpoint avoided": "avoidance", "endpoint used again": "avoidance",
+	"prompt part quarantined": "quarantine", "quarantine of prompt part lifted": "quarantine",
+	"quarantine of prompt part expired": "quarantine",
+	"endpoint changed":                  "endpoint", "endpoint gone": "endpoint",
 	"endpoint entry missing after an outage of the store": "endpoint",
 }
 
--- a/explain/verdict.go
+++ b/explain/verdict.go
@@ -2,17 +2,35 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 )
 
+// outcomes lists the messages that report the end of a request.
+var outcomes = map[string]bool{
+	"request served": true, "stream served": true, "request refused": true, "request failed": true, "stream broken off": true,
+	"stream abandoned": true,
+}
+
+// outcome returns the last line that reports the end of the request, or the last line if there is none. Findings about its
+// endpoint may be logged later.
+func (h History) outcome() Line {
+	for _, line := range slices.Backward(h.Lines) {
+		if outcomes[line.Message] {
+			return line
+		}
+	}
+	return h.Lines[len(h.Lines)-1]
+}
+
 // verdict describes how a request ended, based on its last line and the state lines.
 func verdict(h History) string {
 	if len(h.Lines) == 0 {
 		return "no instance logged the request: it reached none, its line was dropped from the log (see lines_left_out), or its " +
 			"instance was killed (look for an instance started line with a different boot)"
 	}
-	last := h.Lines[len(h.Lines)-1]
+	last := h.outcome()
 	switch last.Message {
 	case "request served", "stream served":
 		return fmt.Sprintf("served by %s with status %s after %s ms and %s sends",
@@ -48,6 +66,8 @@
 			text += "; the instance was stopping"
 		case "configuration watch lost", "endpoint watch lost":
 			text += fmt.Sprintf("; %s since %s (%s)", line.Message, line.Time.Format("15:04:05.000"), line.Text("error"))
+		case "prompt part quarantined":
+			text += "; the instance refused requests with the prompt part " + line.Text("part")
 		case "endpoint gone":
 			text += "; the instance considered endpoint " + line.Text(endpointField) + " gone"
 		}
--- a/faultsoak/faults_test.go
+++ b/faultsoak/faults_test.go
@@ -17,6 +17,7 @@
 	(*soakRun).killProcess, (*soakRun).stopProcess, (*soakRun).pauseProcess, (*soakRun).killOneOrAll, (*soakRun).changeSettings,
 	(*soakRun).breakStoreLink, (*soakRun).breakServerLink, (*soakRun).breakCallerLink, (*soakRun).breakStore,
 	(*soakRun).compactStore, (*soakRun).reconfigure, (*soakRun).removeServer, (*soakRun).breakAnswer,
+	(*soakRun).leaveServer,
 }
 
 // revertLater schedules revert after a random time shorter than within, and returns that time.
@@ -100,7 +101,7 @@
 
 func (r *soakRun) breakServerLink() string {
 	s := r.servers[r.rng.IntN(len(r.servers))]
-	return r.injectLinkFault(s.link, s.id)
+	return r.injectLinkFault(s.link, s.id())
 }
 
 func (r *soakRun) breakCallerLink() string {
@@ -137,28 +138,50 @@
 // serving meanwhile.
 func (r *soakRun) removeServer() string {
 	s := r.servers[r.rng.IntN(len(r.servers))]
-	if err := r.platform.Unregister(s.id); err != nil {
+	id := s.id()
+	if err := r.platform.Unregister(id); err != nil {
 		return "server entry not removed: " + err.Error()
 	}
 	r.pendingReverts.Go(func() {
 		time.Sleep(time.Second)
-		_ = r.platform.Register(s.id, s.service, s.link.address()) // fails only when the entry cannot be encoded
+		if s.id() != id {
+			return // it has left meanwhile
+		}
+		_ = r.platform.Register(id, s.service, s.link.address()) // fails only when the entry cannot be encoded
+	})
+	return "remove the entry of " + id
+}
+
+// leaveServer makes a server state in its next answer that it leaves. A second later it registers under another id, as a
+// process that has started after it.
+func (r *soakRun) leaveServer() string {
+	s := r.servers[r.rng.IntN(len(r.servers))]
+	response := platformtest.Response{Body: answerTo("%ID%"), Fields: "Server-Leaving: 1\r\n"}
+	if s.service == platformtest.EngineService {
+		response.Body, response.Events = "", events
+	}
+	s.backend.Enqueue(response)
+	r.pendingReverts.Go(func() {
+		time.Sleep(time.Second)
+		former, id := s.restart()
+		_ = r.platform.Unregister(former) // fails only when the store has no entry, or an entry cannot be encoded
+		_ = r.platform.Register(id, s.service, s.link.address())
 	})
-	return "remove the entry of " + s.id
+	return "let " + s.id() + " leave"
 }
 
-// breakAnswer makes a server answer one of its next requests with a faulty response: malformed or truncated, or from plain
-// servers also unsigned or late.
+// breakAnswer makes a server answer one of its next requests with a faulty response: malformed, truncated or a refusal that
+// asks for a pause, or from plain servers also unsigned or late.
 func (r *soakRun) breakAnswer() string {
 	s := r.servers[r.rng.IntN(len(r.servers))]
 	responses := []platformtest.Response{
 		{Raw: "HTTP/1.1 200 OK\r\n"}, {Raw: "not an answer\r\n\r\n"}, {Status: 503, MarkNotRun: false, Unsigned: true, Body: "full"},
-		{Body: answerTo("%ID%"), Unsigned: true}, {Body: answerTo("%ID%"), Delay: 1500 * time.Millisecond},
+		{Status: 503, MarkNotRun: true, Body: "full", Fields: "Retry-After: 0.700\r\n"}, {Body: answerTo("%ID%"), Unsigned: true}, {Body: answerTo("%ID%"), Delay: 1500 * time.Millisecond},
 	}
 	if s.service == platformtest.EngineService {
-		responses = append(responses[:2:2], platformtest.Response{Events: events, BreakAfter: 1 + r.rng.IntN(events-1)})
+		responses = append([]platformtest.Response{responses[0], responses[1], responses[3]}, platformtest.Response{Events: events, BreakAfter: 1 + r.rng.IntN(events-1)})
 	}
 	n := r.rng.IntN(len(responses))
 	s.backend.Enqueue(responses[n])
-	return fmt.Sprintf("faulty answer %d of %s", n, s.id)
+	return fmt.Sprintf("faulty answer %d of %s", n, s.id())
 }
--- a/faultsoak/run_test.go
+++ b/faultsoak/run_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"knapweedhoist/platform/platformtest"
@@ -25,9 +26,21 @@
 
 // server is a stand-in for a server, which the daemons reach through link.
 type server struct {
-	id, service string
-	backend     *platformtest.Backend
-	link        *link
+	name, service string
+	backend       *platformtest.Backend
+	link          *link
+	// starts counts the processes that have registered, see leaveServer.
+	starts atomic.Int32
+}
+
+// id returns the id of the current process.
+func (s *server) id() string { return fmt.Sprintf("%s-%d", s.name, s.starts.Load()) }
+
+// restart returns the ids of the former and of the new process.
+func (s *server) restart() (former, id string) {
+	former = s.id()
+	s.starts.Add(1)
+	return former, s.id()
 }
 
 // soakRun is the state of one run: the platform, the daemons, the servers and the callers.
@@ -69,7 +82,7 @@
 	return r, nil
 }
 
-func (r *soakRun) addServer(id, service string) error {
+func (r *soakRun) addServer(name, service string) error {
 	defaultResponse := platformtest.Response{Body: answerTo("%ID%"), Delay: 5 * time.Millisecond}
 	if service == platformtest.EngineService {
 		defaultResponse = platformtest.Response{Events: events, EventInterval: 15 * time.Millisecond}
@@ -82,9 +95,9 @@
 	if err != nil {
 		return err
 	}
-	s := &server{id: id, service: service, backend: backend, link: proxy}
+	s := &server{name: name, service: service, backend: backend, link: proxy}
 	r.servers = append(r.servers, s)
-	return r.platform.Register(id, service, proxy.address())
+	return r.platform.Register(s.id(), service, proxy.address())
 }
 
 func (r *soakRun) addProcess(name, binary, dir string) error {
