Report news of a crash for five seconds

What callers would see: after a loss of many endpoints at 295 instances (30 crashes with some hundred parts in progress) reports would have been as large as their bounds for two minutes, and their interval 0.6 s instead of 0.1 s, on which limits and loads depend. Found by reading the code. Cause: every instance reported each crash that it knew for as long as it remembered it. Change: a crash is reported for 5 s after an instance has learnt of it or of further parts; it counts for two minutes as before.

--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -21,6 +21,9 @@
 	// ExplainedTTL replaces EvidenceTTL for the crashes that a quarantined part explains. Default 10 s: longer than other
 	// instances need to learn the cause of a crash that they have seen too.
 	ExplainedTTL time.Duration
+	// ReportTime is how long an instance reports a crash after it has learnt of it or of further parts. Others keep it for
+	// EvidenceTTL. Default 5 s: several reports on each of the ways between instances.
+	ReportTime time.Duration
 	// TrialWait is the time from the start of a quarantine to the first trial. It doubles with each further quarantine of the
 	// part, up to maxTrialDoublings times. Default 1 min.
 	TrialWait time.Duration
@@ -37,6 +40,7 @@
 	defaults.Set(&c.DecisionDelay, 800*time.Millisecond)
 	defaults.Set(&c.EvidenceTTL, 2*time.Minute)
 	defaults.Set(&c.ExplainedTTL, 10*time.Second)
+	defaults.Set(&c.ReportTime, 5*time.Second)
 	defaults.Set(&c.TrialWait, time.Minute)
 	defaults.Set(&c.Retention, 10*time.Minute)
 	return c
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -157,6 +157,6 @@
 		g.records[s.part] = r
 	}
 	r.epoch, r.lifted, r.at = r.epoch+1, false, now
-	g.explainCrashes(s.part)
+	g.explainCrashes(now, s.part)
 	g.changes = append(g.changes, Change{Kind: Imposed, Part: s.part, Crashes: len(s.crashes), Epoch: r.epoch})
 }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -34,13 +34,20 @@
 
 // crash is a Crash at a point in time.
 type crash struct {
-	at    time.Time
-	parts []uint64
+	at time.Time
+	// learntAt is the time of the last news about the crash at this instance.
+	learntAt time.Time
+	parts    []uint64
 	// explained is set if a quarantined part was in progress. The crash then has no parts.
 	explained bool
 }
 
-func (c *crash) explain() { c.explained, c.parts = true, nil }
+// explain records at the given time that a quarantined part was in progress.
+func (c *crash) explain(now time.Time) {
+	if !c.explained {
+		c.explained, c.parts, c.learntAt = true, nil, now
+	}
+}
 
 // record is a Record at points in time.
 type record struct {
@@ -120,7 +127,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.endTrials(now, parts)
-	g.addCrash(process, now, parts)
+	g.addCrash(now, process, now, parts)
 }
 
 // explains reports whether one of the parts is quarantined.
@@ -143,10 +150,10 @@
 
 // addCrash adds the parts to the crash of the process, which is as old as its first observation. A quarantined part
 // explains the crash.
-func (g *Guard) addCrash(process uint64, at time.Time, parts []uint64) *crash {
+func (g *Guard) addCrash(now time.Time, process uint64, at time.Time, parts []uint64) *crash {
 	c := g.crashes[process]
 	if c == nil {
-		c = &crash{at: at}
+		c = &crash{at: at, learntAt: now}
 		g.crashes[process] = c
 	}
 	if at.Before(c.at) {
@@ -155,9 +162,12 @@
 	switch {
 	case c.explained:
 	case g.explains(parts):
-		c.explain()
+		c.explain(now)
 	default:
-		c.parts = addParts(c.parts, parts)
+		known := len(c.parts)
+		if c.parts = addParts(c.parts, parts); len(c.parts) > known {
+			c.learntAt = now
+		}
 	}
 	return c
 }
@@ -182,8 +192,8 @@
 		if g.crashes[received.Process] == nil && received.Age > g.cfg.EvidenceTTL/2 {
 			continue
 		}
-		if c := g.addCrash(received.Process, now.Add(-received.Age), received.Parts); received.Explained {
-			c.explain()
+		if c := g.addCrash(now, received.Process, now.Add(-received.Age), received.Parts); received.Explained {
+			c.explain(now)
 		}
 	}
 	for _, received := range evidence.Answers {
@@ -211,7 +221,7 @@
 			g.records[received.Part] = known
 		}
 		known.epoch, known.lifted, known.at = received.Epoch, received.Lifted, at
-		g.noteChange(received)
+		g.noteChange(now, received)
 	case known.asRecord(now, received.Part).newerThan(received):
 		return
 	case at.Before(known.at):
@@ -223,21 +233,21 @@
 }
 
 // noteChange notes a change that another instance decided.
-func (g *Guard) noteChange(received Record) {
+func (g *Guard) noteChange(now time.Time, received Record) {
 	change := Change{Kind: Imposed, Part: received.Part, Epoch: received.Epoch}
 	if received.Lifted {
 		change.Kind = Lifted
 	} else {
-		g.explainCrashes(received.Part)
+		g.explainCrashes(now, received.Part)
 	}
 	g.changes = append(g.changes, change)
 }
 
 // explainCrashes marks the crashes at which a quarantined part was in progress.
-func (g *Guard) explainCrashes(part uint64) {
+func (g *Guard) explainCrashes(now time.Time, part uint64) {
 	for _, c := range g.crashes {
 		if slices.Contains(c.parts, part) {
-			c.explain()
+			c.explain(now)
 		}
 	}
 }
@@ -251,27 +261,31 @@
 	return record
 }
 
-// Own returns what this instance tells the others: all crashes and quarantines that it knows, and its own answers. Crashes
-// that others have seen are included, because those may have restarted meanwhile.
+// Own returns what this instance tells the others: recent news of crashes, all quarantines, and its own answers to parts that
+// matter for a decision. Crashes that others have seen are included, because those may have restarted meanwhile.
 func (g *Guard) Own(now time.Time) Evidence {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var own Evidence
-	suspects := make(map[uint64]bool)
+	crashesOf := make(map[uint64]int)
 	for process, c := range g.crashes {
-		own.Crashes = append(own.Crashes, Crash{
-			Process: process, Age: now.Sub(c.at), Parts: slices.Clone(c.parts), Explained: c.explained,
-		})
+		weight := 1
+		if now.Sub(c.learntAt) <= g.cfg.ReportTime {
+			weight = minReportedCrashes
+			own.Crashes = append(own.Crashes, Crash{
+				Process: process, Age: now.Sub(c.at), Parts: slices.Clone(c.parts), Explained: c.explained,
+			})
+		}
 		for _, part := range c.parts {
-			suspects[part] = true
+			crashesOf[part] += weight
 		}
 	}
 	for part, r := range g.records {
 		own.Records = append(own.Records, r.asRecord(now, part))
-		suspects[part] = true
+		crashesOf[part] += minReportedCrashes
 	}
-	for part := range suspects {
-		if at, ok := g.answered[part]; ok {
+	for part, n := range crashesOf {
+		if at, ok := g.answered[part]; ok && n >= minReportedCrashes {
 			own.Answers = append(own.Answers, Answer{Part: part, Age: now.Sub(at)})
 		}
 	}
@@ -279,3 +293,7 @@
 	bounded.Merge(own)
 	return bounded
 }
+
+// minReportedCrashes is the number of earlier crashes from which the answers to a part are reported. Those to parts of recent
+// crashes and to quarantined parts are always reported.
+const minReportedCrashes = 2
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -113,6 +113,15 @@
 		Expect(g.Own(now.Add(28 * time.Minute))).To(Equal(Evidence{}))
 	})
 
+	// Guards against reports that stay large long after many endpoints were lost together, with many parts in progress.
+	ginkgo.It("reports a crash for a few seconds only, and counts it for longer", func() {
+		now := crashes(g, start, 2, []uint64{crashing})
+		Expect(g.Own(now).Crashes).To(HaveLen(2))
+		Expect(g.Own(now.Add(10 * time.Second))).To(Equal(Evidence{}))
+		now = crashes(g, now.Add(time.Minute), 1, []uint64{crashing}).Add(delay)
+		Expect(g.Update(now)).To(HaveLen(1))
+	})
+
 	// Guards against a restarted instance that lets the part through again.
 	ginkgo.It("takes over the quarantines of other instances", func() {
 		now := crashes(g, start, 3, []uint64{crashing}).Add(delay)
