Bound the crashes and quarantines that an instance remembers

What callers would see: nothing yet; malformed or very many reports could have made the memory of an instance grow. Change: at most 1,024 crashes with 512 parts each and 1,024 quarantines; further ones are ignored until others have expired.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -14,8 +14,14 @@
 	return xxh3.HashString(endpoint + "/" + strconv.FormatInt(startedAtMs, 10))
 }
 
-// maxAnsweredParts bounds the answered parts that a Guard remembers.
-const maxAnsweredParts = 16 << 10
+// Bounds of what a Guard remembers. Further entries are ignored until others have expired.
+const (
+	maxAnsweredParts = 16 << 10
+	maxKnownCrashes  = 1024
+	maxKnownRecords  = 1024
+	// maxCrashParts is the number of parts of one crash.
+	maxCrashParts = 512
+)
 
 // Guard decides which parts of prompts are quarantined. It is safe for concurrent use.
 type Guard struct {
@@ -154,7 +160,9 @@
 	c := g.crashes[process]
 	if c == nil {
 		c = &crash{at: at, learntAt: now}
-		g.crashes[process] = c
+		if len(g.crashes) < maxKnownCrashes {
+			g.crashes[process] = c
+		}
 	}
 	if at.Before(c.at) {
 		c.at = at
@@ -165,7 +173,9 @@
 		c.explain(now)
 	default:
 		known := len(c.parts)
-		if c.parts = addParts(c.parts, parts); len(c.parts) > known {
+		c.parts = addParts(c.parts, parts)
+		c.parts = c.parts[:min(len(c.parts), maxCrashParts)]
+		if len(c.parts) > known {
 			c.learntAt = now
 		}
 	}
@@ -210,10 +220,10 @@
 // observeRecord takes over a later state of a quarantine.
 func (g *Guard) observeRecord(now time.Time, received Record) {
 	at, refusedAt := now.Add(-received.Age), now.Add(-received.RefusedAge)
-	if now.Sub(refusedAt) > g.cfg.Retention || received.Epoch <= 0 {
+	known := g.records[received.Part]
+	if now.Sub(refusedAt) > g.cfg.Retention || received.Epoch <= 0 || known == nil && len(g.records) >= maxKnownRecords {
 		return
 	}
-	known := g.records[received.Part]
 	switch {
 	case known == nil || received.newerThan(known.asRecord(now, received.Part)):
 		if known == nil {
