--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -13,7 +13,7 @@
 	"knapweedhoist/fleetstate"
 )
 
-// ErrNoEndpoint means that every endpoint of the service is leaving or was already tried, or that it has none.
+// ErrNoEndpoint means that every endpoint of the service is avoided or was already tried, or that it has none.
 var ErrNoEndpoint = errors.New("dispatch: no eligible endpoint of the service")
 
 // idleStateTTL is how long the state of an endpoint that is no longer listed is kept after its last request.
@@ -47,7 +47,8 @@
 // Choose selects the endpoint with the lowest cost among the candidates and counts the request as in flight there. All
 // eligible endpoints are candidates while few requests of other instances arrive before their load is known; otherwise the
 // candidates are a sample, which Query.Seed selects, and the preferred endpoint: all instances would choose the same
-// endpoint for as long as its old load looks the lowest. Choose returns ErrNoEndpoint when no endpoint is eligible, and an
+// endpoint for as long as its old load looks the lowest. Choose returns ErrNoEndpoint when no endpoint is eligible, a
+// PausedError when one will be after a pause, and an
 // OverloadedError when the chosen one is full and the request would be late.
 func (b *Balancer) Choose(now time.Time, query Query) (*InFlight, error) {
 	b.mu.Lock()
