Look up the state of an endpoint once per check of its eligibility

Cause: eligible looked the state up, and so did the avoidance that it calls; each choice checks every endpoint of a service twice. Change: avoidance takes the state that its caller has; the comment of Choose is wrapped again. Behaviour is unchanged, no test was touched.

--- a/dispatch/avoidance.go
+++ b/dispatch/avoidance.go
@@ -62,9 +62,9 @@
 // Unwrap returns ErrNoEndpoint, so that errors.Is matches it.
 func (e *PausedError) Unwrap() error { return ErrNoEndpoint }
 
-// avoidance returns the reason why the endpoint is avoided, and until when if its end is known.
-func (b *Balancer) avoidance(now time.Time, endpoint *deployment.Endpoint) (reason Reason, until time.Time) {
-	state := b.current(endpoint)
+// avoidance returns the reason why an endpoint with the given state, nil if there is none, is avoided, and until when if its
+// end is known.
+func avoidance(now time.Time, endpoint *deployment.Endpoint, state *endpointState) (reason Reason, until time.Time) {
 	switch {
 	case endpoint.Leaving:
 		return Leaving, time.Time{}
@@ -105,10 +105,10 @@
 	if endpoint.Service != c.query.Service.Name || c.query.Tried[endpoint.ID] {
 		return false
 	}
-	if reason, _ := c.balancer.avoidance(c.now, endpoint); reason != NotAvoided {
+	state := c.balancer.current(endpoint)
+	if reason, _ := avoidance(c.now, endpoint, state); reason != NotAvoided {
 		return false
 	}
-	state := c.balancer.current(endpoint)
 	return c.ignoreRamps || state == nil || !state.ramping(c.now)
 }
 
@@ -119,7 +119,7 @@
 		if endpoint.Service != c.query.Service.Name {
 			continue
 		}
-		reason, until := c.balancer.avoidance(c.now, endpoint)
+		reason, until := avoidance(c.now, endpoint, c.balancer.current(endpoint))
 		if reason == Paused && (earliest.IsZero() || until.Before(earliest)) {
 			earliest = until
 		}
--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -48,8 +48,8 @@
 // eligible endpoints are candidates while few requests of other instances arrive before their load is known; otherwise the
 // candidates are a sample, which Query.Seed selects, and the preferred endpoint: all instances would choose the same
 // endpoint for as long as its old load looks the lowest. Choose returns ErrNoEndpoint when no endpoint is eligible, a
-// PausedError when one will be after a pause, and an
-// OverloadedError when the chosen one is full and the request would be late.
+// PausedError when one will be after a pause, and an OverloadedError when the chosen one is full and the request would be
+// late.
 func (b *Balancer) Choose(now time.Time, query Query) (*InFlight, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
