--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -115,4 +115,3 @@
 		c.close()
 	}
 }
-
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -5,81 +5,86 @@
 	"time"
 )
 
-func init() { scenarios["drain-silent"] = drainSilent }
+func init() { scenarios["drain"] = drain }
 
-// drainSilent: all open channels go silent, and a server leaves without reporting draining.
-func drainSilent(w *world) error {
+// Bounds of the rules in the case, as the sheet of the deployment states them.
+const (
+	drainBound   = 2 * time.Second
+	contactBound = 3 * time.Second
+	// measureSlack is left out at both bounds, for the time between an event and its record.
+	measureSlack = 50 * time.Millisecond
+)
+
+// drain: all open channels go silent while new ones work, and a server leaves without having reported draining: its entry is
+// removed.
+func drain(w *world) error {
+	handle := func(b *backend, c *exchange) bool {
+		time.Sleep(60 * time.Millisecond)
+		return b.write200(c, "ok "+c.id()+"\n")
+	}
 	for _, id := range []string{"i-aaaaaaa1", "i-aaaaaaa2", "i-aaaaaaa3"} {
-		b, err := w.startBackend(id, "wuno96b", "za", nil)
+		b, err := w.startBackend(id, "wuno96b", "za", handle)
 		if err != nil {
 			return err
 		}
 		w.store.put("servers", id, b.entry("ready"))
 	}
-	w.store.put("config", "main", configOf(1, []any{route("r-1", "/puxa403/", "safe", "wuno96b", 2)},
+	w.store.put("config", "main", configOf(1, []any{route("r-1", "/puxa403/", "unsafe", "wuno96b", 1)},
 		[]any{map[string]any{"Name": "wuno96b", "HealthPath": "/health", "MaxConnections": 100}}))
 	if err := w.startNodes("za", "zb"); err != nil {
 		return err
 	}
 	leaver := w.backends[0]
-	type arrival struct {
-		at time.Time
-		id string
-	}
-	var mu sync.Mutex
-	var arrivals []arrival
-	leaver.onRequest = func(c *exchange) {
-		mu.Lock()
-		arrivals = append(arrivals, arrival{c.at, c.id()})
-		mu.Unlock()
-	}
-	sent := make(map[string]time.Time)
-	stop := make(chan struct{})
-	var callers sync.WaitGroup
-	for _, n := range w.nodes {
-		for range 4 {
-			callers.Go(func() {
-				c := &caller{address: n.address(n.front)}
-				defer c.close()
-				for {
-					select {
-					case <-stop:
-						return
-					case <-time.After(20 * time.Millisecond):
-					}
-					r := call{id: newID(), method: "GET", host: "ficu95.example", path: "/puxa403/lo", key: testKey, timeout: 1500 * time.Millisecond}
-					mu.Lock()
-					sent[r.id] = time.Now()
-					mu.Unlock()
-					a := c.do(r)
-					if a.status != 200 {
-						w.rec.line("%s answered %v", r.id, a)
-					}
-				}
-			})
-		}
-	}
+	arrivals := &arrivalLog{at: make(map[string]time.Time)}
+	leaver.onRequest = func(c *exchange) { arrivals.add(c.id(), c.at) }
+	load := w.startLoad("/puxa403/2f")
+
 	time.Sleep(4 * time.Second)
+	joiner, err := w.startBackend("i-aaaaaaa4", "wuno96b", "zb", handle)
+	if err != nil {
+		return err
+	}
+	w.store.put("servers", joiner.id, joiner.entry("ready"))
+	w.rec.line("%s joins", joiner.id)
+	time.Sleep(100 * time.Millisecond)
 	silentAt := time.Now()
 	if w.trouble {
-		w.rec.line("%d channels to the store go silent", w.store.gate.silence())
+		w.rec.line("%d open channels to the store go silent", w.store.gate.silence())
 	}
 	time.Sleep(100 * time.Millisecond)
 	leftAt := w.store.remove("servers", leaver.id)
 	w.rec.lineAt(leftAt, "the store acknowledges that %s is gone", leaver.id)
-	time.Sleep(6 * time.Second)
-	close(stop)
-	callers.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	last := time.Time{}
-	for _, a := range arrivals {
-		last = a.at
-		if a.at.After(leftAt.Add(2*time.Second)) && sent[a.id].After(silentAt.Add(3050*time.Millisecond)) {
-			w.violation("request %s, sent at %.3f s, reaches %s %d ms after its leaving was acknowledged", a.id,
-				w.rec.since(sent[a.id]).Seconds(), leaver.id, a.at.Sub(leftAt).Milliseconds())
+	time.Sleep(time.Until(leftAt.Add(3900 * time.Millisecond)))
+	leaver.exit()
+	w.rec.line("%s exits", leaver.id)
+	time.Sleep(2 * time.Second)
+	load.stop()
+
+	last := time.Duration(0)
+	for _, sent := range load.calls {
+		at, arrived := arrivals.at[sent.id]
+		if !arrived {
+			continue
+		}
+		last = max(last, at.Sub(leftAt))
+		if at.Sub(leftAt) > drainBound+measureSlack && sent.answer.sentAt.Sub(silentAt) > contactBound+measureSlack {
+			w.violation("request %s, sent at %.3f s, reaches %s %d ms after the ack of its leaving; the client gets %v", sent.id,
+				w.rec.since(sent.answer.sentAt).Seconds(), leaver.id, at.Sub(leftAt).Milliseconds(), sent.answer)
 		}
 	}
-	w.rec.say("last request at %s %d ms after the acknowledgement", leaver.id, last.Sub(leftAt).Milliseconds())
+	w.rec.say("the last request reaches %s %d ms after the ack of its leaving (bound %d ms)", leaver.id, last.Milliseconds(),
+		drainBound.Milliseconds())
 	return nil
 }
+
+// arrivalLog holds when requests reached a server, by id.
+type arrivalLog struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+func (l *arrivalLog) add(id string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at[id] = at
+}
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -86,7 +85,7 @@
 		"Bounds": map[string]any{
 			"SeedLagS": 3, "ReuseDelayS": 2, "ContactMs": 3000, "AckTimeoutMs": 4000, "CatchUpS": 4, "DrainMs": 2000, "GraceS": 8,
 			"LossSlackMs": 200, "ConfigApplyMs": 2000, "RollbackSlackMs": 250, "MaxSkewMs": 5000, "RetryRatio": 0.2,
-			"RetryWindowS": 10, "RetrySlack": 54, "QuotaWindowS": 8, "QuotaOverage": 0.1, "QuotaSlack": 190000,
+			"RetryWindowS": 10, "RetrySlack": w.retrySlack, "QuotaWindowS": 8, "QuotaOverage": 0.1, "QuotaSlack": 190000,
 			"RequireFence": false, "LeaseMs": 3000, "FreezeSlackMs": 300, "UsageWindowS": 5, "UsageTolerance": 0.05,
 			"UsageDelayS": 10, "RecoveryS": 12, "PassMs": 120, "AgainS": 8.9,
 		},
@@ -192,9 +191,3 @@
 	kb, _ := strconv.Atoi(string(match[1]))
 	return kb / 1024
 }
-
-// encode returns v as JSON.
-func encode(v any) string {
-	encoded, _ := json.Marshal(v)
-	return string(encoded)
-}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -16,10 +16,12 @@
 	nodes    []*node
 	backends []*backend
 	broken   int
+	// retrySlack is a bound in the settings that a case may change.
+	retrySlack int
 }
 
 func newWorld(rec *recorder) (*world, error) {
-	w := &world{rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{rec: rec, trouble: os.Getenv("TROUBLE") != "0", retrySlack: 54}
 	var err error
 	if w.dir, err = os.MkdirTemp("", "review-"); err != nil {
 		return nil, err
@@ -77,7 +79,7 @@
 // route returns a route of the config.
 func route(name, prefix, kind, service string, attempts int) map[string]any {
 	return map[string]any{
-		"Name": name, "Host": "ficu95.example", "PathPrefix": prefix, "Kind": kind, "TimeoutMs": 800, "TargetLatencyMs": 100,
+		"Name": name, "Host": testHost, "PathPrefix": prefix, "Kind": kind, "TimeoutMs": 800, "TargetLatencyMs": 100,
 		"Priority": 2, "Service": service, "MaxAttempts": attempts, "Public": false, "Sticky": false, "CanResume": false,
 	}
 }
@@ -91,4 +93,8 @@
 	}
 }
 
-const testKey = "i9n73hh2b9wu3fexd9dn"
+// testHost is the host of all routes, testKey the API key of the tenant.
+const (
+	testHost = "ficu95.example"
+	testKey  = "i9n73hh2b9wu3fexd9dn"
+)
