--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -31,6 +31,9 @@
 	exitedAt   time.Time
 }
 
+// maxFds is the number of descriptors of a process, as the sheet of the deployment states it.
+const maxFds = 4100
+
 // runCommand returns the words of the command of the deploy file.
 func runCommand() ([]string, error) {
 	content, err := os.ReadFile("deploy/system.toml")
@@ -81,7 +84,7 @@
 		"Node": n.name, "Role": "entry", "MachineClass": "front", "Serves": []any{"front"}, "Ip": n.ip, "Zone": n.zone,
 		"Region": "sierra", "PortRange": []any{n.peers, n.metrics}, "Bootstrap": bootstrap, "HeartbeatMs": 1200,
 		"Listen": map[string]any{"Front": n.address(n.front), "Ready": n.address(n.ready)},
-		"Limits": map[string]any{"CpuShare": 0.4, "Cores": 1, "MemoryMb": n.memoryMB, "MaxFds": 4100, "LinkMbps": 1000.0},
+		"Limits": map[string]any{"CpuShare": 0.4, "Cores": 1, "MemoryMb": n.memoryMB, "MaxFds": maxFds, "LinkMbps": 1000.0},
 		"Bounds": map[string]any{
 			"SeedLagS": 3, "ReuseDelayS": 2, "ContactMs": 3000, "AckTimeoutMs": 4000, "CatchUpS": 4, "DrainMs": 2000, "GraceS": 8,
 			"LossSlackMs": 200, "ConfigApplyMs": 2000, "RollbackSlackMs": 250, "MaxSkewMs": 5000, "RetryRatio": 0.2,
@@ -108,7 +111,9 @@
 			return err
 		}
 	}
-	cmd := exec.Command(words[0], words[1:]...)
+	// The platform limits the descriptors of each process.
+	limit := fmt.Sprintf("ulimit -n %d && exec \"$0\" \"$@\"", maxFds)
+	cmd := exec.Command("sh", append([]string{"-c", limit}, words...)...)
 	cmd.Env = []string{
 		"KNAPWEEDHOIST_BOOT=" + n.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"),
 	}
