--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -57,9 +57,9 @@
 }
 
 // entry is what the server writes to the store.
-func (b *backend) entry(state string) map[string]any {
+func (b *backend) entry() map[string]any {
 	return map[string]any{
-		"Service": b.service, "Address": b.ln.Addr().String(), "Zone": b.zone, "Version": "v1", "Slots": 64, "State": state,
+		"Service": b.service, "Address": b.ln.Addr().String(), "Zone": b.zone, "Version": "v1", "Slots": 64, "State": "ready",
 		"ColdRemainingMs": 0, "Sequence": 1, "born": b.born,
 	}
 }
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -27,7 +27,7 @@
 		if err != nil {
 			return err
 		}
-		w.store.put("servers", id, b.entry("ready"))
+		w.store.put("servers", id, b.entry())
 	}
 	w.store.put("config", "main", configOf(1, []any{route("r-1", "/puxa403/", "unsafe", "wuno96b", 1)},
 		[]any{map[string]any{"Name": "wuno96b", "HealthPath": "/health", "MaxConnections": 100}}))
@@ -44,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	w.store.put("servers", joiner.id, joiner.entry("ready"))
+	w.store.put("servers", joiner.id, joiner.entry())
 	w.rec.line("%s joins", joiner.id)
 	time.Sleep(100 * time.Millisecond)
 	silentAt := time.Now()
--- a/review/standin/gate.go
+++ b/review/standin/gate.go
@@ -107,7 +107,7 @@
 
 func (c *gatedConn) drain() {
 	buf := make([]byte, 4096)
-	_ = c.Conn.SetDeadline(time.Time{})
+	_ = c.SetDeadline(time.Time{})
 	for {
 		if _, err := c.Conn.Read(buf); err != nil {
 			_ = c.end()
--- a/review/standin/idle.go
+++ b/review/standin/idle.go
@@ -36,7 +36,7 @@
 		if err != nil {
 			return err
 		}
-		w.store.put("servers", b.id, b.entry("ready"))
+		w.store.put("servers", b.id, b.entry())
 	}
 	w.store.put("config", "main", configOf(1, []any{route("r-1", "/puxa403/", "unsafe", "wuno96b", 1)},
 		[]any{map[string]any{"Name": "wuno96b", "HealthPath": "/health", "MaxConnections": 620}}))
--- a/review/standin/preempted.go
+++ b/review/standin/preempted.go
@@ -69,7 +69,7 @@
 		if err != nil {
 			return err
 		}
-		w.store.put("servers", b.id, b.entry("ready"))
+		w.store.put("servers", b.id, b.entry())
 	}
 	// The route of thread-summary: objective 400 ms, pauses 300 ms, time limit 5 s, two servers at the most, may be resumed.
 	summary := route("r-2", "/pufi791/", "stream", "huvo11a", 2)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -57,8 +57,8 @@
 
 func (s *store) address() string { return s.gate.Addr().String() }
 
-// put writes an object as the operator or a server does, and returns the time of the acknowledgement.
-func (s *store) put(kind, name string, spec any) time.Time {
+// put writes an object as the operator or a server does.
+func (s *store) put(kind, name string, spec any) {
 	value, err := json.Marshal(spec)
 	if err != nil {
 		panic(err)
@@ -66,7 +66,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.write(kind, name, value)
-	return time.Now()
 }
 
 // remove deletes an object as the operator or a server does, and returns the time of the acknowledgement.
