--- /dev/null
+++ b/review/standin-2/client.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// channel is one connection of a client to an entry instance.
+type channel struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// dialLimit is how long clients allow for a new channel.
+const dialLimit = time.Second
+
+func dial(address string) (*channel, error) {
+	conn, err := net.DialTimeout("tcp4", address, dialLimit)
+	if err != nil {
+		return nil, err
+	}
+	return &channel{conn: conn, reader: bufio.NewReaderSize(conn, 1024)}, nil
+}
+
+func (c *channel) close() { _ = c.conn.Close() }
+
+// answer is what a client got for a request.
+type answer struct {
+	status int
+	id     string
+	signed bool
+	body   string
+	// complete is set if the whole answer was received.
+	complete bool
+	// closing is set if the channel cannot be used again.
+	closing bool
+	err     error
+}
+
+var lastID atomic.Int64
+
+func newID() string { return fmt.Sprintf("%016x", lastID.Add(1)) }
+
+// send sends a request and reads the answer. limit is the client's time limit.
+func (c *channel) send(method, path, id string, limit time.Duration, extra string) answer {
+	_ = c.conn.SetDeadline(time.Now().Add(limit))
+	_, err := fmt.Fprintf(c.conn, "%s %sx HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nRequest-Id: %s\r\n"+
+		"Deadline-Remaining: %d\r\n%sContent-Length: 0\r\n\r\n", method, path, host, apiKey, id, limit.Milliseconds(), extra)
+	if err != nil {
+		return answer{closing: true, err: err}
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return answer{closing: true, err: err}
+	}
+	body, err := io.ReadAll(response.Body)
+	return answer{
+		status: response.StatusCode, id: response.Header.Get("Request-Id"), signed: response.Header.Get("Response-Signature") != "",
+		body: string(body), complete: err == nil, closing: err != nil || response.Close, err: err,
+	}
+}
+
+// promptHeader is the header of a request to a model server.
+func promptHeader(session string) string {
+	return "Model: m\r\nToken-Usage: 1460,80\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410," + session + ":250\r\n"
+}
