--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*deployment) error{
 	"idle-channels":   idleChannels,
 	"silent-channels": silentChannels,
+	"large-bodies":    largeBodies,
 }
 
 func main() { os.Exit(run()) }
