--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -33,6 +33,8 @@
 	relay   *storeRelay
 	cloud   *platformtest.Cloud
 	version int
+	// idleRoutes is the number of further routes in the configuration, which no client uses.
+	idleRoutes int
 
 	mu      sync.Mutex
 	nodes   []*node
@@ -75,14 +77,18 @@
 	}
 	models := service(modelService, 620)
 	models["Engine"] = map[string]any{"Slots": 128, "KvTokens": 846316, "Models": []any{map[string]any{"Name": "m"}}}
+	routes := []any{
+		route(lookupPath, "safe", plainService, 800, 100, 2, false),
+		route(dispatchPath, "unsafe", plainService, 800, 100, 1, false),
+		route(draftPath, "stream", modelService, 8000, 800, 2, true),
+		route(summaryPath, "stream", modelService, 5000, 1200, 1, false),
+	}
+	for n := range d.idleRoutes {
+		routes = append(routes, route(fmt.Sprintf("/idle-%06d-%06d/", d.version, n), "safe", plainService, 800, 100, 2, false))
+	}
 	return d.store.Put("config", "main", map[string]any{
-		"Version": d.version,
-		"Routes": []any{
-			route(lookupPath, "safe", plainService, 800, 100, 2, false),
-			route(dispatchPath, "unsafe", plainService, 800, 100, 1, false),
-			route(draftPath, "stream", modelService, 8000, 800, 2, true),
-			route(summaryPath, "stream", modelService, 5000, 1200, 1, false),
-		},
+		"Version":  d.version,
+		"Routes":   routes,
 		"Services": []any{service(plainService, 110), models},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []any{map[string]any{
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,6 +20,7 @@
 
 // cases holds the function of each case by its name.
 var cases = map[string]func(*deployment) error{
+	"config-changes":  configChanges,
 	"idle-channels":   idleChannels,
 	"silent-channels": silentChannels,
 	"large-bodies":    largeBodies,
