--- a/review/standin-2/config_changes.go
+++ b/review/standin-2/config_changes.go
@@ -30,7 +30,7 @@
 	if err := d.configure(); err != nil {
 		return err
 	}
-	if err := d.startNodes(2); err != nil {
+	if err := d.startNodes(); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -115,9 +115,12 @@
 	return nil
 }
 
-// startNodes starts n entry instances and waits until they are ready.
-func (d *deployment) startNodes(n int) error {
-	for range n {
+// machines is the number of entry instances of a case.
+const machines = 2
+
+// startNodes starts the entry instances and waits until they are ready.
+func (d *deployment) startNodes() error {
+	for range machines {
 		if _, err := d.startNode(); err != nil {
 			return err
 		}
--- a/review/standin-2/idle_channels.go
+++ b/review/standin-2/idle_channels.go
@@ -30,7 +30,7 @@
 	if err := errors.Join(d.startServers(plainService, 4), d.startServers(modelService, 4)); err != nil {
 		return err
 	}
-	if err := d.startNodes(2); err != nil {
+	if err := d.startNodes(); err != nil {
 		return err
 	}
 	survivor, lostNode := d.nodes[0], d.nodes[1]
--- a/review/standin-2/large_bodies.go
+++ b/review/standin-2/large_bodies.go
@@ -26,7 +26,7 @@
 	if err := errors.Join(d.startServers(plainService, 4), d.startServers(modelService, 9)); err != nil {
 		return err
 	}
-	if err := d.startNodes(2); err != nil {
+	if err := d.startNodes(); err != nil {
 		return err
 	}
 	n := d.nodes[0]
--- a/review/standin-2/silent_channels.go
+++ b/review/standin-2/silent_channels.go
@@ -22,7 +22,7 @@
 	if err := errors.Join(d.startServers(plainService, 4), d.startServers(modelService, 1)); err != nil {
 		return err
 	}
-	if err := d.startNodes(2); err != nil {
+	if err := d.startNodes(); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
