--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -14,6 +14,8 @@
 type channel struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	// key is the client's API key.
+	key string
 }
 
 // dialLimit is how long clients allow for a new channel.
@@ -24,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &channel{conn: conn, reader: bufio.NewReaderSize(conn, 1024)}, nil
+	return &channel{conn: conn, reader: bufio.NewReaderSize(conn, 1024), key: apiKey}, nil
 }
 
 func (c *channel) close() { _ = c.conn.Close() }
@@ -50,7 +52,7 @@
 func (c *channel) send(method, path, id string, limit time.Duration, extra string) answer {
 	_ = c.conn.SetDeadline(time.Now().Add(limit))
 	_, err := fmt.Fprintf(c.conn, "%s %sx HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nRequest-Id: %s\r\n"+
-		"Deadline-Remaining: %d\r\n%sContent-Length: 0\r\n\r\n", method, path, host, apiKey, id, limit.Milliseconds(), extra)
+		"Deadline-Remaining: %d\r\n%sContent-Length: 0\r\n\r\n", method, path, host, c.key, id, limit.Milliseconds(), extra)
 	if err != nil {
 		return answer{closing: true, err: err}
 	}
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -30,11 +30,12 @@
 	trouble bool
 	dir     string
 	store   *platformtest.Store
-	relay   *storeRelay
 	cloud   *platformtest.Cloud
 	version int
 	// idleRoutes is the number of further routes in the configuration, which no client uses.
 	idleRoutes int
+	// noTenants makes the list of tenants in the configuration empty.
+	noTenants bool
 
 	mu      sync.Mutex
 	nodes   []*node
@@ -50,9 +51,6 @@
 	if d.store, err = platformtest.NewStore(); err != nil {
 		return nil, err
 	}
-	if d.relay, err = newStoreRelay(rec, d.store.Addr()); err != nil {
-		return nil, err
-	}
 	if d.cloud, err = platformtest.NewCloud(); err != nil {
 		return nil, err
 	}
@@ -86,15 +84,19 @@
 	for n := range d.idleRoutes {
 		routes = append(routes, route(fmt.Sprintf("/idle-%06d-%06d/", d.version, n), "safe", plainService, 800, 100, 2, false))
 	}
+	tenants := []any{map[string]any{
+		"Name": "team-1", "ApiKeys": []string{apiKey}, "Priority": 1, "Unit": "tokens", "PlainTokens": 200,
+		"RatePerS": 315660, "Burst": 315660,
+	}}
+	if d.noTenants {
+		tenants = []any{}
+	}
 	return d.store.Put("config", "main", map[string]any{
 		"Version":  d.version,
 		"Routes":   routes,
 		"Services": []any{service(plainService, 110), models},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants": []any{map[string]any{
-			"Name": "team-1", "ApiKeys": []string{apiKey}, "Priority": 1, "Unit": "tokens", "PlainTokens": 200,
-			"RatePerS": 315660, "Burst": 315660,
-		}},
+		"Tenants":  tenants,
 	})
 }
 
@@ -150,7 +152,6 @@
 	for _, s := range d.servers {
 		s.close()
 	}
-	d.relay.close()
 	d.cloud.Close()
 	_ = d.store.Close()
 	_ = os.RemoveAll(d.dir)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,10 +20,9 @@
 
 // cases holds the function of each case by its name.
 var cases = map[string]func(*deployment) error{
-	"config-changes":  configChanges,
-	"idle-channels":   idleChannels,
-	"silent-channels": silentChannels,
-	"large-bodies":    largeBodies,
+	"config-changes": configChanges,
+	"large-bodies":   largeBodies,
+	"last-tenant":    lastTenant,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -96,7 +96,7 @@
 limits:
   overage: 0.1
   slack: 190000
-`, name, zone, addresses[0], addresses[1], addresses[2], addresses[3], d.relay.address(), d.cloud.Address(), memoryMB)
+`, name, zone, addresses[0], addresses[1], addresses[2], addresses[3], d.store.Addr(), d.cloud.Address(), memoryMB)
 }
 
 // freeAddresses returns loopback addresses with ports that are free now.
@@ -158,15 +158,6 @@
 	return 0
 }
 
-// files returns the number of open descriptors of the process.
-func (n *node) files() int {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	return len(entries)
-}
-
 func (n *node) lastLogLine() string {
 	content, err := os.ReadFile(n.logPath)
 	if err != nil {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -24,14 +24,9 @@
 	events   int
 	interval time.Duration
 
-	mu       sync.Mutex
-	arrivals []arrival
-}
-
-// arrival is a request that reached a server.
-type arrival struct {
-	at time.Time
-	id string
+	mu sync.Mutex
+	// arrivals holds the ids of the requests that reached the server.
+	arrivals map[string]bool
 }
 
 func newServer(rec *record, id, service string) (*server, error) {
@@ -41,7 +36,8 @@
 	}
 	s := &server{
 		rec: rec, id: id, service: service, born: time.Now().UnixMilli(), listener: ln,
-		work: 15 * time.Millisecond, events: 10, interval: 100 * time.Millisecond,
+		arrivals: make(map[string]bool),
+		work:     15 * time.Millisecond, events: 10, interval: 100 * time.Millisecond,
 	}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), IdleTimeout: 20 * time.Second}
 	go func() { _ = s.http.Serve(ln) }()
@@ -67,9 +63,8 @@
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
-	now := time.Now()
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, arrival{at: now, id: id})
+	s.arrivals[id] = true
 	s.mu.Unlock()
 	s.rec.add("%s reaches %s, which runs it", id, s.id)
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -107,27 +102,9 @@
 	s.rec.add("%s has run at %s", id, s.id)
 }
 
-// arrivedAfter returns the requests that arrived later than a time.
-func (s *server) arrivedAfter(t time.Time) []arrival {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var late []arrival
-	for _, a := range s.arrivals {
-		if a.at.After(t) {
-			late = append(late, a)
-		}
-	}
-	return late
-}
-
 // arrived returns whether a request reached the server.
 func (s *server) arrived(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, a := range s.arrivals {
-		if a.id == id {
-			return true
-		}
-	}
-	return false
+	return s.arrivals[id]
 }
