review: case 7, a stream whose end is lost is never completed

Cause: an empty continuation of a stream counts as a failed answer. Change: review/7 with a script; the cases of the last tenant and of large bodies become 8 and 9. Clients of the stand-in wait for Retry-After, and begin 2 s after the machines are ready.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # Build first: the build command of deploy/system.toml, then review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/standin-2 ] && [ -x target/knapweedhoist ] || exit 2
-exec target/review-2/standin-2 -case large-bodies -program target/knapweedhoist -record review/8/record.txt
+exec target/review-2/standin-2 -case last-tenant -program target/knapweedhoist -record review/8/record.txt
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -120,7 +120,10 @@
 // machines is the number of entry instances of a case.
 const machines = 2
 
-// startNodes starts the entry instances and waits until they are ready.
+// settleTime is how long clients wait once the machines are ready; the pages give them 10 s from the start.
+const settleTime = 2 * time.Second
+
+// startNodes starts the entry instances, waits until they are ready and then for settleTime.
 func (d *deployment) startNodes() error {
 	for range machines {
 		if _, err := d.startNode(); err != nil {
@@ -132,6 +135,7 @@
 			return err
 		}
 	}
+	time.Sleep(settleTime)
 	return nil
 }
 
--- a/review/standin-2/kept_streams.go
+++ b/review/standin-2/kept_streams.go
@@ -29,7 +29,7 @@
 		default:
 		}
 		id := newID()
-		got := c.send("POST", draftPath, id, 8*time.Second, promptHeader(session))
+		got := c.send(draftPath, id, 8*time.Second, promptHeader(session))
 		reached := false
 		for _, s := range d.servers {
 			reached = reached || s.arrived(id)
@@ -42,5 +42,6 @@
 		if got.closing {
 			return
 		}
+		time.Sleep(got.retryAfter)
 	}
 }
--- a/review/standin-2/last_tenant.go
+++ b/review/standin-2/last_tenant.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"net/http"
 	"time"
 )
 
@@ -53,7 +52,7 @@
 			}
 			c.key = key
 			id := newID()
-			got := c.send(http.MethodPost, dispatchPath, id, 1500*time.Millisecond, "")
+			got := c.send(dispatchPath, id, 1500*time.Millisecond, "")
 			c.close()
 			d.rec.add("%s sent to %s with %s: status %d", id, n.name, key, got.status)
 			for _, s := range d.servers {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 	"config-changes": configChanges,
 	"large-bodies":   largeBodies,
 	"last-tenant":    lastTenant,
+	"lost-end":       lostEnd,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -23,10 +23,14 @@
 	work     time.Duration
 	events   int
 	interval time.Duration
+	// losesEnd decides whether the end of a stream's answer is lost: the channel is reset after the last event.
+	losesEnd func() bool
 
 	mu sync.Mutex
 	// arrivals holds the ids of the requests that reached the server.
 	arrivals map[string]bool
+	// sound holds the ids of the requests that the server has answered completely.
+	sound map[string]bool
 }
 
 func newServer(rec *record, id, service string) (*server, error) {
@@ -36,8 +40,8 @@
 	}
 	s := &server{
 		rec: rec, id: id, service: service, born: time.Now().UnixMilli(), listener: ln,
-		arrivals: make(map[string]bool),
-		work:     15 * time.Millisecond, events: 10, interval: 100 * time.Millisecond,
+		arrivals: make(map[string]bool), sound: make(map[string]bool),
+		work: 15 * time.Millisecond, events: 10, interval: 100 * time.Millisecond,
 	}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), IdleTimeout: 20 * time.Second}
 	go func() { _ = s.http.Serve(ln) }()
@@ -99,7 +103,34 @@
 		case <-time.After(s.interval):
 		}
 	}
+	if last < s.events && s.losesEnd != nil && s.losesEnd() {
+		s.rec.add("%s has run at %s, the end of the answer is lost", id, s.id)
+		reset(w)
+		return
+	}
 	s.rec.add("%s has run at %s", id, s.id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sound[id] = true
+}
+
+// reset resets the channel of an answer.
+func reset(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// answered reports whether the server has answered a request completely.
+func (s *server) answered(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sound[id]
 }
 
 // arrived returns whether a request reached the server.
