Continue silent streams elsewhere without ending them first

Cause: a stream without a complete event for a time (2 s and more, or 3 pause objectives if it is resumable) was aborted at its endpoint before it was known whether another one could go on. Without an attempt, retry budget or endpoint left, or if the next endpoint paused as well, the caller's stream ended although its endpoint was sound. Silence was taken for a failure.

Change: only the endpoint's connection, the deadline or the caller ends a stream. After 3 pause objectives a resumable stream is requested from another endpoint while the silent one is still read; the first event decides, and the second has 300 ms, since the platform allows two endpoints to work on one request for 400 ms. nextEventDue and its test go; the test of takeoverAfter keeps the time after which a resumable stream is moved, and the new table replaces the bounds of streams that must not be cut.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"knapweedhoist/dispatch"
@@ -14,6 +15,7 @@
 // returns complete events only. When the endpoint's stream breaks, a resumable one
 // continues at another endpoint after the last event if a retry is allowed. Otherwise
 // it ends with an error, which closes the caller's connection before the end of the body.
+// Silence of the endpoint does not end it, see takeover.
 type eventStream struct {
 	exchange *exchange
 	answer   *upstream.Response
@@ -22,6 +24,14 @@
 	pending []byte
 	// err is what Read returns after pending: io.EOF, or the failure that ended the stream.
 	err error
+
+	// silence calls takeOver. It is nil until the first read during which the stream may be continued elsewhere.
+	silence *time.Timer
+	mu      sync.Mutex // guards the fields below and those of takeover that name it
+	// readingSince is the time at which the current read began, zero between reads.
+	readingSince time.Time
+	// takeover is the attempt to continue the stream elsewhere during the current read, nil without one.
+	takeover *takeover
 }
 
 // openStream waits for the first events, so that a request whose endpoint fails before them can still be sent again.
@@ -66,11 +76,14 @@
 	return n, nil
 }
 
-// readEvents reads the next events, from another endpoint if the stream breaks or stalls and is resumable.
+// readEvents reads the next events, from another endpoint if the stream breaks or is silent and is resumable.
 func (s *eventStream) readEvents() {
-	s.answer.SetReadDeadline(s.exchange.nextEventDue(time.Now()))
+	s.beginRead()
 	events, err := s.reader.next()
+	next := s.endRead(err == nil || errors.Is(err, io.EOF))
 	switch {
+	case next != nil:
+		s.adopt(next)
 	case err == nil:
 		s.exchange.observeEvents(time.Now())
 		s.setPending(events)
@@ -108,29 +121,6 @@
 	s.err = failed
 }
 
-const (
-	// minPauseLimit, objectivePauses and aimedPauses give the pause after which callers abandon a stream: the longest of
-	// that time, of so many latency objectives and of so many pause objectives.
-	minPauseLimit   = 2 * time.Second
-	objectivePauses = 4
-	aimedPauses     = 8
-	// resumableAimedPauses is the number of pause objectives after which a resumable stream continues at another endpoint.
-	resumableAimedPauses = 3
-)
-
-// nextEventDue returns the time until which the next complete event must arrive. Bytes that complete no event do not
-// extend it.
-func (e *exchange) nextEventDue(now time.Time) time.Time {
-	limit := max(minPauseLimit, objectivePauses*e.route.Objective, aimedPauses*e.route.PauseObjective)
-	if e.route.Resumable && e.route.PauseObjective > 0 {
-		limit = resumableAimedPauses * e.route.PauseObjective
-	}
-	if due := now.Add(limit); due.Before(e.deadline) {
-		return due
-	}
-	return e.deadline
-}
-
 // endSend closes the endpoint's answer and ends the in-flight request.
 func (s *eventStream) endSend(outcome dispatch.Outcome) {
 	s.answer.Close()
