Close idle connections of callers where their next request is read

A caller could get no answer to a request that an instance had read in a planned stop. Cause: the stop closed connections that the HTTP server had not yet reported as active, if their socket had no unread bytes. Between the read of a request's first bytes and that report the socket is quiet, so that the request's connection was closed.

Change: the stop interrupts the wait for the next request by a read deadline, and the goroutine that waits closes the connection, unless bytes have arrived.

Whether the users' cases come from this fault is not known; theirs were passed on to an endpoint, these are refused.

--- a/forward/client_conn.go
+++ b/forward/client_conn.go
@@ -2,10 +2,14 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"knapweedhoist/internal/socket"
 )
 
 // clientConn detects that the caller closes the connection while its request is
@@ -13,6 +17,10 @@
 // belongs to the next request and is returned by the next Read.
 type clientConn struct {
 	net.Conn
+	// readTimeout is Config.ReadTimeout, for the rest of a request that arrives while closeIdle waits.
+	readTimeout time.Duration
+	// ending is set while closeIdle interrupts the wait for the next request.
+	ending atomic.Bool
 
 	mu     sync.Mutex // guards peeked and done
 	peeked []byte
@@ -22,6 +30,7 @@
 // listener wraps each accepted connection in a clientConn.
 type listener struct {
 	net.Listener
+	readTimeout time.Duration
 }
 
 // Accept implements net.Listener.
@@ -30,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: conn}, nil
+	return &clientConn{Conn: conn, readTimeout: l.readTimeout}, nil
 }
 
 // Read implements net.Conn.
@@ -43,7 +52,28 @@
 		return n, nil
 	}
 	c.mu.Unlock()
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	for c.ending.Load() {
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && socket.Quiet(c.Conn) {
+			return 0, io.EOF // makes the HTTP server close the connection
+		}
+		c.ending.Store(false)
+		_ = c.SetReadDeadline(time.Now().Add(c.readTimeout))
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			n, err = c.Conn.Read(p)
+		}
+	}
+	return n, err
+}
+
+// closeIdle makes the goroutine that waits for the next request close the connection, unless bytes have arrived. Closing it
+// here could cut off a request that has been read and is not known as such yet.
+func (c *clientConn) closeIdle() {
+	if c.hasPeeked() || !socket.Quiet(c.Conn) {
+		return
+	}
+	c.ending.Store(true)
+	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
 // hasPeeked reports whether a byte of the next request was read in the background.
--- a/forward/connections.go
+++ b/forward/connections.go
@@ -5,8 +5,6 @@
 	"sync"
 
 	"github.com/valyala/fasthttp"
-
-	"knapweedhoist/internal/socket"
 )
 
 // connections holds the open connections of callers. It is safe for concurrent use.
@@ -30,24 +28,16 @@
 	c.states[conn] = state
 }
 
-// closeIdle closes the connections without a request and returns the number of those that are still open. A connection
-// with unread bytes is kept: a busy process may not have read a request that arrived a while ago.
+// closeIdle lets the connections without a request be closed and returns the number of those that are still open. A
+// connection with unread bytes is kept: a busy process may not have read a request that arrived a while ago.
 func (c *connections) closeIdle() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, state := range c.states {
-		if (state == fasthttp.StateIdle || state == fasthttp.StateNew) && quiet(conn) {
-			_ = conn.Close()
-			delete(c.states, conn)
+		client, ok := conn.(*clientConn)
+		if ok && (state == fasthttp.StateIdle || state == fasthttp.StateNew) {
+			client.closeIdle()
 		}
 	}
 	return len(c.states)
 }
-
-// quiet reports whether no byte of a caller is unread.
-func quiet(conn net.Conn) bool {
-	if client, ok := conn.(*clientConn); ok {
-		return !client.hasPeeked() && socket.Quiet(client.Conn)
-	}
-	return socket.Quiet(conn)
-}
--- a/forward/server.go
+++ b/forward/server.go
@@ -64,7 +64,7 @@
 
 // Serve accepts connections from ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	wrapped := &listener{ln}
+	wrapped := &listener{Listener: ln, readTimeout: s.cfg.ReadTimeout}
 	s.listener.Store(wrapped)
 	return s.http.Serve(wrapped)
 }
