Answer the requests that a planned stop ends

Operators of similar systems saw requests that came late in the grace period of a planned stop, were passed on, and were cut with no answer at its end, some of them not repeatable (LOST). Here, too: the process exited 0.3 s before the end of the grace period and closed the connections of all requests in progress without an answer. Requests are refused after 2.8 s, whatever the grace period: of 3 s, 0.2 s were left for the last ones, and the listener stayed open past the exit.

Those without an answer get 502, or 503 if they were not sent; a stream that has begun breaks off. A listener that cannot be closed no longer ends the wait for the requests in progress.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -141,13 +141,16 @@
 func (e *exchange) endFailedSend(err error) *failure {
 	now := time.Now()
 	switch {
-	case errors.Is(err, upstream.ErrNotSent) && e.context.Err() == nil:
+	case errors.Is(err, upstream.ErrNotSent) && (e.context.Err() == nil || e.server.cutting.Load()):
 		e.sends--
 		e.inFlight.Done(now, dispatch.Failed)
 		return &failure{cause: causeNotSent, err: err}
 	case e.context.Err() != nil:
 		e.inFlight.Done(now, dispatch.Served)
 		e.mayHaveRun = true
+		if e.server.cutting.Load() {
+			return &failure{cause: causeStopping, err: err}
+		}
 		return &failure{cause: causeCallerClosed, err: errCallerClosed}
 	case isTimeout(err):
 		e.inFlight.Done(now, dispatch.TimedOut)
@@ -258,7 +261,7 @@
 // unless the request did not reach the endpoint.
 func (e *exchange) allowRetry(failed *failure) bool {
 	switch {
-	case e.remaining() <= minAttemptTime:
+	case e.remaining() <= minAttemptTime, e.server.cutting.Load():
 		return false
 	case failed.cause == causeNotSent:
 		return len(e.tried) < maxEndpointsTried
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -16,6 +16,8 @@
 	causeTimeout
 	// causeCallerClosed: the caller closed its connection.
 	causeCallerClosed
+	// causeStopping: the instance ended the request in a planned stop.
+	causeStopping
 	// causeQuarantined: a part of the prompt has crashed endpoints.
 	causeQuarantined
 	// causeNoEndpoint: every endpoint of the service is leaving, full or was tried, or it has none.
@@ -34,6 +36,8 @@
 		return "timeout"
 	case causeCallerClosed:
 		return "caller gone"
+	case causeStopping:
+		return "instance is stopping"
 	case causeQuarantined:
 		return "quarantined"
 	default:
--- a/forward/in_progress.go
+++ b/forward/in_progress.go
@@ -23,6 +23,15 @@
 	delete(p.exchanges, e)
 }
 
+// cancel cancels the exchanges. Each of them ends in its own goroutine.
+func (p *inProgress) cancel() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for e := range p.exchanges {
+		e.cancel()
+	}
+}
+
 // ids returns the request ids of at most limit exchanges.
 func (p *inProgress) ids(limit int) []string {
 	p.mu.Lock()
--- a/forward/server.go
+++ b/forward/server.go
@@ -28,6 +28,7 @@
 	startBy  time.Time
 	draining atomic.Bool // set by Drain
 	refusing atomic.Bool // set by Refuse
+	cutting  atomic.Bool // set by Cut
 }
 
 // NewServer returns a Server that accepts connections once Serve is called.
@@ -83,9 +84,22 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	if ln := s.listener.Load(); ln != nil {
 		if err := ln.Close(); err != nil {
-			return err
+			s.deps.Log.Warn("listener for callers not closed", "error", err.Error())
 		}
 	}
+	return s.awaitConnections(ctx)
+}
+
+// Cut ends all requests in progress: those without an answer are answered with 502, or with 503 if they were not sent, and
+// streams break off. It must be called after Shutdown, and waits as Shutdown does.
+func (s *Server) Cut(ctx context.Context) error {
+	s.cutting.Store(true)
+	s.progress.cancel()
+	return s.awaitConnections(ctx)
+}
+
+// awaitConnections closes idle connections until none is open or ctx is done.
+func (s *Server) awaitConnections(ctx context.Context) error {
 	for s.conns.closeIdle() > 0 {
 		if !wait.For(ctx, closeInterval) {
 			return ctx.Err()
