--- a/faultsoak/ledger_test.go
+++ b/faultsoak/ledger_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"knapweedhoist/platform/platformtest"
 )
@@ -18,6 +19,8 @@
 type exchange struct {
 	id, path string
 	outcome  platformtest.Outcome
+	// elapsed is the time from the request to the end of the answer or of the connection.
+	elapsed time.Duration
 }
 
 // ledger records all exchanges of a run. It is safe for concurrent use.
@@ -76,6 +79,23 @@
 	return violations
 }
 
+// lost returns the requests that a server received and whose connection ended without a complete answer before their time
+// was over.
+func (l *ledger) lost(executions map[string]int) (violations []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.exchanges {
+		if !e.outcome.Complete && executions[e.id] > 0 && e.elapsed < callerTimeout-timeoutMargin {
+			violations = append(violations, fmt.Sprintf("%s %s: no complete answer after %v, status %d, events %v",
+				e.path, e.id, e.elapsed, e.outcome.Status, platformtest.EventIDs(e.outcome.Body)))
+		}
+	}
+	return violations
+}
+
+// timeoutMargin is the time before the end of its timeout at which a request may end without a complete answer.
+const timeoutMargin = 100 * time.Millisecond
+
 // isRefusal reports whether a status guarantees that the request has not run and will not run.
 func isRefusal(status int) bool { return slices.Contains([]int{408, 421, 429, 503}, status) }
 
--- a/faultsoak/run_test.go
+++ b/faultsoak/run_test.go
@@ -152,7 +152,9 @@
 			caller = dialled
 		}
 		e := exchange{id: fmt.Sprintf("%s-%d", name, n), path: paths[rng.IntN(len(paths))]}
+		begin := time.Now()
 		e.outcome = caller.Do("POST", e.path, e.id, callerTimeout)
+		e.elapsed = time.Since(begin)
 		r.ledger.add(e)
 		if e.outcome.ConnClosed {
 			caller.Close()
