Keep accepting connections after an error of accept

Change: internal/listen logs such errors once a second and tries again until the listener is closed; all listeners of both daemons use it.

--- a/entry/instance.go
+++ b/entry/instance.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +18,7 @@
 	"knapweedhoist/fleetstate"
 	"knapweedhoist/forward"
 	"knapweedhoist/gossip"
+	"knapweedhoist/internal/listen"
 	"knapweedhoist/internal/wait"
 	"knapweedhoist/objectapi"
 	"knapweedhoist/objectrelay"
@@ -161,9 +161,9 @@
 func (i *Instance) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ln, err := net.Listen("tcp4", i.settings.Listen.Callers)
+	ln, err := listen.TCP(i.lg, i.settings.Listen.Callers, "callers")
 	if err != nil {
-		return oops.With("step", "listen for callers").Wrap(err)
+		return err
 	}
 	if i.socket, err = gossip.Listen(i.lg, i.settings.Listen.Peers); err != nil {
 		return err
--- a/entry/internal_http.go
+++ b/entry/internal_http.go
@@ -3,14 +3,13 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
 	"knapweedhoist/internal/contain"
+	"knapweedhoist/internal/listen"
 	"knapweedhoist/objectrelay"
 )
 
@@ -31,9 +30,9 @@
 
 // serveOn listens at address and serves HTTP there until the process exits.
 func (i *Instance) serveOn(address, purpose string, handler fasthttp.RequestHandler) error {
-	ln, err := net.Listen("tcp4", address)
+	ln, err := listen.TCP(i.lg, address, purpose)
 	if err != nil {
-		return oops.With("step", "listen", "purpose", purpose).Wrap(err)
+		return err
 	}
 	contained := func(ctx *fasthttp.RequestCtx) {
 		if err := contain.Run(i.lg, "serve "+purpose, func() { handler(ctx) }); err != nil {
--- a/run.go
+++ b/run.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"knapweedhoist/handover"
+	"knapweedhoist/internal/listen"
 	"knapweedhoist/internal/wait"
 )
 
@@ -62,19 +63,19 @@
 func (i *Instance) listen() (listeners, error) {
 	var opened listeners
 	for _, binding := range []struct {
-		address string
-		to      *net.Listener
+		purpose, address string
+		to               *net.Listener
 	}{
-		{i.cfg.Listen.Callers, &opened.callers},
-		{i.cfg.Listen.Peers, &opened.peers},
-		{i.cfg.Listen.Operators, &opened.operators},
+		{"callers", i.cfg.Listen.Callers, &opened.callers},
+		{"peers", i.cfg.Listen.Peers, &opened.peers},
+		{"operators", i.cfg.Listen.Operators, &opened.operators},
 	} {
 		listener, err := net.Listen("tcp", binding.address)
 		if err != nil {
 			opened.close()
 			return listeners{}, stepError("listen", binding.address, err)
 		}
-		*binding.to = listener
+		*binding.to = listen.New(i.lg, listener, binding.purpose)
 	}
 	return opened, nil
 }
