Bound the connections of callers, and close idle ones as the configuration states

Cause: idle connections were kept for 2 minutes, since the idle timeout of the platform's configuration was not read, and nothing bounded their number.

Above a share of the descriptors (new setting max_descriptors, or the operating system's limit) the connection that has waited longest for a request is closed for each further one; if none is idle, requests of the further one are refused as not run.

--- a/deployment/config.go
+++ b/deployment/config.go
@@ -1,6 +1,9 @@
 package deployment
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // Config is one version of the operators' configuration. It is created by NewConfig and immutable.
 type Config struct {
@@ -17,6 +20,8 @@
 type Limits struct {
 	// MaxBodyBytes bounds a request's body; 0 sets no limit.
 	MaxBodyBytes int
+	// IdleTimeout is how long a connection of a caller may wait for its next request; 0 sets no limit.
+	IdleTimeout time.Duration
 }
 
 // NewConfig returns a Config that indexes routes by host and teams by API key.
--- a/entry/control.go
+++ b/entry/control.go
@@ -58,6 +58,7 @@
 // sweep closes idle connections and deletes the outdated state of endpoints.
 func (i *Instance) sweep() {
 	i.pool.Sweep(time.Now())
+	i.server.Sweep(time.Now())
 	for _, id := range i.balancer.Sweep(time.Now(), i.state.View().Endpoints) {
 		i.lg.Info("endpoint used again", "endpoint", id)
 	}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -129,6 +129,7 @@
 	i.copies = i.newCopies()
 	i.server = forward.NewServer(forward.Config{
 		MaxConfigAge: settings.maxConfigAge(), MaxAnswerMemory: settings.maxAnswerMemory(),
+		MaxConnections: settings.maxCallerConnections(),
 	}, forward.Deps{
 		Log: i.lg, Codec: adapter.Codec, State: i.state, Balancer: i.balancer, Limiter: i.limiter, Budget: i.budget,
 		Pool: i.pool, Quarantine: i.quarantine, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Slot: i.slot, Random: rand.Float64,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"math"
+	"syscall"
 	"time"
 
 	"github.com/go-playground/validator/v10"
@@ -38,6 +39,8 @@
 	CPUShare float64 `yaml:"cpu_share" validate:"gt=0"`
 	// MemoryMB is the memory that the process may use, in MiB; 0 sets no limit.
 	MemoryMB int `yaml:"memory_mb" validate:"gte=0"`
+	// MaxDescriptors is the number of descriptors that the process may open; 0 takes the limit of the operating system.
+	MaxDescriptors int `yaml:"max_descriptors" validate:"gte=0"`
 	// AlternationMS is the time in milliseconds within which the duties must not move from one instance to another and
 	// back. Default 3000.
 	AlternationMS float64 `yaml:"alternation_ms" validate:"gt=0"`
@@ -171,6 +174,29 @@
 	return int(answerMemoryShare * float64(s.MemoryMB) * (1 << 20))
 }
 
+const (
+	// reservedDescriptors are left for files, listeners and the connections to the store and other instances.
+	reservedDescriptors = 250
+	// callerDescriptorShare is the share of the other descriptors that connections of callers may take. The rest is for
+	// connections to endpoints.
+	callerDescriptorShare = 0.6
+)
+
+// maxCallerConnections is the number of connections of callers that the process keeps open, 0 if no limit is known.
+func (s Settings) maxCallerConnections() int {
+	descriptors := s.MaxDescriptors
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < math.MaxInt32 {
+		if own := int(limit.Cur); descriptors == 0 || own < descriptors {
+			descriptors = own
+		}
+	}
+	if descriptors == 0 {
+		return 0
+	}
+	return max(int(callerDescriptorShare*float64(descriptors-reservedDescriptors)), 1)
+}
+
 // DefaultSettings returns settings with every optional field at its default.
 func DefaultSettings() Settings {
 	return Settings{
--- a/forward/client_conn.go
+++ b/forward/client_conn.go
@@ -67,13 +67,16 @@
 }
 
 // closeIdle makes the goroutine that waits for the next request close the connection, unless bytes have arrived. Closing it
-// here could cut off a request that has been read and is not known as such yet.
-func (c *clientConn) closeIdle() {
+// here could cut off a request that has been read and is not known as such yet. It returns false if that has begun before, or
+// if bytes have arrived.
+func (c *clientConn) closeIdle() bool {
 	if c.hasPeeked() || !socket.Quiet(c.Conn) {
-		return
+		return false
 	}
-	c.ending.Store(true)
+	began := c.ending.CompareAndSwap(false, true)
+	// The HTTP server may have set its own deadline since the last call.
 	_ = c.SetReadDeadline(time.Unix(1, 0))
+	return began
 }
 
 // hasPeeked reports whether a byte of the next request was read in the background.
--- a/forward/config.go
+++ b/forward/config.go
@@ -29,8 +29,11 @@
 	// StartWait is how long after NewServer requests wait until Deps.Started is closed. Later ones are refused at once while
 	// the instance has no configuration. Default 1 s.
 	StartWait time.Duration
-	// IdleTimeout is how long a caller's connection may stay idle. Default 2 min; callers close idle connections earlier.
+	// IdleTimeout is how long a caller's connection may stay idle if the platform's configuration does not say. Default 2 min.
 	IdleTimeout time.Duration
+	// MaxConnections is the number of connections of callers above which the one that has waited longest for a request is
+	// closed for each further one. If none is idle, the requests of the further ones are refused. 0 sets no limit.
+	MaxConnections int
 }
 
 func (c Config) withDefaults() Config {
--- a/forward/connections.go
+++ b/forward/connections.go
@@ -1,43 +1,114 @@
 package forward
 
 import (
+	"container/list"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
 
 // connections holds the open connections of callers. It is safe for concurrent use.
 type connections struct {
-	mu sync.Mutex
-	// states holds the state of each open connection.
-	states map[net.Conn]fasthttp.ConnState
+	// limit is the number of connections above which the one that has waited longest for a request is closed, 0 for none.
+	limit int
+
+	mu   sync.Mutex
+	open map[net.Conn]*callerConn
+	// idle lists the *callerConn without a request, the one that has waited longest first.
+	idle list.List
+}
+
+// callerConn is the state of one connection.
+type callerConn struct {
+	conn net.Conn
+	// idle is the element in connections.idle, nil while a request is in progress. since is when it was added.
+	idle  *list.Element
+	since time.Time
+	// surplus is set if the limit was reached when the connection was accepted, and none was idle.
+	surplus bool
 }
 
 // observe records a change of a connection's state. It implements fasthttp.Server.ConnState.
 func (c *connections) observe(conn net.Conn, state fasthttp.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == fasthttp.StateClosed || state == fasthttp.StateHijacked {
-		delete(c.states, conn)
+	known := c.open[conn]
+	if known == nil {
+		if c.open == nil {
+			c.open = make(map[net.Conn]*callerConn)
+		}
+		known = &callerConn{conn: conn}
+		c.open[conn] = known
+	}
+	if known.idle != nil {
+		c.idle.Remove(known.idle)
+		known.idle = nil
+	}
+	switch state {
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		delete(c.open, conn)
+		return
+	case fasthttp.StateNew:
+		known.surplus = c.limit > 0 && len(c.open) > c.limit && !c.closeLongestIdle()
+	case fasthttp.StateActive:
 		return
 	}
-	if c.states == nil {
-		c.states = make(map[net.Conn]fasthttp.ConnState)
+	known.since = time.Now()
+	known.idle = c.idle.PushBack(known)
+}
+
+// closeLongestIdle lets the connection that has waited longest for a request be closed. It returns false if there is none.
+func (c *connections) closeLongestIdle() bool {
+	for element := c.idle.Front(); element != nil; element = element.Next() {
+		if closeIdle(element) {
+			return true
+		}
 	}
-	c.states[conn] = state
+	return false
 }
 
-// closeIdle lets the connections without a request be closed and returns the number of those that are still open. A
+// closeIdle lets a connection be closed. It returns false if that has begun before, or if bytes have arrived.
+func closeIdle(element *list.Element) bool {
+	client, ok := element.Value.(*callerConn).conn.(*clientConn)
+	return ok && client.closeIdle()
+}
+
+// closeAllIdle lets the connections without a request be closed and returns the number of those that are still open. A
 // connection with unread bytes is kept: a busy process may not have read a request that arrived a while ago.
-func (c *connections) closeIdle() int {
+func (c *connections) closeAllIdle() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn, state := range c.states {
-		client, ok := conn.(*clientConn)
-		if ok && (state == fasthttp.StateIdle || state == fasthttp.StateNew) {
-			client.closeIdle()
+	for element := c.idle.Front(); element != nil; element = element.Next() {
+		closeIdle(element)
+	}
+	return len(c.open)
+}
+
+// closeIdleSince lets the connections be closed that have waited for a request since before.
+func (c *connections) closeIdleSince(before time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for element := c.idle.Front(); element != nil; element = element.Next() {
+		if !element.Value.(*callerConn).since.Before(before) {
+			return
 		}
+		closeIdle(element)
 	}
-	return len(c.states)
+}
+
+// isSurplus reports whether a connection was accepted above the limit.
+func (c *connections) isSurplus(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.open[conn]
+	return known != nil && known.surplus
+}
+
+// count returns the number of open connections.
+func (c *connections) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
 }
--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -52,7 +52,7 @@
 		_, err := unreadCaller.Write([]byte("GET"))
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() bool { return socket.Quiet(unreadServer) }, 20*time.Second).Should(BeFalse())
-		Eventually(c.closeIdle, 20*time.Second).Should(Equal(1))
+		Eventually(c.closeAllIdle, 20*time.Second).Should(Equal(1))
 		_, err = quietCaller.Read(make([]byte, 1))
 		Expect(err).To(MatchError(io.EOF))
 		buffer := make([]byte, 3)
@@ -75,7 +75,7 @@
 			reads := 0
 			afterRead := func() {
 				if reads++; reads > earlierRequests {
-					server.conns.closeIdle()
+					server.conns.closeAllIdle()
 				}
 			}
 			go func() { _ = server.Serve(&hookedListener{Listener: ln, afterRead: afterRead}) }()
@@ -90,13 +90,74 @@
 		Entry("as a later one", 1),
 	)
 
+	// connect serves connections with the limit and returns a dialer that waits until each connection is known.
+	connect := func(limit int) (*Server, func() net.Conn) {
+		server := NewServer(Config{MaxConnections: limit}, Deps{
+			Log: slog.New(slog.DiscardHandler), Codec: &panickingCodec{panicked: true}, State: deployment.NewState(),
+			Metrics: NewMetrics(metrics.NewRegistry()), Now: time.Now,
+		})
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		go func() { _ = server.Serve(ln) }()
+		return server, func() net.Conn {
+			conn, err := net.Dial("tcp4", ln.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			Expect(conn.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+			return conn
+		}
+	}
+
+	// Guards against a process whose descriptors idle callers use up (review case 1).
+	It("closes the connection that has waited longest when there are too many", func() {
+		_, dial := connect(2)
+		first := dial()
+		Expect(exchangeOnce(first)).To(Equal(http.StatusServiceUnavailable))
+		second := dial()
+		Expect(exchangeOnce(second)).To(Equal(http.StatusServiceUnavailable))
+		Expect(exchangeOnce(first)).To(Equal(http.StatusServiceUnavailable))
+		third := dial()
+		_, err := second.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+		Expect(exchangeOnce(third)).To(Equal(http.StatusServiceUnavailable))
+		Expect(exchangeOnce(first)).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	// Guards against a connection above the limit that is accepted without end, or closed without an answer.
+	It("refuses the requests of a connection above the limit when none is idle", func() {
+		var c connections
+		c.limit = 1
+		busy, _ := pair()
+		c.observe(busy, fasthttp.StateNew)
+		c.observe(busy, fasthttp.StateActive)
+		further, _ := pair()
+		c.observe(further, fasthttp.StateNew)
+		Expect(c.isSurplus(further)).To(BeTrue())
+		Expect(c.isSurplus(busy)).To(BeFalse())
+	})
+
+	// Guards against idle connections that are kept longer than the configuration allows, or closed earlier.
+	It("closes the connections that are idle for longer than the configuration allows", func() {
+		server, dial := connect(0)
+		server.deps.State.SetConfig(deployment.NewConfig(1, nil, nil, nil, deployment.Limits{IdleTimeout: time.Minute}))
+		conn := dial()
+		Expect(exchangeOnce(conn)).To(Equal(http.StatusServiceUnavailable))
+		server.Sweep(time.Now().Add(59 * time.Second))
+		Expect(exchangeOnce(conn)).To(Equal(http.StatusServiceUnavailable))
+		Eventually(func() int {
+			server.Sweep(time.Now().Add(61 * time.Second))
+			return server.conns.count()
+		}, 20*time.Second).Should(BeZero())
+	})
+
 	It("keeps a connection with a request, until it is closed", func() {
 		var c connections
 		server, _ := pair()
 		c.observe(server, fasthttp.StateActive)
-		Expect(c.closeIdle()).To(Equal(1))
+		Expect(c.closeAllIdle()).To(Equal(1))
 		c.observe(server, fasthttp.StateClosed)
-		Expect(c.closeIdle()).To(Equal(0))
+		Expect(c.closeAllIdle()).To(Equal(0))
 	})
 
 	// Guards against a planned stop that never ends, or that accepts new connections.
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -35,6 +35,8 @@
 	FirstByte metrics.Histogram
 	// InProgress is the number of requests that were accepted and have not ended; a stream counts until its end.
 	InProgress metrics.Counter
+	// Connections is the number of open connections of callers at the last call of Server.Sweep.
+	Connections metrics.Gauge
 }
 
 // reservoirSize is the number of values in the latency histogram's exponentially decaying sample.
@@ -54,6 +56,7 @@
 		Crashes:     counter("forward_endpoint_crashes"),
 		Quarantined: counter("forward_quarantined"),
 		InProgress:  counter("forward_in_progress"),
+		Connections: metrics.NewRegisteredGauge("forward_connections", registry),
 		FirstByte: metrics.NewRegisteredHistogram("forward_first_byte_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, 0.015)),
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -35,6 +35,7 @@
 func NewServer(cfg Config, deps Deps) *Server {
 	s := &Server{cfg: cfg.withDefaults(), deps: deps}
 	s.startBy = time.Now().Add(s.cfg.StartWait)
+	s.conns.limit = s.cfg.MaxConnections
 	s.answers.limit = int64(s.cfg.MaxAnswerMemory)
 	s.http = &fasthttp.Server{
 		Handler:                       s.handle,
@@ -44,7 +45,7 @@
 		MaxRequestBodySize:            s.cfg.MaxBodyBytes,
 		ReadBufferSize:                readBufferBytes,
 		ReadTimeout:                   s.cfg.ReadTimeout,
-		IdleTimeout:                   s.cfg.IdleTimeout,
+		IdleTimeout:                   maxIdleTimeout,
 		WriteTimeout:                  0, // a stream may last longer than any fixed limit
 		DisablePreParseMultipartForm:  true,
 		DisableHeaderNamesNormalizing: false,
@@ -57,6 +58,9 @@
 // readBufferBytes bounds a request's header: twice the 16 KiB that today's platforms allow, plus 1 KiB.
 const readBufferBytes = 33 << 10
 
+// maxIdleTimeout is longer than any idle timeout of a configuration, which Sweep applies.
+const maxIdleTimeout = 24 * time.Hour
+
 // discardLogger drops the log lines of fasthttp, which report connections whose caller sent no valid request.
 type discardLogger struct{}
 
@@ -100,7 +104,7 @@
 
 // awaitConnections closes idle connections until none is open or ctx is done.
 func (s *Server) awaitConnections(ctx context.Context) error {
-	for s.conns.closeIdle() > 0 {
+	for s.conns.closeAllIdle() > 0 {
 		if !wait.For(ctx, closeInterval) {
 			return ctx.Err()
 		}
@@ -117,6 +121,17 @@
 // RequestsInProgress returns the ids of at most 50 of the requests that InProgress counts.
 func (s *Server) RequestsInProgress() []string { return s.progress.ids(maxListedRequests) }
 
+// Sweep closes the connections of callers that have been idle for the time of the configuration in force. The caller invokes
+// it about once a second.
+func (s *Server) Sweep(now time.Time) {
+	timeout := s.cfg.IdleTimeout
+	if config := s.deps.State.View().Config; config != nil && config.Limits.IdleTimeout > 0 {
+		timeout = config.Limits.IdleTimeout
+	}
+	s.conns.closeIdleSince(now.Add(-timeout))
+	s.deps.Metrics.Connections.Update(int64(s.conns.count()))
+}
+
 // handle serves a request. A panic ends that request only.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	var e *exchange
@@ -160,6 +175,11 @@
 		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "instance is stopping", retryAfter: minRetryAfter})
 		return
 	}
+	if s.conns.isSurplus(ctx.Conn()) {
+		ctx.SetConnectionClose()
+		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "too many connections", retryAfter: minRetryAfter})
+		return
+	}
 	s.awaitStart(e)
 	if refusal := e.admit(); refusal != nil {
 		e.refuse(refusal)
