Do not count an attempt that was cancelled before it was sent

A stream whose other endpoint was still being dialled when the silent one went on had one attempt less for a later break, although nothing had been sent: a cancelled dial was classified as an exchange of a caller who left, which may have run.

Change: a failed dial never counts as a send.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -141,8 +141,12 @@
 func (e *exchange) endFailedSend(err error) *failure {
 	now := time.Now()
 	switch {
-	case errors.Is(err, upstream.ErrNotSent) && (e.context.Err() == nil || e.server.cutting.Load()):
+	case errors.Is(err, upstream.ErrNotSent):
 		e.sends--
+		if e.context.Err() != nil && !e.server.cutting.Load() {
+			e.inFlight.Done(now, dispatch.Served)
+			return &failure{cause: causeCallerClosed, err: errCallerClosed}
+		}
 		e.inFlight.Done(now, dispatch.Failed)
 		return &failure{cause: causeNotSent, err: err}
 	case e.context.Err() != nil:
