Let another endpoint take over a silent stream without a first event in 300 ms

Streams whose endpoint hung were lost if the other endpoint needed more than 300 ms for its first event, queue and prefill included: the takeover was then aborted, and its attempt was spent.

Change: 300 ms after the request was sent, an endpoint that has not rejected it goes on, and the silent one is aborted. The line 'silent stream not moved' now tells an endpoint that went on first from one that failed.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -103,6 +103,7 @@
 			return answerHeader.RequestID
 		},
 		Deadline:  e.deadline,
+		Sent:      e.onSent,
 		IdleLimit: e.idleLimit(),
 	})
 	if err != nil {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -46,6 +46,8 @@
 	// lastEventID is the last event id in the stream read for the caller, "" before the first one.
 	lastEventID string
 	inFlight    *dispatch.InFlight
+	// onSent is upstream.Request.Sent of each attempt.
+	onSent func()
 	// contents identifies the parts of the prompt that other requests can have in common with this one.
 	contents []uint64
 	// firstEventAt is the time of the first event of the current send, progressed whether its answer went on after that.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -101,8 +101,12 @@
 // answers without a stream.
 func (s *eventStream) resume(readErr error) {
 	s.answer.Abort()
+	s.continueAfter(s.exchange.endFailedSend(readErr))
+}
+
+// continueAfter continues the stream at another endpoint after a failed send, or sets s.err.
+func (s *eventStream) continueAfter(failed *failure) {
 	e := s.exchange
-	failed := e.endFailedSend(readErr)
 	for e.route.Resumable && e.lastEventID != "" && e.allowRetry(failed) {
 		next, err := e.attempt()
 		if err == nil && next.stream != nil {
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -15,25 +15,27 @@
 	// takeoverPauses is the number of pause objectives without an event after which a resumable stream is also requested
 	// from another endpoint.
 	takeoverPauses = 3
-	// takeoverLimit is how long the other endpoint has for its first event. Both endpoints may work on the request for
-	// that long, and the platform allows 400 ms.
+	// takeoverLimit is how long both endpoints may work on the request; the platform allows 400 ms. Then the other endpoint
+	// has not rejected the request, so that it is queued or in progress there, and the silent one is aborted.
 	takeoverLimit = 300 * time.Millisecond
 )
 
 // errSilent is the reason for a takeover.
 var errSilent = errors.New("no event from the endpoint")
 
-// takeover is an attempt to continue a silent stream at another endpoint while the silent one is still read: the endpoint
-// that delivers the next event goes on, and the other one is aborted. A stream thus never ends because its endpoint is
-// silent.
+// takeover is an attempt to continue a silent stream at another endpoint while the silent one is still read. The other
+// endpoint goes on, and the silent one is aborted, if its first event comes first, or if it has neither rejected the request
+// nor failed after takeoverLimit. Otherwise the stream stays where it is. A stream thus never ends only because its endpoint
+// is silent.
 type takeover struct {
 	// exchange is a copy of the stream's exchange, which only the takeover uses until done is closed.
 	exchange *exchange
 	done     chan struct{}
 	// cancelled and won are guarded by eventStream.mu. At most one of them is set.
 	cancelled, won bool
-	// answer is the other endpoint's stream if won is set.
+	// answer is the other endpoint's stream, failed the reason why there is none.
 	answer *endpointAnswer
+	failed *failure
 }
 
 // fork returns a copy of e for one attempt beside the current one.
@@ -110,8 +112,13 @@
 	s.takeover = t
 	go func() {
 		defer close(t.done)
-		_ = contain.Run(s.exchange.server.deps.Log, "take over stream", func() { s.runTakeover(t) }) // logs a panic
-		if !t.won {
+		if err := contain.Run(s.exchange.server.deps.Log, "take over stream", func() { s.runTakeover(t) }); err != nil {
+			t.failed = &failure{cause: causeBroken, err: err}
+			if t.exchange.inFlight != s.exchange.inFlight {
+				t.exchange.inFlight.Done(time.Now(), dispatch.Failed)
+			}
+		}
+		if t.failed != nil || !t.won {
 			t.exchange.cancel()
 		}
 	}()
@@ -121,49 +128,74 @@
 func (s *eventStream) runTakeover(t *takeover) {
 	e := t.exchange
 	if !e.allowRetry(&failure{cause: causeBroken, err: errSilent}) {
-		s.logStay(t, "no attempt left")
+		t.failed = &failure{cause: causeNoEndpoint, err: errNoRetry}
+		s.logStay(t)
 		return
 	}
-	limit := time.AfterFunc(takeoverLimit, e.cancel)
-	answer, failed := e.attempt()
-	inTime := limit.Stop()
+	var limit *time.Timer
+	e.onSent = func() { limit = time.AfterFunc(takeoverLimit, func() { s.win(t) }) }
+	t.answer, t.failed = e.attempt()
+	if limit != nil {
+		limit.Stop()
+	}
+	e.onSent = nil
+	if t.failed == nil && t.answer.stream == nil {
+		t.failed = &failure{cause: causeBroken, err: errUnexpectedAnswer}
+	}
 	switch {
-	case failed != nil:
-		s.logStay(t, failed.Error())
-	case answer.stream == nil:
-		s.logStay(t, errUnexpectedAnswer.Error())
-	case !inTime || !s.win(t, answer):
-		answer.stream.answer.Abort()
+	case t.failed != nil:
+		s.logStay(t)
+	case !s.win(t):
+		t.answer.stream.answer.Abort()
 		e.inFlight.Done(time.Now(), dispatch.Served)
-		s.logStay(t, "another event came first, or the time was over")
+		s.logStay(t)
 	}
 }
 
+// errNoRetry is the reason why a stream stays at its endpoint if the request may not be sent again.
+var errNoRetry = errors.New("no attempt, retry budget or time left")
+
 // win makes the current endpoint's read fail, unless that endpoint has answered meanwhile.
-func (s *eventStream) win(t *takeover, answer *endpointAnswer) bool {
+func (s *eventStream) win(t *takeover) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t.cancelled {
 		return false
 	}
-	t.won, t.answer = true, answer
-	s.answer.SetReadDeadline(time.Unix(1, 0))
+	if !t.won {
+		t.won = true
+		s.answer.SetReadDeadline(time.Unix(1, 0))
+	}
 	return true
 }
 
 // logStay logs why a silent stream stays at its endpoint.
-func (s *eventStream) logStay(t *takeover, reason string) {
-	e := t.exchange
+func (s *eventStream) logStay(t *takeover) {
+	s.mu.Lock()
+	cancelled, won := t.cancelled, t.won
+	s.mu.Unlock()
+	if won {
+		return // the failure is that of the stream
+	}
+	e, reason := t.exchange, "the endpoint went on first"
+	if !cancelled {
+		reason = t.failed.Error()
+	}
 	e.server.deps.Log.Info("silent stream not moved", "id", e.request.ID, "after_event", e.lastEventID, "sends", e.sends,
 		"silent_ms", time.Since(e.lastEventAt).Milliseconds(), "reason", reason)
 }
 
-// adopt continues the stream with the answer of t, and ends the send to the silent endpoint.
+// adopt ends the send to the silent endpoint and continues the stream with the result of t.
 func (s *eventStream) adopt(t *takeover) {
 	e, other := s.exchange, t.exchange
 	s.answer.Abort()
 	e.inFlight.Done(time.Now(), dispatch.TimedOut)
 	e.mayHaveRun = true
+	if t.failed != nil {
+		e.inFlight = other.inFlight
+		s.continueAfter(t.failed)
+		return
+	}
 	after, silent := e.lastEventID, other.lastEventAt.Sub(e.lastEventAt)
 	e.inFlight, e.lastEventID, e.lastEventAt = other.inFlight, other.lastEventID, other.lastEventAt
 	e.firstEventAt, e.progressed = other.firstEventAt, other.progressed
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -23,6 +23,8 @@
 	ResponseID func(*fasthttp.ResponseHeader) string
 	// Deadline is the time at which reads and writes of the exchange fail.
 	Deadline time.Time
+	// Sent is called once a connection is available, before the request is written. It may be nil.
+	Sent func()
 	// IdleLimit is the maximum number of idle connections to the endpoint, see the function IdleLimit.
 	IdleLimit int
 }
@@ -48,6 +50,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if request.Sent != nil {
+		request.Sent()
+	}
 	response := &Response{pool: p, target: request.Target, idleLimit: request.IdleLimit, conn: c, writeDone: make(chan error, 1)}
 	response.stopCancel = context.AfterFunc(ctx, c.abort)
 	_ = c.SetDeadline(request.Deadline)
