Keep a caller's connection whose first request is half read at a stop

A caller whose first request had been read in part when a planned stop interrupted idle connections got 400. The read deadline of the interruption stayed, since the HTTP server renews it only from the second request on.

Change: a connection that has delivered bytes since it was last idle is not interrupted, and an interruption that comes too late is taken back. Measured: the entry for the first request failed before (400 instead of 503) and passes; the later one passed already.

--- a/forward/client_conn.go
+++ b/forward/client_conn.go
@@ -21,6 +21,8 @@
 	readTimeout time.Duration
 	// ending is set while closeIdle interrupts the wait for the next request.
 	ending atomic.Bool
+	// received is set while a part of a request may have been read, until the connection waits for the next one.
+	received atomic.Bool
 
 	mu     sync.Mutex // guards peeked and done
 	peeked []byte
@@ -54,7 +56,7 @@
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	for c.ending.Load() {
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && socket.Quiet(c.Conn) {
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.received.Load() && socket.Quiet(c.Conn) {
 			return 0, io.EOF // makes the HTTP server close the connection
 		}
 		c.ending.Store(false)
@@ -63,6 +65,9 @@
 			n, err = c.Conn.Read(p)
 		}
 	}
+	if n > 0 {
+		c.received.Store(true)
+	}
 	return n, err
 }
 
@@ -70,7 +75,7 @@
 // here could cut off a request that has been read and is not known as such yet. It returns false if that has begun before, or
 // if bytes have arrived.
 func (c *clientConn) closeIdle() bool {
-	if c.hasPeeked() || !socket.Quiet(c.Conn) {
+	if c.received.Load() || c.hasPeeked() || !socket.Quiet(c.Conn) {
 		return false
 	}
 	began := c.ending.CompareAndSwap(false, true)
--- a/forward/connections.go
+++ b/forward/connections.go
@@ -55,6 +55,9 @@
 	case fasthttp.StateActive:
 		return
 	}
+	if client, ok := conn.(*clientConn); ok {
+		client.received.Store(false)
+	}
 	known.since = time.Now()
 	known.idle = c.idle.PushBack(known)
 }
--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -90,6 +90,46 @@
 		Entry("as a later one", 1),
 	)
 
+	// Guards against a 400 for a request of which only a part had been read when the stop interrupted its connection.
+	DescribeTable("keeps a connection whose request is half read",
+		func(earlierRequests int) {
+			server := NewServer(Config{}, Deps{
+				Log: slog.New(slog.DiscardHandler), Codec: &panickingCodec{panicked: true}, State: deployment.NewState(),
+				Metrics: NewMetrics(metrics.NewRegistry()),
+			})
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(ln.Close)
+			activations, halfRead := 0, make(chan struct{})
+			server.http.ConnState = func(conn net.Conn, state fasthttp.ConnState) {
+				if state == fasthttp.StateActive {
+					if activations++; activations == earlierRequests+1 {
+						server.conns.closeAllIdle()
+						close(halfRead)
+					}
+				}
+				server.conns.observe(conn, state)
+			}
+			go func() { _ = server.Serve(ln) }()
+			conn, err := net.Dial("tcp4", ln.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			for range earlierRequests {
+				Expect(exchangeOnce(conn)).To(Equal(http.StatusServiceUnavailable))
+			}
+			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHo")
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(halfRead, 20*time.Second).Should(BeClosed())
+			_, err = io.WriteString(conn, "st: a\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		},
+		Entry("as the first one of the connection", 0),
+		Entry("as a later one", 1),
+	)
+
 	// connect serves connections with the limit and returns a dialer that waits until each connection is known.
 	connect := func(limit int) (*Server, func() net.Conn) {
 		server := NewServer(Config{MaxConnections: limit}, Deps{
