Deliver an answer before its connection is closed with unread bytes

The end of an answer was lost when its caller had already sent bytes of its next request, as in a planned stop, whose answers close their connections: the kernel resets a connection that is closed with unread bytes and drops what it has not sent.

Change: such a connection is closed for sending first; what arrives is discarded until the caller closes, at most for 2 s and 1 MiB.

--- a/forward/client_conn.go
+++ b/forward/client_conn.go
@@ -91,6 +91,24 @@
 	return len(c.peeked) > 0
 }
 
+const (
+	// lingerTimeout is how long a closed connection with unread bytes is kept for the caller to read the rest of its answer.
+	lingerTimeout = 2 * time.Second
+	// maxLingerBytes is the number of unread bytes that are discarded meanwhile.
+	maxLingerBytes = 1 << 20
+)
+
+// Close implements net.Conn. The kernel resets a connection that is closed with unread bytes, and drops the part of the
+// answer that it has not sent; Close therefore first ends only the sending direction and discards what arrives.
+func (c *clientConn) Close() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if ok && !socket.Quiet(c.Conn) && half.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes) // ends with the caller's close or at the deadline
+	}
+	return c.Conn.Close()
+}
+
 // watch starts the background read, which calls onClose if the caller closes the
 // connection before unwatch. A byte that arrives ends the read without calling
 // onClose. It removes the read deadline of the HTTP server (Config.ReadTimeout), since
