Cut requests in the last sixth of short grace periods too

With a grace period under 3.6 s requests whose endpoint was still at work were cut before the last sixth, which the platform does not excuse; a request that was accepted while Cut ran was not ended by it.

Change: the two margins take at most a twelfth each, and a request that is accepted late checks for the cut itself. Measured: the test of the phases now covers 0.1 to 30 s; 1 to 3 s failed before (2.4 of at least 2.5 s for 3 s).

--- a/entry/stop_phases.go
+++ b/entry/stop_phases.go
@@ -13,8 +13,9 @@
 	exitMargin = 300 * time.Millisecond
 	// answerMargin is the time between the cut of the requests in progress and the exit, for writing their answers.
 	answerMargin = 300 * time.Millisecond
-	// marginPart is the part of a short grace period that exitMargin and answerMargin each take at most.
-	marginPart = 0.1
+	// marginPart is the part of a short grace period that exitMargin and answerMargin each take at most. Requests whose
+	// endpoint is still at work may be cut in the last sixth of the grace period only.
+	marginPart = 1.0 / 12
 	// requestPart and connectionPart are the parts of a short grace period during which requests and connections are
 	// accepted.
 	requestPart, connectionPart = 0.4, 0.6
--- a/entry/stop_phases_test.go
+++ b/entry/stop_phases_test.go
@@ -22,7 +22,9 @@
 	})
 
 	// Guards against requests that are cut although the platform would let them run on.
-	It("cuts requests in the last sixth of the platform's grace period", func() {
-		Expect(newStopPhases(8 * time.Second).cut).To(BeNumerically(">=", 8*time.Second*5/6))
+	It("cuts requests in the last sixth of the grace period", func() {
+		for grace := 100 * time.Millisecond; grace <= 30*time.Second; grace += 100 * time.Millisecond {
+			Expect(newStopPhases(grace).cut).To(BeNumerically(">=", grace*5/6))
+		}
 	})
 })
--- a/forward/server.go
+++ b/forward/server.go
@@ -188,6 +188,9 @@
 	s.deps.Metrics.InProgress.Inc(1)
 	s.progress.add(e)
 	e.accepted = true
+	if s.cutting.Load() { // Cut may not have seen the exchange
+		e.cancel()
+	}
 	e.watchCaller()
 	answer, err := e.sendWithRetries()
 	switch {
