Keep a daemon running when nothing reads its log any more

A daemon whose standard output was a closed pipe ended by SIGPIPE at its next log line, with all requests in progress.

Change: both daemons ignore SIGPIPE; a write to the log then fails as any other.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	ignoreBrokenOutput()
 	limitMemory(settings.MemoryMB)
 	log := boundedlog.New(c.stdout, boundedlog.Config{Level: slog.LevelInfo})
 	defer log.Close()
@@ -73,6 +74,9 @@
 	}
 }
 
+// ignoreBrokenOutput makes writes to a closed standard output or standard error fail, instead of ending the process.
+func ignoreBrokenOutput() { signal.Ignore(syscall.SIGPIPE) }
+
 // stopOnSignal starts a planned stop on SIGTERM or SIGINT.
 func stopOnSignal(instance *entry.Instance) {
 	signals := make(chan os.Signal, 1)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	ignoreBrokenOutput()
 	instance, err := knapweedhoist.New(cfg.Log.Logger(c.stderr), cfg)
 	if err != nil {
 		return err
