upstream: an answer that is reset while its request is written is truncated

Callers saw: an answer with neither a length nor chunks whose connection was reset before its end came as a complete success, if the request was still being written at that moment. Cause: the kernel reports an error of a connection once. If the write of the request got it, the read of the body ended as after a FIN, which completes such a body. Change: at the end of the connection, such a body is complete only if the write of the request did not fail, or failed after a FIN (EPIPE). A write in progress is ended then, without a wait; the connection is not used again in any case. In response_test.go the response now has a connection and a finished write, which the check needs.

--- a/upstream/body.go
+++ b/upstream/body.go
@@ -15,8 +15,9 @@
 	trailerReader *bufio.Reader
 	// remaining is the number of unread bytes of a body with a length, -1 for other bodies.
 	remaining int
-	// untilClose means that the end of the connection delimits the body.
+	// untilClose means that the end of the connection delimits the body. wasReset then reports whether a reset ended it.
 	untilClose bool
+	wasReset   func() bool
 	// complete is set when the body was read to its end.
 	complete bool
 }
@@ -36,7 +37,7 @@
 		return n, nil
 	case !errors.Is(err, io.EOF):
 		return n, truncatedError(err)
-	case b.remaining > 0:
+	case b.remaining > 0, b.untilClose && b.wasReset():
 		return n, ErrTruncated
 	}
 	if b.trailerReader != nil {
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"errors"
 	"io"
 	"net/http/httputil"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -41,10 +44,21 @@
 	case length == -1:
 		r.Body = &Body{reader: httputil.NewChunkedReader(r.conn.reader), trailerReader: r.conn.reader, remaining: -1}
 	default:
-		r.Body = &Body{reader: r.conn.reader, remaining: -1, untilClose: true}
+		r.Body = &Body{reader: r.conn.reader, remaining: -1, untilClose: true, wasReset: r.wasReset}
 	}
 }
 
+// wasReset reports whether the writing of the request failed by a reset, once reads have come to the end of the connection.
+// The kernel reports an error of a connection once: after a write got it, reads end as after a FIN. Of a request that is
+// still being written, the rest is not sent.
+func (r *Response) wasReset() bool {
+	_ = r.conn.SetWriteDeadline(time.Unix(1, 0))
+	err := <-r.writeDone
+	r.writeDone <- err
+	// EPIPE means that a FIN came before the reset.
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE)
+}
+
 // SetReadDeadline replaces the time at which reads of the body fail.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.SetReadDeadline(t) }
 
--- a/upstream/response_test.go
+++ b/upstream/response_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
 	"strings"
 	"testing"
 
@@ -18,7 +19,9 @@
 
 var _ = Describe("Response", func() {
 	read := func(text string) (string, error) {
-		r := &Response{conn: &conn{reader: bufio.NewReader(strings.NewReader(text))}}
+		local, _ := net.Pipe()
+		r := &Response{conn: &conn{Conn: local, reader: bufio.NewReader(strings.NewReader(text))}, writeDone: make(chan error, 1)}
+		r.writeDone <- nil
 		Expect(r.Header.Read(r.conn.reader)).To(Succeed())
 		r.initBody(false)
 		body, err := io.ReadAll(r.Body)
