objectrelay: an answer of a relay without a version or an age is an error

Users could see: an instance without any endpoint, or with old data that counts as new, after an answer 200 with no body or a part of one, from a relay's address. Relays send a length, with which a cut answer was an error already; but a program of another service may answer at the address of a relay that is gone, and an empty body is a valid message. Cause: a prefix of the message that ends between two fields decodes as a message, with version 0 or age 0. Change: a message without a version or an age, its last fields, is ErrUnavailable, so that the read goes to the store. Relays send an age of at least 1 ms. An instance of the version before sends 0 only for an age of exactly 0; its readers then ask the store.

--- /dev/null
+++ b/objectrelay/cut_answer_test.go
@@ -0,0 +1,56 @@
+package objectrelay
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"knapweedhoist/internal/rawserver"
+	"knapweedhoist/objectapi"
+)
+
+var _ = Describe("The answer of a relay", func() {
+	var server *rawserver.Server
+	var client *Client
+	BeforeEach(func() {
+		var err error
+		server, err = rawserver.New()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		client = NewClient(time.Minute)
+	})
+	object := objectapi.Object{Name: "i-1", Version: 5, Value: []byte("{}")}
+
+	// Guards against an answer that was cut and counts as a list without the objects behind the cut: a prefix of the message can
+	// be a message too.
+	DescribeTable("is an error if it ends early",
+		func(request objectapi.Request, reply objectapi.Reply) {
+			body, err := proto.Marshal(encodeReply(reply))
+			Expect(err).NotTo(HaveOccurred())
+			server.ForEachCut("200 OK", string(body), func(cut rawserver.Cut) {
+				got, err := client.Read(context.Background(), server.Address(), request)
+				if !cut.Whole {
+					Expect(err).To(HaveOccurred(), cut.Text)
+					return
+				}
+				Expect(err).NotTo(HaveOccurred(), cut.Text)
+				Expect(got.Version).To(Equal(reply.Version))
+				Expect(got.Age).To(Equal(reply.Age))
+				Expect(len(got.Objects) + len(got.Events)).To(Equal(1))
+			})
+		},
+		Entry("to a list", objectapi.Request{Op: objectapi.OpList}, objectapi.Reply{Version: 7, Age: time.Second, Objects: []objectapi.Object{object}}),
+		Entry("to a watch", objectapi.Request{Op: objectapi.OpWatch, From: 6},
+			objectapi.Reply{Version: 7, Age: time.Second, Events: []objectapi.WatchEvent{{Object: object, Deleted: true}}}),
+	)
+
+	// Guards against a foreign server at the address of a relay that is gone, whose empty answer takes all objects away.
+	It("is an error if it is empty", func() {
+		server.Answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false)
+		_, err := client.Read(context.Background(), server.Address(), objectapi.Request{Op: objectapi.OpList})
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
+	})
+})
--- a/objectrelay/http.go
+++ b/objectrelay/http.go
@@ -85,6 +85,10 @@
 	if err := proto.Unmarshal(response.Body, &message); err != nil {
 		return objectapi.Reply{}, fmt.Errorf("%w: %w", objectapi.ErrUnavailable, err)
 	}
+	// They are the last fields, so that a message that was cut lacks one of them.
+	if message.Version == 0 || message.AgeMs == 0 {
+		return objectapi.Reply{}, fmt.Errorf("%w: answer without a version or an age", objectapi.ErrUnavailable)
+	}
 	return decodeReply(&message, kind), nil
 }
 
--- a/objectrelay/message.go
+++ b/objectrelay/message.go
@@ -10,9 +10,9 @@
 	"knapweedhoist/wire"
 )
 
-// encodeReply returns a reply as a wire message.
+// encodeReply returns a reply as a wire message. Its age is at least 1 ms, since readers refuse a message without an age.
 func encodeReply(reply objectapi.Reply) *wire.RelayedObjects {
-	message := &wire.RelayedObjects{Version: uint64(reply.Version), AgeMs: ceilMilliseconds(reply.Age)}
+	message := &wire.RelayedObjects{Version: uint64(reply.Version), AgeMs: max(ceilMilliseconds(reply.Age), 1)}
 	for _, object := range reply.Objects {
 		message.Objects = append(message.Objects, encodeObject(object))
 	}
