httpcall: a watch answered without a body no longer panics

Cause: Open and Fetch read the body stream of the response, which is nil for a status without a body. Change: such a response has an empty body. Test: TestAnswerWithoutBody panicked before the change and passes after it.

--- a/internal/httpcall/client_test.go
+++ b/internal/httpcall/client_test.go
@@ -180,3 +180,23 @@
 	_, err = client.Open(t.Context(), httpcall.Request{Method: "POST", Path: "/x"})
 	g.Expect(err).To(MatchError(httpcall.ErrNotSent))
 }
+
+// Guards against a panic at a watch or an opened stream that is answered without a body.
+func TestAnswerWithoutBody(t *testing.T) {
+	for _, status := range []string{"204 No Content", "304 Not Modified"} {
+		t.Run(status, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := &server{script: func(conn net.Conn, _ int32) {
+					_ = readRequest(bufio.NewReader(conn))
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\n\r\n")
+				}}
+				client := s.client()
+				response, err := client.Fetch(t.Context(), httpcall.Request{Method: "GET", Path: "/x"}, time.Second)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(response.Body).To(BeEmpty())
+				closeAndWait(client)
+			})
+		})
+	}
+}
--- a/internal/httpcall/stream.go
+++ b/internal/httpcall/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -79,8 +80,11 @@
 	if err := response.ReadLimitBody(bufio.NewReader(conn), cfg.MaxResponseBytes); err != nil {
 		return nil, fmt.Errorf("receive header: %w", err)
 	}
-	header := Response{Status: response.StatusCode(), Header: headerFields(response)}
-	return &Stream{Response: header, Body: response.BodyStream()}, nil
+	stream := &Stream{Response: Response{Status: response.StatusCode(), Header: headerFields(response)}, Body: http.NoBody}
+	if body := response.BodyStream(); body != nil { // nil for a status that has no body
+		stream.Body = body
+	}
+	return stream, nil
 }
 
 func writeRequest(conn net.Conn, request Request, cfg Config) error {
