forward: a stream that goes on without an event is complete

Cause: a stream that ends without an event counted as incomplete, also if it goes on after an event, when nothing may be left. Change: it is complete if it goes on after an event, for the system's resume and for a request with Last-Event-Id. It is no evidence that the endpoint can answer the request's prompt, so that quarantines stay.

--- a/forward/header_codec.go
+++ b/forward/header_codec.go
@@ -35,6 +35,8 @@
 	PromptTokens int
 	// OutputTokens is the largest number of tokens that the answer may have.
 	OutputTokens int
+	// Continues is set if the caller asks to go on with a stream after an event that it has.
+	Continues bool
 }
 
 // Attempt holds the header fields that the system sets on one send to an endpoint.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -24,15 +24,20 @@
 	err error
 }
 
-// openStream waits for the first events, so that a request whose endpoint fails before them can still be sent again.
+// openStream waits for the first events, so that a request whose endpoint fails before them can still be sent again. A stream
+// that ends without an event is complete only if it goes on after one: the end of the stream before it was lost.
 func (e *exchange) openStream(answer *upstream.Response) (*endpointAnswer, *failure) {
 	stream := &eventStream{exchange: e, answer: answer, reader: newEventReader(answer.Body)}
 	pending, err := stream.reader.next()
-	if err != nil {
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF // a stream that ends without an event is incomplete
-		}
+	switch {
+	case err == nil:
+	case !errors.Is(err, io.EOF):
 		return nil, e.abortSend(answer, err)
+	case e.lastEventID == "" && !e.request.Continues:
+		return nil, e.abortSend(answer, io.ErrUnexpectedEOF)
+	default:
+		e.recordStart()
+		return &endpointAnswer{header: &answer.Header, stream: stream}, nil // Read returns the end
 	}
 	now := time.Now()
 	e.inFlight.FirstToken(now)
@@ -52,7 +57,7 @@
 
 // Read implements io.Reader.
 func (s *eventStream) Read(p []byte) (int, error) {
-	if len(s.pending) == 0 && s.err == nil {
+	for len(s.pending) == 0 && s.err == nil {
 		if err := contain.Run(s.exchange.server.deps.Log, "read stream", s.readEvents); err != nil {
 			s.answer.Abort()
 			s.err = err
@@ -76,7 +81,9 @@
 		s.setPending(events)
 	case errors.Is(err, io.EOF):
 		s.endSend(dispatch.Served)
-		s.exchange.recordProgress()
+		if !s.exchange.firstEventAt.IsZero() {
+			s.exchange.recordProgress()
+		}
 		s.err = io.EOF
 	default:
 		s.resume(err)
