Allow endpoints to read a long request body late

A sound exchange was reset after 1.8 s if its endpoint had stopped reading the request's body, also while it streamed its answer: the kernel applies TCP_USER_TIMEOUT to a closed window as well, although each probe is acknowledged. Callers saw a truncated stream, or 502 for an unsafe request that ran on.

Change: the timeout is off while a request with a body of more than 64 KiB is exchanged.

--- a/upstream/config.go
+++ b/upstream/config.go
@@ -26,6 +26,11 @@
 // retransmissions, shorter than the gap after which callers abandon a stream.
 const unacknowledgedTimeout = 1800 * time.Millisecond
 
+// maxWindowBytes is the size of a request that fits into the receive window of every endpoint. The kernel applies
+// unacknowledgedTimeout to a closed window as well, although the endpoint then acknowledges each probe; the timeout is
+// therefore switched off for longer requests, which the deadline and the keep-alive probes bound.
+const maxWindowBytes = 64 << 10
+
 // sockoptTCPUserTimeout is the socket option TCP_USER_TIMEOUT of tcp(7), which package syscall does not define.
 const sockoptTCPUserTimeout = 0x12
 
@@ -44,10 +49,15 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			return raw.Control(func(fd uintptr) {
-				// An error is ignored: without the option, the keep-alive probes still detect an unresponsive host, only later.
-				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, sockoptTCPUserTimeout, int(unacknowledgedTimeout.Milliseconds()))
+				setUnacknowledgedTimeout(fd, unacknowledgedTimeout)
 			})
 		},
 	}
 	return dialer.DialContext(ctx, "tcp", address)
 }
+
+// setUnacknowledgedTimeout sets the time after which the kernel closes a connection with unacknowledged bytes; 0 leaves it to
+// the kernel's retransmissions. An error is ignored: the keep-alive probes still detect an unresponsive host, only later.
+func setUnacknowledgedTimeout(fd uintptr, timeout time.Duration) {
+	_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, sockoptTCPUserTimeout, int(timeout.Milliseconds()))
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"syscall"
 	"time"
 
 	"knapweedhoist/internal/socket"
@@ -19,12 +20,34 @@
 	writer *bufio.Writer
 	// reusableUntil is the time until which an idle connection may be used again.
 	reusableUntil time.Time
+	// untimed is set while unacknowledgedTimeout is switched off.
+	untimed bool
 }
 
 func newConn(raw net.Conn) *conn {
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes), writer: bufio.NewWriterSize(raw, bufferBytes)}
 }
 
+// prepare sets the timeout for unacknowledged bytes for a request with a body of the given size.
+func (c *conn) prepare(bodyBytes int) {
+	untimed := bodyBytes > maxWindowBytes
+	access, ok := c.Conn.(syscall.Conn)
+	if !ok || untimed == c.untimed {
+		return
+	}
+	raw, err := access.SyscallConn()
+	if err != nil {
+		return // the connection is closed, which the exchange reports
+	}
+	timeout := unacknowledgedTimeout
+	if untimed {
+		timeout = 0
+	}
+	if raw.Control(func(fd uintptr) { setUnacknowledgedTimeout(fd, timeout) }) == nil {
+		c.untimed = untimed
+	}
+}
+
 // abort resets the connection. The kernel then drops what it has not delivered, so that the endpoint does not get the rest
 // of a request that was given up.
 func (c *conn) abort() {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.prepare(len(request.Body))
 	if request.Sent != nil {
 		request.Sent()
 	}
