forward: bound incomplete events and buffered answers by their memory

Callers of an instance lose their requests when its process exceeds its memory. A server that sends bytes without end, or stops inside an event or a body, could bring that about for any number of requests at once.

Cause: an event was bounded to 1 MiB, but not all events together. A buffered answer counted with its content only, while its buffer held up to twice as much, three times while it grew. Memory taken by the failed attempts of a request counted until its end.

Change: answerBuffer holds the bytes of an answer that are not passed on yet, for events and for buffered answers. It takes its size from answerMemory before it grows and returns it when the attempt or the answer ends, a stream also after a large event. Up to 16 KiB take nothing. A buffer leaves at least as much free as it takes, so that answers without end cannot use up the memory of sound ones.

The tests of answerMemory and eventReader are the earlier cases on the new functions, with more assertions: the reader of a whole body is now a method of the buffer, and its memory counts by capacity.

--- a/entry/settings.go
+++ b/entry/settings.go
@@ -163,10 +163,10 @@
 // thousand is the number of units of weight per processor core.
 const thousand = 1000
 
-// answerMemoryShare is the share of MemoryMB that buffered answers may take.
+// answerMemoryShare is the share of MemoryMB that buffered answers and incomplete events may take.
 const answerMemoryShare = 0.25
 
-// maxAnswerMemory is the memory in bytes that buffered answers may take, 0 for the default.
+// maxAnswerMemory is that share in bytes, 0 for the default.
 func (s Settings) maxAnswerMemory() int {
 	return int(answerMemoryShare * float64(s.MemoryMB) * (1 << 20))
 }
--- a/forward/answer_memory.go
+++ b/forward/answer_memory.go
@@ -1,45 +1,40 @@
 package forward
 
 import (
-	"bytes"
 	"errors"
-	"io"
 	"sync/atomic"
 )
 
-// answerMemory bounds the memory of all buffered answers together, since endpoints in trouble may send bodies without end
-// to many requests at the same time. It is safe for concurrent use.
+// answerMemory bounds the memory of all answerBuffers together, since endpoints in trouble may send bytes without end to
+// many requests at the same time. It is safe for concurrent use.
 type answerMemory struct {
+	// limit is in bytes.
 	limit int64
 	used  atomic.Int64
 }
 
-// errAnswerMemory is returned for an answer that does not fit beside the other buffered ones.
+// errAnswerMemory is returned for an answer that does not fit beside the others in progress.
 var errAnswerMemory = errors.New("no memory left for the answer")
 
-// answerBlockBytes is the unit in which answers take memory.
-const answerBlockBytes = 64 << 10
+// freeBufferBytes is the size up to which a buffer does not count, so that answers of the usual size are never refused.
+const freeBufferBytes = 16 << 10
 
-// read reads a body of at most maxBytes. The caller passes the taken memory to release when the body is no longer needed.
-func (m *answerMemory) read(body io.Reader, maxBytes int64) (content []byte, taken int64, err error) {
-	var buffer bytes.Buffer
-	for {
-		if m.used.Add(answerBlockBytes) > m.limit {
-			m.used.Add(-answerBlockBytes)
-			return nil, taken, errAnswerMemory
-		}
-		taken += answerBlockBytes
-		n, err := io.CopyN(&buffer, body, answerBlockBytes)
-		switch {
-		case errors.Is(err, io.EOF):
-			return buffer.Bytes(), taken, nil
-		case err != nil:
-			return nil, taken, err
-		case n == answerBlockBytes && int64(buffer.Len()) > maxBytes:
-			return nil, taken, errAnswerTooLarge
-		}
+// take reserves the memory of a buffer. It leaves at least as much free as it takes: however many endpoints send without
+// end, some memory remains for the other answers.
+func (m *answerMemory) take(size int) error {
+	if size <= freeBufferBytes {
+		return nil
 	}
+	if used := m.used.Add(int64(size)); used+int64(size) > m.limit {
+		m.used.Add(-int64(size))
+		return errAnswerMemory
+	}
+	return nil
 }
 
-// release returns memory that read has taken.
-func (m *answerMemory) release(taken int64) { m.used.Add(-taken) }
+// release returns the memory of a buffer.
+func (m *answerMemory) release(size int) {
+	if size > freeBufferBytes {
+		m.used.Add(-int64(size))
+	}
+}
--- a/forward/answer_memory_test.go
+++ b/forward/answer_memory_test.go
@@ -15,26 +15,45 @@
 func (endless) Read(p []byte) (int, error) { return len(p), nil }
 
 var _ = Describe("answerMemory", func() {
+	read := func(m *answerMemory, body io.Reader, maxBytes int) (string, *answerBuffer, error) {
+		buffer := newAnswerBuffer(m, initialBufferBytes)
+		content, err := buffer.readAll(body, maxBytes)
+		Expect(m.used.Load()).To(BeNumerically("<=", m.limit))
+		return string(content), buffer, err
+	}
+
 	// Guards against a process that ends for lack of memory because endpoints send bodies without end.
 	It("bounds one answer, and all answers together", func() {
 		m := &answerMemory{limit: 4 << 20}
-		_, taken, err := m.read(endless{}, 1<<20)
+		_, buffer, err := read(m, endless{}, 1<<20)
 		Expect(err).To(MatchError(errAnswerTooLarge))
-		Expect(taken).To(BeNumerically("<=", 2<<20))
+		Expect(buffer.bytes).To(HaveLen(1<<20 + 1))
 		for range 3 {
-			_, _, err = m.read(endless{}, 1<<20)
+			_, _, err = read(m, endless{}, 1<<20)
 		}
 		Expect(err).To(MatchError(errAnswerMemory))
-		Expect(m.used.Load()).To(BeNumerically("<=", m.limit))
+	})
+
+	// Guards against sound answers that fail because bodies without end use up the memory.
+	It("leaves room for a sound answer beside any number of bodies without end", func() {
+		m, sound := &answerMemory{limit: 4 << 20}, strings.Repeat("s", freeBufferBytes)
+		for range 100 {
+			_, _, err := read(m, endless{}, 1<<20)
+			Expect(err).To(HaveOccurred())
+		}
+		content, _, err := read(m, strings.NewReader(sound[1:]), 1<<20)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(content).To(Equal(sound[1:]))
 	})
 
 	It("returns the memory of an answer that is no longer needed", func() {
-		m := &answerMemory{limit: answerBlockBytes}
+		m, body := &answerMemory{limit: 8 * freeBufferBytes}, strings.Repeat("b", 2*freeBufferBytes)
 		for range 3 {
-			content, taken, err := m.read(strings.NewReader("body"), 1<<20)
+			content, buffer, err := read(m, strings.NewReader(body), len(body))
 			Expect(err).NotTo(HaveOccurred())
-			Expect(string(content)).To(Equal("body"))
-			m.release(taken)
+			Expect(content).To(Equal(body))
+			buffer.release()
+			Expect(m.used.Load()).To(BeZero())
 		}
 	})
 
@@ -42,9 +61,9 @@
 	It("returns the error of a body that ends early", func() {
 		m := &answerMemory{limit: 1 << 20}
 		broken := errors.New("broken")
-		_, taken, err := m.read(io.MultiReader(strings.NewReader("half"), failing{broken}), 1<<20)
+		_, buffer, err := read(m, io.MultiReader(strings.NewReader("half"), failing{broken}), 1<<20)
 		Expect(err).To(MatchError(broken))
-		m.release(taken)
+		buffer.release()
 		Expect(m.used.Load()).To(BeZero())
 	})
 })
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -234,8 +234,7 @@
 
 // readBuffered reads the complete body. An answer with a 5xx status is returned together with a failure.
 func (e *exchange) readBuffered(answer *upstream.Response, status int) (*endpointAnswer, *failure) {
-	body, taken, err := e.server.answers.read(answer.Body, maxAnswerBytes)
-	e.answerBytes += taken
+	body, err := e.newBuffer(bodyBufferBytes(answer)).readAll(answer.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, e.abortSend(answer, err)
 	}
@@ -254,6 +253,11 @@
 	return buffered, &failure{cause: causeBroken, err: statusError(status)}
 }
 
+// bodyBufferBytes returns the initial size of the buffer for a body. A byte more than the length is read to find the end.
+func bodyBufferBytes(answer *upstream.Response) int {
+	return min(max(answer.Header.ContentLength()+1, initialBufferBytes), freeBufferBytes)
+}
+
 // allowRetry reports whether the request is sent again after a failed attempt, and takes the retry from the budget
 // unless the request did not reach the endpoint.
 func (e *exchange) allowRetry(failed *failure) bool {
--- a/forward/events.go
+++ b/forward/events.go
@@ -20,19 +20,19 @@
 
 // eventReader splits a stream of server-sent events into complete events.
 type eventReader struct {
-	src io.Reader
-	buf []byte
-	// start and end delimit the bytes of buf that were read from src and not yet returned.
+	src    io.Reader
+	buffer *answerBuffer
+	// start and end delimit the bytes of buffer that were read from src and not yet returned.
 	start, end int
 	// err is the error of the last read of src.
 	err error
 }
 
-// initialBufferBytes is the initial size of an eventReader's buffer; it fits several events.
+// initialBufferBytes is the usual size of an eventReader's buffer; it fits several events.
 const initialBufferBytes = 2048
 
-func newEventReader(src io.Reader) *eventReader {
-	return &eventReader{src: src, buf: make([]byte, initialBufferBytes)}
+func newEventReader(src io.Reader, buffer *answerBuffer) *eventReader {
+	return &eventReader{src: src, buffer: buffer}
 }
 
 // next returns all complete events that have arrived, at least one, each with
@@ -41,8 +41,8 @@
 // event remains.
 func (r *eventReader) next() ([]byte, error) {
 	for {
-		if length := lastEventEnd(r.buf[r.start:r.end]); length > 0 {
-			events := r.buf[r.start : r.start+length]
+		if length := lastEventEnd(r.unread()); length > 0 {
+			events := r.unread()[:length]
 			r.start += length
 			return events, nil
 		}
@@ -55,6 +55,9 @@
 	}
 }
 
+// unread returns the bytes that were read from src and not yet returned.
+func (r *eventReader) unread() []byte { return r.buffer.bytes[r.start:r.end] }
+
 // endError returns the read error, or errTruncatedEvent for an io.EOF inside an event.
 func (r *eventReader) endError() error {
 	if errors.Is(r.err, io.EOF) && r.start < r.end {
@@ -63,25 +66,41 @@
 	return r.err
 }
 
-// fill reads more bytes into buf, which grows up to maxEventBytes. A read error is
+// fill reads more bytes into the buffer, which grows up to maxEventBytes. A read error is
 // stored in r.err, so that next returns the complete events before it.
 func (r *eventReader) fill() error {
-	if r.start > 0 {
-		r.end = copy(r.buf, r.buf[r.start:r.end])
-		r.start = 0
-	}
-	if r.end == len(r.buf) {
-		if len(r.buf) >= maxEventBytes {
-			return fmt.Errorf("%w: more than %d bytes", errEventTooLong, maxEventBytes)
-		}
-		r.buf = append(r.buf, make([]byte, len(r.buf))...)
+	if err := r.makeRoom(); err != nil {
+		return err
 	}
 	var n int
-	n, r.err = r.src.Read(r.buf[r.end:])
+	n, r.err = r.src.Read(r.buffer.bytes[r.end:])
 	r.end += n
 	return nil
 }
 
+// makeRoom removes the bytes that were returned and grows the buffer if an event fills it. After a large event the buffer
+// has its usual size again.
+func (r *eventReader) makeRoom() error {
+	unread, size := r.unread(), len(r.buffer.bytes)
+	switch {
+	case len(unread) == size && size >= maxEventBytes:
+		return fmt.Errorf("%w: more than %d bytes", errEventTooLong, maxEventBytes)
+	case len(unread) == size:
+		size *= 2
+	case len(unread) < initialBufferBytes && size > freeBufferBytes:
+		size = initialBufferBytes
+	}
+	if size != len(r.buffer.bytes) {
+		if err := r.buffer.resize(size, unread); err != nil {
+			return err
+		}
+	} else if r.start > 0 {
+		copy(r.buffer.bytes, unread)
+	}
+	r.start, r.end = 0, len(unread)
+	return nil
+}
+
 // lastEventEnd returns the length of the complete events at the start of b.
 func lastEventEnd(b []byte) int {
 	end := 0
--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -11,8 +12,17 @@
 	"pgregory.net/rapid"
 )
 
+func testEventReader(src io.Reader) *eventReader {
+	return newEventReader(src, newAnswerBuffer(&answerMemory{limit: 4 * maxEventBytes}, initialBufferBytes))
+}
+
 var _ = Describe("eventReader", func() {
 	read := func(r *eventReader) (string, error) {
+		defer func() {
+			memory := r.buffer.memory
+			r.buffer.release()
+			Expect(memory.used.Load()).To(BeZero())
+		}()
 		var all strings.Builder
 		for {
 			events, err := r.next()
@@ -24,22 +34,51 @@
 	}
 
 	It("guards against events that are dropped or changed on their way to the caller", func() {
-		all, err := read(newEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\r\n\r\n")))
+		all, err := read(testEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\r\n\r\n")))
 		Expect(all).To(Equal("id: 1\ndata: a\n\nid: 2\ndata: b\r\n\r\n"))
 		Expect(err).To(Equal(io.EOF))
 	})
 
 	It("guards against passing on an incomplete event of an endpoint that crashed", func() {
-		all, err := read(newEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda")))
+		all, err := read(testEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda")))
 		Expect(all).To(Equal("id: 1\ndata: a\n\n"))
 		Expect(err).To(MatchError(errTruncatedEvent))
 	})
 
 	It("guards against buffering an event without end", func() {
-		_, err := read(newEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1))))
+		_, err := read(testEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1))))
 		Expect(err).To(MatchError(errEventTooLong))
 	})
 
+	It("guards against a stream that keeps the memory of a large event, and against the loss of what follows it", func() {
+		large, small := "data: "+strings.Repeat("x", maxEventBytes/2)+"\n\n", "data: a\n\n"
+		r := testEventReader(io.MultiReader(strings.NewReader(large), strings.NewReader(small)))
+		events, err := r.next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(events)).To(Equal(large))
+		Expect(r.buffer.memory.used.Load()).To(BeNumerically(">", len(large)))
+		events, err = r.next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(events)).To(Equal(small))
+		Expect(r.buffer.memory.used.Load()).To(BeZero())
+	})
+
+	It("guards against many events without end that together exceed the memory", func() {
+		memory, refused := &answerMemory{limit: 4 * maxEventBytes}, 0
+		for range 40 {
+			_, err := newEventReader(endless{}, newAnswerBuffer(memory, initialBufferBytes)).next()
+			if errors.Is(err, errAnswerMemory) {
+				refused++
+			}
+			Expect(memory.used.Load()).To(BeNumerically("<=", memory.limit))
+		}
+		Expect(refused).To(BeNumerically(">", 30))
+		sound := "data: " + strings.Repeat("x", freeBufferBytes/2) + "\n\n"
+		events, err := newEventReader(strings.NewReader(sound), newAnswerBuffer(memory, initialBufferBytes)).next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(events)).To(Equal(sound))
+	})
+
 	It("guards against resuming after the wrong event: takes ids from id fields only", func() {
 		Expect(lastEventID([]byte("id: 1\ndata: a\n\nid: 22\ndata: id: 3\n\n"))).To(Equal("22"))
 		Expect(lastEventID([]byte("data: a\n\n"))).To(Equal(""))
@@ -53,7 +92,7 @@
 		complete := rapid.SliceOfN(rapid.StringMatching(`data: [a-z]{0,40}\n\n`), 0, 20).Draw(t, "events")
 		rest := rapid.StringMatching(`[a-z]{0,5}`).Draw(t, "rest")
 		text := strings.Join(complete, "")
-		r := newEventReader(iotest.OneByteReader(strings.NewReader(text + rest)))
+		r := testEventReader(iotest.OneByteReader(strings.NewReader(text + rest)))
 		var got strings.Builder
 		for {
 			events, err := r.next()
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -51,8 +51,8 @@
 	// firstEventAt is the time of the first event of the current send, progressed whether its answer went on after that.
 	firstEventAt time.Time
 	progressed   bool
-	// answerBytes is the memory that buffered answers took.
-	answerBytes int64
+	// buffer holds what was read of the current endpoint's answer and not passed on; nil before the first answer.
+	buffer      *answerBuffer
 	watchedConn *clientConn
 }
 
@@ -73,10 +73,23 @@
 		e.watchedConn.unwatch()
 	}
 	e.cancel()
-	e.server.answers.release(e.answerBytes)
+	e.releaseBuffer()
 	e.server.deps.Metrics.InProgress.Dec(1)
 }
 
+// newBuffer returns the buffer for an answer. It replaces that of the answer before.
+func (e *exchange) newBuffer(size int) *answerBuffer {
+	e.releaseBuffer()
+	e.buffer = newAnswerBuffer(&e.server.answers, size)
+	return e.buffer
+}
+
+func (e *exchange) releaseBuffer() {
+	if e.buffer != nil {
+		e.buffer.release()
+	}
+}
+
 // recordStart calls Deps.RecordStart for the team, if there is one, at the first call.
 func (e *exchange) recordStart() {
 	if e.started {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -26,7 +26,7 @@
 
 // openStream waits for the first events, so that a request whose endpoint fails before them can still be sent again.
 func (e *exchange) openStream(answer *upstream.Response) (*endpointAnswer, *failure) {
-	stream := &eventStream{exchange: e, answer: answer, reader: newEventReader(answer.Body)}
+	stream := &eventStream{exchange: e, answer: answer, reader: newEventReader(answer.Body, e.newBuffer(initialBufferBytes))}
 	pending, err := stream.reader.next()
 	if err != nil {
 		if errors.Is(err, io.EOF) {
