forward: leave more memory free for small answers

A buffer left only as much free as it took, which many buffers of the same size use up.

Change: a buffer leaves eight times its size free, at most a quarter of the limit.

--- a/forward/answer_memory.go
+++ b/forward/answer_memory.go
@@ -19,13 +19,20 @@
 // freeBufferBytes is the size up to which a buffer does not count, so that answers of the usual size are never refused.
 const freeBufferBytes = 16 << 10
 
-// take reserves the memory of a buffer. It leaves at least as much free as it takes: however many endpoints send without
-// end, some memory remains for the other answers.
+// A buffer leaves headroomFactor times its size free, or the limit divided by headroomFraction if that is less.
+const (
+	headroomFactor   = 8
+	headroomFraction = 4
+)
+
+// take reserves the memory of a buffer. It fails if that leaves too little free for smaller buffers: however many endpoints
+// send without end, the answers of sound ones find memory.
 func (m *answerMemory) take(size int) error {
 	if size <= freeBufferBytes {
 		return nil
 	}
-	if used := m.used.Add(int64(size)); used+int64(size) > m.limit {
+	headroom := min(headroomFactor*int64(size), m.limit/headroomFraction)
+	if used := m.used.Add(int64(size)); used+headroom > m.limit {
 		m.used.Add(-int64(size))
 		return errAnswerMemory
 	}
--- a/forward/config.go
+++ b/forward/config.go
@@ -23,7 +23,7 @@
 	// MaxBodyBytes bounds a request's body, in addition to the limit of the platform's configuration. Default 16 MiB.
 	MaxBodyBytes int
 	// MaxAnswerMemory bounds the memory in bytes of all buffered answers and incomplete events of streams together, except
-	// those of up to 16 KiB. One answer gets at most half of what is free. Default 64 MiB.
+	// those of up to 16 KiB. Buffers above 2 MiB leave a quarter of it to smaller ones. Default 64 MiB.
 	MaxAnswerMemory int
 	// ReadTimeout bounds the time to read one request. Default 10 s.
 	ReadTimeout time.Duration
