forward: search each byte of a stream once for the end of an event

An endpoint that sent an event without end in chunks of one byte took 3 s of processor time of the calling instance for 1 MiB, at which the stream is cut off.

Cause: after each read, up to 680 bytes of such chunks, the whole buffer was searched again.

Change: the reader remembers how far it has searched. The property test of event boundaries also draws CRLF events.

--- a/forward/events.go
+++ b/forward/events.go
@@ -24,6 +24,8 @@
 	buffer *answerBuffer
 	// start and end delimit the bytes of buffer that were read from src and not yet returned.
 	start, end int
+	// searched is the number of bytes from start that are known to contain no end of an event.
+	searched int
 	// err is the error of the last read of src.
 	err error
 }
@@ -41,9 +43,7 @@
 // event remains.
 func (r *eventReader) next() ([]byte, error) {
 	for {
-		if length := lastEventEnd(r.unread()); length > 0 {
-			events := r.unread()[:length]
-			r.start += length
+		if events := r.takeEvents(); len(events) > 0 {
 			return events, nil
 		}
 		if r.err != nil {
@@ -55,6 +55,21 @@
 	}
 }
 
+// takeEvents returns the complete events among the unread bytes. It searches each byte once: an event of many small reads
+// would otherwise take time with the square of its size.
+func (r *eventReader) takeEvents() []byte {
+	from := max(r.searched-len(eventEndCRLF)+1, 0)
+	length := lastEventEnd(r.unread()[from:])
+	if length == 0 {
+		r.searched = r.end - r.start
+		return nil
+	}
+	events := r.unread()[:from+length]
+	r.start += len(events)
+	r.searched = 0
+	return events
+}
+
 // unread returns the bytes that were read from src and not yet returned.
 func (r *eventReader) unread() []byte { return r.buffer.bytes[r.start:r.end] }
 
--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -89,7 +89,7 @@
 // stream arrives byte by byte.
 func TestEventBoundaries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		complete := rapid.SliceOfN(rapid.StringMatching(`data: [a-z]{0,40}\n\n`), 0, 20).Draw(t, "events")
+		complete := rapid.SliceOfN(rapid.StringMatching(`data: [a-z]{0,40}(\n\n|\r\n\r\n)`), 0, 20).Draw(t, "events")
 		rest := rapid.StringMatching(`[a-z]{0,5}`).Draw(t, "rest")
 		text := strings.Join(complete, "")
 		r := testEventReader(iotest.OneByteReader(strings.NewReader(text + rest)))
@@ -106,3 +106,17 @@
 		}
 	})
 }
+
+// BenchmarkLongEvent reads an event of the largest size in small pieces, as an endpoint in trouble may send it.
+func BenchmarkLongEvent(b *testing.B) {
+	event := strings.Repeat("x", maxEventBytes)
+	for b.Loop() {
+		src := iotest.DataErrReader(&pieces{strings.NewReader(event)})
+		_, _ = testEventReader(src).next()
+	}
+}
+
+// pieces returns at most 680 bytes at a time, as 4 KiB of chunks of one byte hold.
+type pieces struct{ src io.Reader }
+
+func (p *pieces) Read(b []byte) (int, error) { return p.src.Read(b[:min(len(b), 680)]) }
