forward: count a large answer until it is written to the caller

The memory of a buffered answer counted as free from the end of the handler on, before the server had written the body. Any number of large answers to callers that read slowly could fill the memory of the process, beside the bound.

Change: a body whose buffer took memory is a stream of known length that returns the memory when it was written, or writing failed. The framing by length and small answers are as before.

--- a/forward/respond.go
+++ b/forward/respond.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strconv"
@@ -21,12 +22,22 @@
 func (e *exchange) respondBuffered(answer *endpointAnswer) {
 	e.server.deps.Codec.EncodeAnswer(&e.ctx.Response.Header, answer.header)
 	e.ctx.SetStatusCode(answer.header.StatusCode())
-	e.ctx.Response.SetBodyRaw(answer.body)
+	e.setBody(answer.body)
 	e.server.deps.Metrics.recordFirstByte(time.Since(e.arrived))
 	e.server.deps.Metrics.Served.Inc(1)
 	e.logOutcome("request served", answer.header.StatusCode(), nil)
 }
 
+// setBody sets the body of the answer. The memory of a large one is in use until the caller has it.
+func (e *exchange) setBody(body []byte) {
+	if len(e.buffer.bytes) <= freeBufferBytes {
+		e.ctx.Response.SetBodyRaw(body)
+		return
+	}
+	e.ctx.Response.SetBodyStream(&heldBody{Reader: bytes.NewReader(body), buffer: e.buffer}, len(body))
+	e.buffer = nil
+}
+
 // respondStream passes an endpoint's events on to the caller as they arrive.
 func (e *exchange) respondStream(answer *endpointAnswer) {
 	e.server.deps.Codec.EncodeAnswer(&e.ctx.Response.Header, answer.header)
