upstream, forward: count oversized answers, and bound what is logged of them

When an endpoint sent bytes that were no head, the log line of the request held up to 13.7 KB of them, more after JSON escaping, at up to 100 lines a second. An operator could not tell answers beyond a bound from connections that broke.

Cause: fasthttp quotes all bytes of its buffer in the error.

Change: the text of an error of reading a head has at most 200 bytes. ErrOversized marks errors of heads, chunk lines, trailers and skipped answers beyond their bounds. forward counts these and its own bounds in forward_oversized, and logs endpoint, address, step and bound.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -159,11 +159,28 @@
 	default:
 		e.inFlight.Done(now, dispatch.Failed)
 		e.mayHaveRun = true
+		e.recordOversized(err)
 		e.investigateLoss(err)
 		return &failure{cause: causeBroken, err: err}
 	}
 }
 
+// isOversized reports whether err ended an answer with more bytes than its bound, or than there is memory for.
+func isOversized(err error) bool {
+	return errors.Is(err, upstream.ErrOversized) || errors.Is(err, errAnswerTooLarge) ||
+		errors.Is(err, errEventTooLong) || errors.Is(err, errAnswerMemory)
+}
+
+// recordOversized logs and counts an answer that was given up because of its size.
+func (e *exchange) recordOversized(err error) {
+	if !isOversized(err) {
+		return
+	}
+	e.server.deps.Metrics.Oversized.Inc(1)
+	e.server.deps.Log.Warn("oversized answer given up", "step", "read answer", "id", e.request.ID,
+		"endpoint", e.inFlight.Endpoint.ID, "peer", e.inFlight.Endpoint.Address, "reason", err.Error())
+}
+
 // isTimeout reports whether err is a timeout of the connection, of fasthttp or of the context.
 func isTimeout(err error) bool {
 	var timeout net.Error
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -31,6 +31,8 @@
 	Avoided map[dispatch.Reason]metrics.Counter
 	// Crashes counts the sends that were in progress at an endpoint that crashed before it had answered them.
 	Crashes metrics.Counter
+	// Oversized counts the answers that were given up because of their size or of the memory of all answers, see isOversized.
+	Oversized metrics.Counter
 	// FirstByte is the time from the arrival of a request to its answer or first event, in microseconds.
 	FirstByte metrics.Histogram
 	// InProgress is the number of requests that were accepted and have not ended; a stream counts until its end.
@@ -53,6 +55,7 @@
 		},
 		Crashes:     counter("forward_endpoint_crashes"),
 		Quarantined: counter("forward_quarantined"),
+		Oversized:   counter("forward_oversized"),
 		InProgress:  counter("forward_in_progress"),
 		FirstByte: metrics.NewRegisteredHistogram("forward_first_byte_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, 0.015)),
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http/httputil"
 	"strings"
 )
 
@@ -51,6 +52,9 @@
 // truncatedError returns ErrTruncated with the text of err. It does not wrap err, which may be io.EOF, because callers
 // must not take a truncated body for a complete one.
 func truncatedError(err error) error {
+	if errors.Is(err, httputil.ErrLineTooLong) || errors.Is(err, bufio.ErrBufferFull) {
+		return fmt.Errorf("%w: %w: %s", ErrTruncated, ErrOversized, err.Error())
+	}
 	return fmt.Errorf("%w: %s", ErrTruncated, err.Error())
 }
 
@@ -68,5 +72,5 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%w: trailer section of more than %d lines", ErrTruncated, maxTrailerLines)
+	return fmt.Errorf("%w: %w: trailer section of more than %d lines", ErrTruncated, ErrOversized, maxTrailerLines)
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -85,7 +85,7 @@
 func (r *Response) readHeader(request Request, isHead bool) error {
 	for range maxSkippedResponses + 1 {
 		if err := r.Header.Read(r.conn.reader); err != nil {
-			return err
+			return headerError{err}
 		}
 		if status := r.Header.StatusCode(); status >= 100 && status < 200 {
 			continue
@@ -98,12 +98,9 @@
 			return err
 		}
 	}
-	return errors.New("too many informational responses or responses to other requests on the connection")
+	return fmt.Errorf("%w: more than %d informational responses or responses to other requests", ErrOversized, maxSkippedResponses)
 }
 
-// errSkippedTooLarge is returned for a response to another request whose body exceeds maxSkippedBytes.
-var errSkippedTooLarge = errors.New("response to another request is too large")
-
 // skipBody reads a body to its end.
 func skipBody(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes))
@@ -111,7 +108,7 @@
 	case err != nil:
 		return err
 	case n == maxSkippedBytes:
-		return errSkippedTooLarge
+		return fmt.Errorf("%w: response to another request", ErrOversized)
 	default:
 		return nil
 	}
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -186,21 +187,25 @@
 	// Guards against an exchange that reads until its deadline, or fills the memory, while the endpoint sends bytes that are
 	// no answer.
 	DescribeTable("is cut off when it sends bytes without end",
-		func(prefix, text string) {
+		func(oversized bool, prefix, text string) {
 			written, err := endlessAnswer(prefix, text)
 			Expect(err).To(HaveOccurred())
+			Expect(errors.Is(err, ErrOversized)).To(Equal(oversized))
+			Expect(len(err.Error())).To(BeNumerically("<", 2*maxErrorText), "the log line holds the bytes")
 			Expect(written).To(BeNumerically("<", 32<<20))
 		},
-		Entry("no head", "", "x"),
-		Entry("empty lines", "", "\r\n"),
-		Entry("lines of a head", "HTTP/1.1 200 OK\r\n", "A: b\r\n"),
-		Entry("one line of a head", "HTTP/1.1 200 OK\r\nA: ", "b"),
-		Entry("informational answers", "", "HTTP/1.1 100 Continue\r\n\r\n"),
-		Entry("answers to other requests", "", "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\n"),
-		Entry("body of an answer to another request", "HTTP/1.1 200 OK\r\nId: 2\r\n\r\n", "x"),
-		Entry("size of a chunk", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
-		Entry("extension of a chunk", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"),
-		Entry("trailer", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"),
+		Entry("no head", true, "", "x"),
+		Entry("empty lines", false, "", "\r\n"),
+		Entry("lines of no head", false, "", "x\r\n"),
+		Entry("bytes of no head", false, "", "\x00\n"),
+		Entry("lines of a head", true, "HTTP/1.1 200 OK\r\n", "A: b\r\n"),
+		Entry("one line of a head", true, "HTTP/1.1 200 OK\r\nA: ", "b"),
+		Entry("informational answers", true, "", "HTTP/1.1 100 Continue\r\n\r\n"),
+		Entry("answers to other requests", true, "", "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\n"),
+		Entry("body of an answer to another request", true, "HTTP/1.1 200 OK\r\nId: 2\r\n\r\n", "x"),
+		Entry("size of a chunk", true, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
+		Entry("extension of a chunk", true, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"),
+		Entry("trailer", true, "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"),
 	)
 
 	// Guards against a header that is written while the response is read; the race detector sees it.
