internal/boundedbuffer: move the bounded buffers out of package forward

The clients of the store and of the cloud read replies of other processes too and need the same bound. No change of behaviour; the tests move along.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -11,6 +11,7 @@
 
 	"knapweedhoist/deployment"
 	"knapweedhoist/dispatch"
+	"knapweedhoist/internal/boundedbuffer"
 	"knapweedhoist/upstream"
 )
 
@@ -167,8 +168,8 @@
 
 // isOversized reports whether err ended an answer with more bytes than its bound, or than there is memory for.
 func isOversized(err error) bool {
-	return errors.Is(err, upstream.ErrOversized) || errors.Is(err, errAnswerTooLarge) ||
-		errors.Is(err, errEventTooLong) || errors.Is(err, errAnswerMemory)
+	return errors.Is(err, upstream.ErrOversized) || errors.Is(err, boundedbuffer.ErrTooLarge) ||
+		errors.Is(err, errEventTooLong) || errors.Is(err, boundedbuffer.ErrNoMemory)
 }
 
 // recordOversized logs and counts an answer that was given up because of its size.
@@ -191,7 +192,6 @@
 var (
 	errUnsigned         = errors.New("2xx answer without the endpoint's signature")
 	errEncoded          = errors.New("answer body has a content encoding")
-	errAnswerTooLarge   = errors.New("answer body is larger than 16 MiB")
 	errUnexpectedAnswer = errors.New("unexpected answer from the endpoint")
 )
 
@@ -251,7 +251,7 @@
 
 // readBuffered reads the complete body. An answer with a 5xx status is returned together with a failure.
 func (e *exchange) readBuffered(answer *upstream.Response, status int) (*endpointAnswer, *failure) {
-	body, err := e.newBuffer(bodyBufferBytes(answer)).readAll(answer.Body, maxAnswerBytes)
+	body, err := e.newBuffer(bodyBufferBytes(answer)).ReadAll(answer.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, e.abortSend(answer, err)
 	}
@@ -272,7 +272,7 @@
 
 // bodyBufferBytes returns the initial size of the buffer for a body. A byte more than the length is read to find the end.
 func bodyBufferBytes(answer *upstream.Response) int {
-	return min(max(answer.Header.ContentLength()+1, initialBufferBytes), freeBufferBytes)
+	return min(max(answer.Header.ContentLength()+1, initialBufferBytes), boundedbuffer.FreeBytes)
 }
 
 // allowRetry reports whether the request is sent again after a failed attempt, and takes the retry from the budget
--- a/forward/events.go
+++ b/forward/events.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"knapweedhoist/internal/boundedbuffer"
 )
 
 // maxEventBytes is the largest size of one event of a stream.
@@ -21,7 +23,7 @@
 // eventReader splits a stream of server-sent events into complete events.
 type eventReader struct {
 	src    io.Reader
-	buffer *answerBuffer
+	buffer *boundedbuffer.Buffer
 	// start and end delimit the bytes of buffer that were read from src and not yet returned.
 	start, end int
 	// searched is the number of bytes from start that are known to contain no end of an event.
@@ -33,7 +35,7 @@
 // initialBufferBytes is the usual size of an eventReader's buffer; it fits several events.
 const initialBufferBytes = 2048
 
-func newEventReader(src io.Reader, buffer *answerBuffer) *eventReader {
+func newEventReader(src io.Reader, buffer *boundedbuffer.Buffer) *eventReader {
 	return &eventReader{src: src, buffer: buffer}
 }
 
@@ -71,7 +73,7 @@
 }
 
 // unread returns the bytes that were read from src and not yet returned.
-func (r *eventReader) unread() []byte { return r.buffer.bytes[r.start:r.end] }
+func (r *eventReader) unread() []byte { return r.buffer.Bytes()[r.start:r.end] }
 
 // endError returns the read error, or errTruncatedEvent for an io.EOF inside an event.
 func (r *eventReader) endError() error {
@@ -88,7 +90,7 @@
 		return err
 	}
 	var n int
-	n, r.err = r.src.Read(r.buffer.bytes[r.end:])
+	n, r.err = r.src.Read(r.buffer.Bytes()[r.end:])
 	r.end += n
 	return nil
 }
@@ -96,21 +98,21 @@
 // makeRoom removes the bytes that were returned and grows the buffer if an event fills it. After a large event the buffer
 // has its usual size again.
 func (r *eventReader) makeRoom() error {
-	unread, size := r.unread(), len(r.buffer.bytes)
+	unread, size := r.unread(), len(r.buffer.Bytes())
 	switch {
 	case len(unread) == size && size >= maxEventBytes:
 		return fmt.Errorf("%w: more than %d bytes", errEventTooLong, maxEventBytes)
 	case len(unread) == size:
 		size *= 2
-	case len(unread) < initialBufferBytes && size > freeBufferBytes:
+	case len(unread) < initialBufferBytes && r.buffer.Counts():
 		size = initialBufferBytes
 	}
-	if size != len(r.buffer.bytes) {
-		if err := r.buffer.resize(size, unread); err != nil {
+	if size != len(r.buffer.Bytes()) {
+		if err := r.buffer.Resize(size, unread); err != nil {
 			return err
 		}
 	} else if r.start > 0 {
-		copy(r.buffer.bytes, unread)
+		copy(r.buffer.Bytes(), unread)
 	}
 	r.start, r.end = 0, len(unread)
 	return nil
--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -10,18 +10,26 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"knapweedhoist/internal/boundedbuffer"
 )
 
-func testEventReader(src io.Reader) *eventReader {
-	return newEventReader(src, newAnswerBuffer(&answerMemory{limit: 4 * maxEventBytes}, initialBufferBytes))
+// testEventReader returns an eventReader and the memory of its buffer.
+func testEventReader(src io.Reader) (*eventReader, *boundedbuffer.Memory) {
+	memory := boundedbuffer.NewMemory(4 * maxEventBytes)
+	return newEventReader(src, boundedbuffer.New(memory, initialBufferBytes)), memory
 }
 
+// endless is a body without end.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
 var _ = Describe("eventReader", func() {
-	read := func(r *eventReader) (string, error) {
+	read := func(r *eventReader, memory *boundedbuffer.Memory) (string, error) {
 		defer func() {
-			memory := r.buffer.memory
-			r.buffer.release()
-			Expect(memory.used.Load()).To(BeZero())
+			r.buffer.Release()
+			Expect(memory.Used()).To(BeZero())
 		}()
 		var all strings.Builder
 		for {
@@ -52,29 +60,29 @@
 
 	It("guards against a stream that keeps the memory of a large event, and against the loss of what follows it", func() {
 		large, small := "data: "+strings.Repeat("x", maxEventBytes/2)+"\n\n", "data: a\n\n"
-		r := testEventReader(io.MultiReader(strings.NewReader(large), strings.NewReader(small)))
+		r, memory := testEventReader(io.MultiReader(strings.NewReader(large), strings.NewReader(small)))
 		events, err := r.next()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(events)).To(Equal(large))
-		Expect(r.buffer.memory.used.Load()).To(BeNumerically(">", len(large)))
+		Expect(memory.Used()).To(BeNumerically(">", len(large)))
 		events, err = r.next()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(events)).To(Equal(small))
-		Expect(r.buffer.memory.used.Load()).To(BeZero())
+		Expect(memory.Used()).To(BeZero())
 	})
 
 	It("guards against many events without end that together exceed the memory", func() {
-		memory, refused := &answerMemory{limit: 4 * maxEventBytes}, 0
+		memory, refused := boundedbuffer.NewMemory(4*maxEventBytes), 0
 		for range 40 {
-			_, err := newEventReader(endless{}, newAnswerBuffer(memory, initialBufferBytes)).next()
-			if errors.Is(err, errAnswerMemory) {
+			_, err := newEventReader(endless{}, boundedbuffer.New(memory, initialBufferBytes)).next()
+			if errors.Is(err, boundedbuffer.ErrNoMemory) {
 				refused++
 			}
-			Expect(memory.used.Load()).To(BeNumerically("<=", memory.limit))
+			Expect(memory.Used()).To(BeNumerically("<=", 4*maxEventBytes))
 		}
 		Expect(refused).To(BeNumerically(">", 30))
-		sound := "data: " + strings.Repeat("x", freeBufferBytes/2) + "\n\n"
-		events, err := newEventReader(strings.NewReader(sound), newAnswerBuffer(memory, initialBufferBytes)).next()
+		sound := "data: " + strings.Repeat("x", boundedbuffer.FreeBytes/2) + "\n\n"
+		events, err := newEventReader(strings.NewReader(sound), boundedbuffer.New(memory, initialBufferBytes)).next()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(events)).To(Equal(sound))
 	})
@@ -92,7 +100,7 @@
 		complete := rapid.SliceOfN(rapid.StringMatching(`data: [a-z]{0,40}(\n\n|\r\n\r\n)`), 0, 20).Draw(t, "events")
 		rest := rapid.StringMatching(`[a-z]{0,5}`).Draw(t, "rest")
 		text := strings.Join(complete, "")
-		r := testEventReader(iotest.OneByteReader(strings.NewReader(text + rest)))
+		r, _ := testEventReader(iotest.OneByteReader(strings.NewReader(text + rest)))
 		var got strings.Builder
 		for {
 			events, err := r.next()
@@ -112,7 +120,8 @@
 	event := strings.Repeat("x", maxEventBytes)
 	for b.Loop() {
 		src := iotest.DataErrReader(&pieces{strings.NewReader(event)})
-		_, _ = testEventReader(src).next()
+		r, _ := testEventReader(src)
+		_, _ = r.next()
 	}
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -8,6 +8,7 @@
 
 	"knapweedhoist/deployment"
 	"knapweedhoist/dispatch"
+	"knapweedhoist/internal/boundedbuffer"
 )
 
 // exchange is one request of a caller and its answer. One goroutine at a time
@@ -52,7 +53,7 @@
 	firstEventAt time.Time
 	progressed   bool
 	// buffer holds what was read of the current endpoint's answer and not passed on; nil before the first answer.
-	buffer      *answerBuffer
+	buffer      *boundedbuffer.Buffer
 	watchedConn *clientConn
 }
 
@@ -78,15 +79,15 @@
 }
 
 // newBuffer returns the buffer for an answer. It replaces that of the answer before.
-func (e *exchange) newBuffer(size int) *answerBuffer {
+func (e *exchange) newBuffer(size int) *boundedbuffer.Buffer {
 	e.releaseBuffer()
-	e.buffer = newAnswerBuffer(&e.server.answers, size)
+	e.buffer = boundedbuffer.New(e.server.answers, size)
 	return e.buffer
 }
 
 func (e *exchange) releaseBuffer() {
 	if e.buffer != nil {
-		e.buffer.release()
+		e.buffer.Release()
 	}
 }
 
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -30,7 +30,7 @@
 
 // setBody sets the body of the answer. The memory of a large one is in use until the caller has it.
 func (e *exchange) setBody(body []byte) {
-	if len(e.buffer.bytes) <= freeBufferBytes {
+	if !e.buffer.Counts() {
 		e.ctx.Response.SetBodyRaw(body)
 		return
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"knapweedhoist/dispatch"
+	"knapweedhoist/internal/boundedbuffer"
 	"knapweedhoist/internal/contain"
 	"knapweedhoist/internal/wait"
 )
@@ -21,7 +22,7 @@
 	http     *fasthttp.Server
 	conns    connections
 	listener atomic.Pointer[listener] // set by Serve
-	answers  answerMemory
+	answers  *boundedbuffer.Memory
 	// startBy is the time until which requests wait for the start of the instance.
 	startBy  time.Time
 	draining atomic.Bool // set by Drain
@@ -32,7 +33,7 @@
 func NewServer(cfg Config, deps Deps) *Server {
 	s := &Server{cfg: cfg.withDefaults(), deps: deps}
 	s.startBy = time.Now().Add(s.cfg.StartWait)
-	s.answers.limit = int64(s.cfg.MaxAnswerMemory)
+	s.answers = boundedbuffer.NewMemory(s.cfg.MaxAnswerMemory)
 	s.http = &fasthttp.Server{
 		Handler:                       s.handle,
 		NoDefaultServerHeader:         true,
--- a/forward/answer_memory_test.go
+++ b/internal/boundedbuffer/buffer_test.go
@@ -1,9 +1,10 @@
-package forward
+package boundedbuffer
 
 import (
 	"errors"
 	"io"
 	"strings"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,29 +15,34 @@
 
 func (endless) Read(p []byte) (int, error) { return len(p), nil }
 
-var _ = Describe("answerMemory", func() {
-	read := func(m *answerMemory, body io.Reader, maxBytes int) (string, *answerBuffer, error) {
-		buffer := newAnswerBuffer(m, initialBufferBytes)
-		content, err := buffer.readAll(body, maxBytes)
-		Expect(m.used.Load()).To(BeNumerically("<=", m.limit))
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "boundedbuffer")
+}
+
+var _ = Describe("Buffer", func() {
+	read := func(m *Memory, body io.Reader, maxBytes int) (string, *Buffer, error) {
+		buffer := New(m, FreeBytes)
+		content, err := buffer.ReadAll(body, maxBytes)
+		Expect(m.Used()).To(BeNumerically("<=", m.limit))
 		return string(content), buffer, err
 	}
 
 	// Guards against a process that ends for lack of memory because endpoints send bodies without end.
 	It("bounds one answer, and all answers together", func() {
-		m := &answerMemory{limit: 4 << 20}
+		m := NewMemory(4 << 20)
 		_, buffer, err := read(m, endless{}, 1<<20)
-		Expect(err).To(MatchError(errAnswerTooLarge))
+		Expect(err).To(MatchError(ErrTooLarge))
 		Expect(buffer.bytes).To(HaveLen(1<<20 + 1))
 		for range 3 {
 			_, _, err = read(m, endless{}, 1<<20)
 		}
-		Expect(err).To(MatchError(errAnswerMemory))
+		Expect(err).To(MatchError(ErrNoMemory))
 	})
 
 	// Guards against sound answers that fail because bodies without end use up the memory.
 	It("leaves room for a sound answer beside any number of bodies without end", func() {
-		m, sound := &answerMemory{limit: 4 << 20}, strings.Repeat("s", freeBufferBytes)
+		m, sound := NewMemory(4<<20), strings.Repeat("s", FreeBytes)
 		for range 100 {
 			_, _, err := read(m, endless{}, 1<<20)
 			Expect(err).To(HaveOccurred())
@@ -47,24 +53,24 @@
 	})
 
 	It("returns the memory of an answer that is no longer needed", func() {
-		m, body := &answerMemory{limit: 8 * freeBufferBytes}, strings.Repeat("b", 2*freeBufferBytes)
+		m, body := NewMemory(8*FreeBytes), strings.Repeat("b", 2*FreeBytes)
 		for range 3 {
 			content, buffer, err := read(m, strings.NewReader(body), len(body))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(content).To(Equal(body))
-			buffer.release()
-			Expect(m.used.Load()).To(BeZero())
+			buffer.Release()
+			Expect(m.Used()).To(BeZero())
 		}
 	})
 
 	// Guards against an answer that ends early and is passed on as complete.
 	It("returns the error of a body that ends early", func() {
-		m := &answerMemory{limit: 1 << 20}
+		m := NewMemory(1 << 20)
 		broken := errors.New("broken")
 		_, buffer, err := read(m, io.MultiReader(strings.NewReader("half"), failing{broken}), 1<<20)
 		Expect(err).To(MatchError(broken))
-		buffer.release()
-		Expect(m.used.Load()).To(BeZero())
+		buffer.Release()
+		Expect(m.Used()).To(BeZero())
 	})
 })
 
