httpcall: bound the memory of replies in progress, and the time of a watch

A store, cloud or relay in trouble could bring the process to its end as a server could: each call held up to 16 MiB, or allocated it for a length that was only announced, for up to 8 calls and all watches of the store. A reply that came byte by byte kept a watch for ever, so that the configuration or the endpoints of the instance became stale.

Change: Do and Fetch read the body into a boundedbuffer; those in progress of one client share three times MaxResponseBytes. A GET whose body breaks off is still sent twice. A Fetch ends after four times its idle timeout.

boundedbuffer.ReadAll accepted a body larger than a bound below the initial size of the buffer; it no longer does (no caller has such a bound but the test of httpcall, which showed it).

--- a/internal/boundedbuffer/buffer.go
+++ b/internal/boundedbuffer/buffer.go
@@ -50,9 +50,6 @@
 // ErrTooLarge or ErrNoMemory.
 func (b *Buffer) ReadAll(body io.Reader, maxBytes int) ([]byte, error) {
 	for end := 0; ; {
-		if end > maxBytes {
-			return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLarge, maxBytes)
-		}
 		if end == len(b.bytes) {
 			if err := b.Resize(min(2*end, maxBytes+1), b.bytes); err != nil {
 				return nil, err
@@ -61,6 +58,8 @@
 		n, err := body.Read(b.bytes[end:])
 		end += n
 		switch {
+		case end > maxBytes:
+			return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLarge, maxBytes)
 		case errors.Is(err, io.EOF):
 			return b.bytes[:end], nil
 		case err != nil:
--- a/internal/boundedbuffer/buffer_test.go
+++ b/internal/boundedbuffer/buffer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -40,6 +41,23 @@
 		Expect(err).To(MatchError(ErrNoMemory))
 	})
 
+	DescribeTable("accepts a body of up to the bound, whether its end comes with the last byte or later",
+		func(size, maxBytes int) {
+			for _, wrap := range []func(io.Reader) io.Reader{iotest.DataErrReader, iotest.OneByteReader} {
+				m, body := NewMemory(64*FreeBytes), strings.Repeat("b", size)
+				content, _, err := read(m, wrap(strings.NewReader(body)), maxBytes)
+				if size > maxBytes {
+					Expect(err).To(MatchError(ErrTooLarge))
+					continue
+				}
+				Expect(err).NotTo(HaveOccurred())
+				Expect(content).To(Equal(body))
+			}
+		},
+		Entry(nil, 1, 1), Entry(nil, 2, 1), Entry(nil, FreeBytes, FreeBytes), Entry(nil, FreeBytes+1, FreeBytes),
+		Entry(nil, 2*FreeBytes, 2*FreeBytes), Entry(nil, 2*FreeBytes+1, 2*FreeBytes), Entry(nil, 0, 1),
+	)
+
 	// Guards against sound answers that fail because bodies without end use up the memory.
 	It("leaves room for a sound answer beside any number of bodies without end", func() {
 		m, sound := NewMemory(4<<20), strings.Repeat("s", FreeBytes)
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -6,10 +6,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/internal/boundedbuffer"
 )
 
 // idleConnDuration is short, since the client does not detect that an idle
@@ -29,11 +32,17 @@
 type Client struct {
 	cfg  Config
 	host *fasthttp.HostClient
+	// memory bounds the response bodies that are being read.
+	memory *boundedbuffer.Memory
 }
 
+// memoryFactor times MaxResponseBytes is the memory of the bodies that a client reads at the same time.
+const memoryFactor = 3
+
 // New returns a Client for the server that cfg describes.
 func New(cfg Config) *Client {
 	c := &Client{cfg: cfg.withDefaults()}
+	c.memory = boundedbuffer.NewMemory(memoryFactor * c.cfg.MaxResponseBytes)
 	c.host = &fasthttp.HostClient{
 		Addr:                      c.cfg.Address,
 		Dial:                      c.dial,
@@ -41,7 +50,6 @@
 		MaxConnWaitTimeout:        c.cfg.Timeout,
 		MaxIdleConnDuration:       idleConnDuration,
 		MaxIdemponentCallAttempts: maxGetAttempts,
-		MaxResponseBodySize:       c.cfg.MaxResponseBytes,
 		RetryIfErr:                retryGet,
 		DisablePathNormalizing:    true,
 		NoDefaultUserAgentHeader:  true,
@@ -67,7 +75,7 @@
 	}
 	results := make(chan result, 1)
 	deadline := c.deadline(ctx)
-	go func() { results <- c.roundTrip(request, deadline) }()
+	go func() { results <- c.roundTrips(request, deadline) }()
 	select {
 	case r := <-results:
 		return r.response, r.err
@@ -79,6 +87,17 @@
 type result struct {
 	response Response
 	err      error
+	// retry is set if the connection broke in the body and the request may be sent again.
+	retry bool
+}
+
+// roundTrips repeats a GET whose body broke off. The HTTP client repeats one that breaks off earlier.
+func (c *Client) roundTrips(request Request, deadline time.Time) result {
+	r := c.roundTrip(request, deadline)
+	if r.retry {
+		r = c.roundTrip(request, deadline)
+	}
+	return r
 }
 
 func (c *Client) roundTrip(request Request, deadline time.Time) result {
@@ -86,12 +105,49 @@
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
+	resp.StreamBody = true
 	request.fill(req, c.cfg)
 	if err := c.host.DoDeadline(req, resp, deadline); err != nil {
 		c.closeIdleOnTimeout(err)
 		return result{err: err}
 	}
-	return result{response: newResponse(resp)}
+	response, err := c.readResponse(resp)
+	if err != nil {
+		c.closeIdleOnTimeout(err)
+		return result{err: err, retry: retryBody(req, err)}
+	}
+	return result{response: response}
+}
+
+// readResponse reads the body, which fasthttp would read into memory of the announced length.
+func (c *Client) readResponse(resp *fasthttp.Response) (Response, error) {
+	response := newResponse(resp)
+	if resp.BodyStream() == nil {
+		return response, nil
+	}
+	body, err := readBody(c.memory, resp.BodyStream(), resp.Header.ContentLength(), c.cfg.MaxResponseBytes)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		err = fasthttp.ErrTimeout
+	}
+	response.Body = body
+	return response, err
+}
+
+// minBodyBuffer is the initial size of the buffer for a body without a length, in bytes.
+const minBodyBuffer = 2 << 10
+
+// readBody reads a body into memory. length is negative if it is not known.
+func readBody(memory *boundedbuffer.Memory, body io.Reader, length, maxBytes int) ([]byte, error) {
+	buffer := boundedbuffer.New(memory, max(length+1, minBodyBuffer))
+	defer buffer.Release()
+	return buffer.ReadAll(body, maxBytes)
+}
+
+// retryBody reports whether a request whose response body failed with err is sent again, see retryGet.
+func retryBody(request *fasthttp.Request, err error) bool {
+	_, retry := retryGet(request, 1, err)
+	return retry && !errors.Is(err, ErrTooLarge) && !errors.Is(err, boundedbuffer.ErrNoMemory)
 }
 
 // closeIdleOnTimeout closes the pooled connections after a timeout: if one
--- a/internal/httpcall/client_test.go
+++ b/internal/httpcall/client_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -63,18 +64,23 @@
 // that is not.
 func TestOnlyReadsAreRepeated(t *testing.T) {
 	for method, attempts := range map[string]int32{"GET": 2, "PUT": 1, "POST": 1, "DELETE": 1} {
-		t.Run(method, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				s := &server{script: func(conn net.Conn, _ int32) { _ = readRequest(bufio.NewReader(conn)) }}
-				client := s.client()
-				_, err := client.Do(t.Context(), httpcall.Request{Method: method, Path: "/x"})
-				g.Expect(err).To(HaveOccurred())
-				g.Expect(errors.Is(err, httpcall.ErrNotSent)).To(BeFalse())
-				g.Expect(s.accepted.Load()).To(Equal(attempts))
-				closeAndWait(client)
+		for name, reply := range map[string]string{"no reply": "", "half a body": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no"} {
+			t.Run(method+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					s := &server{script: func(conn net.Conn, _ int32) {
+						_ = readRequest(bufio.NewReader(conn))
+						_, _ = io.WriteString(conn, reply)
+					}}
+					client := s.client()
+					_, err := client.Do(t.Context(), httpcall.Request{Method: method, Path: "/x"})
+					g.Expect(err).To(HaveOccurred())
+					g.Expect(errors.Is(err, httpcall.ErrNotSent)).To(BeFalse())
+					g.Expect(s.accepted.Load()).To(Equal(attempts))
+					closeAndWait(client)
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -180,3 +186,86 @@
 	_, err = client.Open(t.Context(), httpcall.Request{Method: "POST", Path: "/x"})
 	g.Expect(err).To(MatchError(httpcall.ErrNotSent))
 }
+
+// Guards against a process that ends for lack of memory because a server sends replies without end, or announces large ones,
+// to many calls at the same time.
+func TestRepliesAreBoundedTogether(t *testing.T) {
+	const maxBytes, calls = 4 << 20, 16
+	for name, reply := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 4194304\r\n\r\n",
+		"close":  "HTTP/1.1 200 OK\r\n\r\n",
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n400000\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := &server{script: func(conn net.Conn, _ int32) {
+					if readRequest(bufio.NewReader(conn)) == nil {
+						_, _ = io.WriteString(conn, reply)
+						_, _ = conn.Write(make([]byte, maxBytes*5/8)) // and no end
+						_, _ = io.Copy(io.Discard, conn)
+					}
+				}}
+				client := httpcall.New(httpcall.Config{Address: "127.0.0.1:1", Dial: s.dial, MaxResponseBytes: maxBytes})
+				before := heapBytes()
+				for n := range calls {
+					go func() {
+						request := httpcall.Request{Method: "POST", Path: "/x"}
+						if n%2 == 0 {
+							_, _ = client.Do(t.Context(), request)
+						} else {
+							_, _ = client.Fetch(t.Context(), request, time.Second)
+						}
+					}()
+				}
+				synctest.Wait()
+				growth := heapBytes() - before
+				t.Logf("heap growth %.1f MiB", float64(growth)/(1<<20))
+				g.Expect(growth).To(BeNumerically("<", 4*maxBytes))
+				closeAndWait(client)
+				response, err := client.Do(t.Context(), httpcall.Request{Method: "POST", Path: "/x"})
+				g.Expect(err).To(HaveOccurred())
+				g.Expect(response.Body).To(BeEmpty())
+				closeAndWait(client)
+			})
+		})
+	}
+}
+
+// heapBytes returns the memory of live objects.
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// Guards against a watch of the store that never ends, and a configuration that stays old, because a reply arrives byte by
+// byte.
+func TestDripEnds(t *testing.T) {
+	for name, head := range map[string]string{"head": "", "body": "HTTP/1.1 200 OK\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := &server{script: func(conn net.Conn, _ int32) {
+					err := readRequest(bufio.NewReader(conn))
+					if err == nil {
+						_, err = io.WriteString(conn, head)
+					}
+					for err == nil {
+						time.Sleep(time.Second / 2)
+						_, err = io.WriteString(conn, "x")
+					}
+				}}
+				client := s.client()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+				defer cancel()
+				started := time.Now()
+				_, err := client.Fetch(ctx, httpcall.Request{Method: "GET", Path: "/x"}, time.Second)
+				g.Expect(err).To(HaveOccurred())
+				g.Expect(time.Since(started)).To(BeNumerically("<=", 10*time.Second))
+				closeAndWait(client)
+			})
+		})
+	}
+}
--- a/internal/httpcall/config.go
+++ b/internal/httpcall/config.go
@@ -25,7 +25,8 @@
 	// IdleTimeout is the longest time in which an Open call may receive no byte, and the longest time that one write to
 	// the connection may take.
 	IdleTimeout time.Duration
-	// MaxResponseBytes bounds the response body of Do and Fetch.
+	// MaxResponseBytes bounds the response body of Do and Fetch. The bodies that are being read have three times as much
+	// memory together.
 	MaxResponseBytes int
 	// MaxConns bounds the number of open connections of Do.
 	MaxConns int
--- a/internal/httpcall/response.go
+++ b/internal/httpcall/response.go
@@ -14,11 +14,11 @@
 	Body   []byte
 }
 
+// newResponse returns the status and header of a response.
 func newResponse(response *fasthttp.Response) Response {
 	return Response{
 		Status: response.StatusCode(),
 		Header: headerFields(response),
-		Body:   append([]byte(nil), response.Body()...),
 	}
 }
 
--- a/internal/httpcall/stream.go
+++ b/internal/httpcall/stream.go
@@ -10,10 +10,15 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/internal/boundedbuffer"
 )
 
-// ErrTooLarge means that a response body exceeds the limit of ReadAll, which is MaxResponseBytes in Fetch.
-var ErrTooLarge = errors.New("response body too large")
+// ErrTooLarge means that a response body exceeds the limit of ReadAll, which is MaxResponseBytes in Do and Fetch.
+var ErrTooLarge = boundedbuffer.ErrTooLarge
+
+// fetchFactor times the idle timeout is the longest time of a Fetch. A server in trouble may send a byte now and then.
+const fetchFactor = 4
 
 // Stream is a response whose body is read as it arrives. The caller must close it.
 type Stream struct {
@@ -22,6 +27,7 @@
 	// Body returns io.EOF only after the complete body.
 	Body io.Reader
 
+	memory        *boundedbuffer.Memory
 	conn          net.Conn
 	detachContext func() bool
 }
@@ -36,10 +42,12 @@
 }
 
 // Fetch makes a call on a new connection and returns the complete response. It
-// fails if no byte arrives for idleTimeout or if one write takes longer than that.
-// Timeout bounds only the opening of the connection. The end of ctx closes the
-// connection.
+// fails if no byte arrives for idleTimeout, if one write takes longer than that, or
+// after fetchFactor times idleTimeout. Timeout bounds only the opening of the
+// connection. The end of ctx closes the connection.
 func (c *Client) Fetch(ctx context.Context, request Request, idleTimeout time.Duration) (Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchFactor*idleTimeout)
+	defer cancel()
 	stream, err := c.open(ctx, request, idleTimeout)
 	if err != nil {
 		return Response{}, err
@@ -60,7 +68,7 @@
 		_ = conn.Close()
 		return nil, joinCause(ctx, err)
 	}
-	stream.conn = conn
+	stream.conn, stream.memory = conn, c.memory
 	stream.detachContext = detachContext
 	return stream, nil
 }
@@ -79,8 +87,7 @@
 	if err := response.ReadLimitBody(bufio.NewReader(conn), cfg.MaxResponseBytes); err != nil {
 		return nil, fmt.Errorf("receive header: %w", err)
 	}
-	header := Response{Status: response.StatusCode(), Header: headerFields(response)}
-	return &Stream{Response: header, Body: response.BodyStream()}, nil
+	return &Stream{Response: newResponse(response), Body: response.BodyStream()}, nil
 }
 
 func writeRequest(conn net.Conn, request Request, cfg Config) error {
@@ -97,13 +104,10 @@
 
 // ReadAll reads the rest of the body. It fails with ErrTooLarge if that exceeds limit bytes.
 func (s *Stream) ReadAll(limit int) (Response, error) {
-	body, err := io.ReadAll(io.LimitReader(s.Body, int64(limit)+1))
+	body, err := readBody(s.memory, s.Body, -1, limit)
 	if err != nil {
 		return Response{}, fmt.Errorf("receive body: %w", err)
 	}
-	if len(body) > limit {
-		return Response{}, ErrTooLarge
-	}
 	response := s.Response
 	response.Body = body
 	return response, nil
