forward: send a rejected request again without waiting for the body

A server that rejects a request with Not-Executed and then sends the body without an end, or byte by byte, held the request until its time limit. Its caller got 503 although another server was free.

Cause: the body is read in order to reuse the connection, until the request's deadline.

Change: the rest of a rejection is awaited for 100 ms; after that the connection is closed.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -227,6 +227,7 @@
 
 // endRejectedSend ends a send that the endpoint rejected without running the request.
 func (e *exchange) endRejectedSend(answer *upstream.Response, status int) *failure {
+	answer.SetReadDeadline(earlier(time.Now().Add(rejectionBodyTime), e.deadline))
 	discardBody(answer)
 	answer.Close()
 	e.inFlight.Done(time.Now(), dispatch.Shed)
@@ -240,6 +241,16 @@
 	}
 }
 
+// rejectionBodyTime bounds how long the rest of a rejection is awaited in order to reuse the connection; the request waits.
+const rejectionBodyTime = 100 * time.Millisecond
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // maxRejectionBytes bounds how much of a rejection's body is read in order to reuse the connection.
 const maxRejectionBytes = 64 << 10
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -125,10 +125,7 @@
 	if e.route.Resumable && e.route.PauseObjective > 0 {
 		limit = resumableAimedPauses * e.route.PauseObjective
 	}
-	if due := now.Add(limit); due.Before(e.deadline) {
-		return due
-	}
-	return e.deadline
+	return earlier(now.Add(limit), e.deadline)
 }
 
 // endSend closes the endpoint's answer and ends the in-flight request.
