backend: bound the memory of answers in progress

On the own interface, a plain service that sends answers without end could bring the process that called it to its end: each call held up to 16 MiB, whatever its own bound, at up to 1,024 connections per endpoint.

Change: HTTPCaller reads the body into a boundedbuffer of the call's bound; all of them share 64 MiB. An answer that finds no memory is a broken one, as after a lost connection.

--- a/backend/http_caller.go
+++ b/backend/http_caller.go
@@ -13,6 +13,7 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
+	"knapweedhoist/internal/boundedbuffer"
 	"knapweedhoist/request"
 )
 
@@ -23,6 +24,8 @@
 	// single opens a connection for each call that must not be repeated: on a pooled connection that the endpoint has
 	// closed meanwhile, the outcome of such a call would be unknown.
 	single *fasthttp.Client
+	// memory bounds the bodies of answers that are being read.
+	memory *boundedbuffer.Memory
 }
 
 // Timeouts and limits of HTTPCaller.
@@ -33,13 +36,13 @@
 	maxEndpointConns = 1024
 	// maxAnswerHeader bounds the header of an answer, in bytes.
 	maxAnswerHeader = 16 << 10
-	// maxClientAnswer bounds the body of any answer, in bytes; OutgoingCall.MaxAnswerBytes may be lower.
-	maxClientAnswer = 16 << 20
+	// maxAnswerMemory bounds the bodies of all answers that are being read, in bytes.
+	maxAnswerMemory = 64 << 20
 )
 
 // NewHTTPCaller returns an HTTPCaller without open connections.
 func NewHTTPCaller() *HTTPCaller {
-	return &HTTPCaller{pooled: newClient(), single: newClient()}
+	return &HTTPCaller{pooled: newClient(), single: newClient(), memory: boundedbuffer.NewMemory(maxAnswerMemory)}
 }
 
 func newClient() *fasthttp.Client {
@@ -56,7 +59,7 @@
 		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxConnsPerHost:               maxEndpointConns,
 		MaxIdleConnDuration:           maxIdleTime,
-		MaxResponseBodySize:           maxClientAnswer,
+		StreamResponseBody:            true,
 		ReadBufferSize:                maxAnswerHeader,
 		NoDefaultUserAgentHeader:      true,
 		DisablePathNormalizing:        true,
@@ -76,13 +79,24 @@
 	if err != nil {
 		return Answer{}, oops.With("step", "call", "peer", address).Wrap(classifyError(err))
 	}
-	if len(incoming.Body()) > call.MaxAnswerBytes {
-		return Answer{}, oops.With("step", "call", "peer", address).Wrap(ErrAnswerTooLarge)
+	body, err := c.readBody(incoming, call.MaxAnswerBytes)
+	if err != nil {
+		return Answer{}, oops.With("step", "read answer", "peer", address).Wrap(classifyError(err))
 	}
-	if provesNotRun(incoming) {
+	if provesNotRun(incoming, body) {
 		return Answer{}, oops.With("step", "call", "peer", address).Wrap(ErrRefused)
 	}
-	return newAnswer(incoming), nil
+	return newAnswer(incoming, body), nil
+}
+
+// readBody reads the body of an answer.
+func (c *HTTPCaller) readBody(incoming *fasthttp.Response, maxBytes int) ([]byte, error) {
+	if incoming.BodyStream() == nil {
+		return nil, nil
+	}
+	buffer := boundedbuffer.New(c.memory, boundedbuffer.FreeBytes)
+	defer buffer.Release()
+	return buffer.ReadAll(incoming.BodyStream(), maxBytes)
 }
 
 func (c *HTTPCaller) client(outgoing *fasthttp.Request, call OutgoingCall) *fasthttp.Client {
@@ -124,7 +138,7 @@
 	switch {
 	case errors.Is(err, ErrUnsent), errors.Is(err, fasthttp.ErrNoFreeConns), errors.Is(err, fasthttp.ErrDialTimeout):
 		return errors.Join(ErrUnsent, err)
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, boundedbuffer.ErrTooLarge):
 		return ErrAnswerTooLarge
 	default:
 		return errors.Join(ErrBroken, err)
@@ -133,7 +147,7 @@
 
 // provesNotRun reports whether the answer is a 503 or 429 with a problem document whose outcome is not_run. Without
 // the document, a 503 or 429 does not prove that the call did not run.
-func provesNotRun(incoming *fasthttp.Response) bool {
+func provesNotRun(incoming *fasthttp.Response, body []byte) bool {
 	if incoming.StatusCode() != http.StatusServiceUnavailable && incoming.StatusCode() != http.StatusTooManyRequests {
 		return false
 	}
@@ -143,7 +157,7 @@
 	var document struct {
 		Outcome request.Outcome `json:"outcome"`
 	}
-	return json.Unmarshal(incoming.Body(), &document) == nil && document.Outcome == request.OutcomeNotRun
+	return json.Unmarshal(body, &document) == nil && document.Outcome == request.OutcomeNotRun
 }
 
 // unforwardedHeaders holds the header fields of an answer that the gateway does not forward to the caller: those of the
@@ -154,9 +168,9 @@
 	"Content-Length": true, "Date": true, "X-Request-Id": true,
 }
 
-func newAnswer(incoming *fasthttp.Response) Answer {
+func newAnswer(incoming *fasthttp.Response, body []byte) Answer {
 	connectionOptions := strings.Split(strings.ToLower(string(incoming.Header.Peek("Connection"))), ",")
-	answer := Answer{Status: incoming.StatusCode(), Body: append([]byte(nil), incoming.Body()...)}
+	answer := Answer{Status: incoming.StatusCode(), Body: body}
 	for name, value := range incoming.Header.All() {
 		field := request.Field{Name: string(name), Value: string(value)}
 		if !unforwardedHeaders[field.Name] && !containsOption(connectionOptions, field.Name) {
--- a/backend/http_caller_test.go
+++ b/backend/http_caller_test.go
@@ -6,8 +6,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -89,3 +93,48 @@
 		}
 	}
 }
+
+// Guards against a process that ends for lack of memory because endpoints send answers without end to many calls at the same
+// time, and against a call that is reported as sound then.
+func TestAnswersAreBoundedTogether(t *testing.T) {
+	RegisterTestingT(t)
+	const calls, answerBytes = 12, 8 << 20
+	var waiting atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(make([]byte, answerBytes)) // and no end
+		waiting.Add(1)
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	caller, before := NewHTTPCaller(), heapBytes()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var all sync.WaitGroup
+	for range calls {
+		all.Go(func() {
+			call := outgoing(&request.Call{Method: "GET", Path: "/"})
+			call.MaxAnswerBytes = 2 * answerBytes
+			_, err := caller.Call(ctx, server.Listener.Addr().String(), call)
+			Expect(err).To(HaveOccurred())
+		})
+	}
+	Eventually(waiting.Load, 20*time.Second).Should(BeNumerically(">=", 1))
+	var growth []int64
+	for ctx.Err() == nil {
+		growth = append(growth, heapBytes()-before)
+		time.Sleep(20 * time.Millisecond)
+	}
+	all.Wait()
+	slices.Sort(growth)
+	median := growth[len(growth)/2]
+	t.Logf("heap growth %.1f MiB", float64(median)/(1<<20))
+	Expect(median).To(BeNumerically("<", 72<<20))
+}
+
+// heapBytes returns the memory of live objects.
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
