--- a/entry/instance.go
+++ b/entry/instance.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +18,7 @@
 	"knapweedhoist/fleetstate"
 	"knapweedhoist/forward"
 	"knapweedhoist/gossip"
+	"knapweedhoist/internal/listen"
 	"knapweedhoist/internal/wait"
 	"knapweedhoist/objectapi"
 	"knapweedhoist/objectrelay"
@@ -129,6 +129,7 @@
 	i.copies = i.newCopies()
 	i.server = forward.NewServer(forward.Config{
 		MaxConfigAge: settings.maxConfigAge(), MaxAnswerMemory: settings.maxAnswerMemory(),
+		MaxConnections: settings.maxCallerConnections(),
 	}, forward.Deps{
 		Log: i.lg, Codec: adapter.Codec, State: i.state, Balancer: i.balancer, Limiter: i.limiter, Budget: i.budget,
 		Pool: i.pool, Quarantine: i.quarantine, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Slot: i.slot, Random: rand.Float64,
@@ -161,9 +162,9 @@
 func (i *Instance) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ln, err := net.Listen("tcp4", i.settings.Listen.Callers)
+	ln, err := listen.TCP(i.lg, i.settings.Listen.Callers, "callers")
 	if err != nil {
-		return oops.With("step", "listen for callers").Wrap(err)
+		return err
 	}
 	if i.socket, err = gossip.Listen(i.lg, i.settings.Listen.Peers); err != nil {
 		return err
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -104,6 +104,7 @@
 			return answerHeader.RequestID
 		},
 		Deadline:  e.deadline,
+		Sent:      e.onSent,
 		IdleLimit: e.idleLimit(),
 	})
 	if err != nil {
@@ -142,13 +143,20 @@
 func (e *exchange) endFailedSend(err error) *failure {
 	now := time.Now()
 	switch {
-	case errors.Is(err, upstream.ErrNotSent) && e.context.Err() == nil:
+	case errors.Is(err, upstream.ErrNotSent):
 		e.sends--
+		if e.context.Err() != nil && !e.server.cutting.Load() {
+			e.inFlight.Done(now, dispatch.Served)
+			return &failure{cause: causeCallerClosed, err: errCallerClosed}
+		}
 		e.inFlight.Done(now, dispatch.Failed)
 		return &failure{cause: causeNotSent, err: err}
 	case e.context.Err() != nil:
 		e.inFlight.Done(now, dispatch.Served)
 		e.mayHaveRun = true
+		if e.server.cutting.Load() {
+			return &failure{cause: causeStopping, err: err}
+		}
 		return &failure{cause: causeCallerClosed, err: errCallerClosed}
 	case isTimeout(err):
 		e.inFlight.Done(now, dispatch.TimedOut)
@@ -227,7 +235,9 @@
 
 // endRejectedSend ends a send that the endpoint rejected without running the request.
 func (e *exchange) endRejectedSend(answer *upstream.Response, status int) *failure {
-	answer.SetReadDeadline(earlier(time.Now().Add(rejectionBodyTime), e.deadline))
+	if due := time.Now().Add(rejectionBodyTime); due.Before(e.deadline) {
+		answer.SetReadDeadline(due)
+	}
 	discardBody(answer)
 	answer.Close()
 	e.inFlight.Done(time.Now(), dispatch.Shed)
@@ -244,13 +254,6 @@
 // rejectionBodyTime bounds how long the rest of a rejection is awaited in order to reuse the connection; the request waits.
 const rejectionBodyTime = 100 * time.Millisecond
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // maxRejectionBytes bounds how much of a rejection's body is read in order to reuse the connection.
 const maxRejectionBytes = 64 << 10
 
@@ -290,7 +293,7 @@
 // unless the request did not reach the endpoint.
 func (e *exchange) allowRetry(failed *failure) bool {
 	switch {
-	case e.remaining() <= minAttemptTime:
+	case e.remaining() <= minAttemptTime, e.server.cutting.Load():
 		return false
 	case failed.cause == causeNotSent:
 		return len(e.tried) < maxEndpointsTried
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -47,13 +47,17 @@
 	// lastEventID is the last event id in the stream read for the caller, "" before the first one.
 	lastEventID string
 	inFlight    *dispatch.InFlight
+	// onSent is upstream.Request.Sent of each attempt.
+	onSent func()
 	// contents identifies the parts of the prompt that other requests can have in common with this one.
 	contents []uint64
 	// firstEventAt is the time of the first event of the current send, progressed whether its answer went on after that.
 	firstEventAt time.Time
 	progressed   bool
 	// buffer holds what was read of the current endpoint's answer and not passed on; nil before the first answer.
-	buffer      *boundedbuffer.Buffer
+	buffer *boundedbuffer.Buffer
+	// lastEventAt is the time of the last event read for the caller, zero before the first one.
+	lastEventAt time.Time
 	watchedConn *clientConn
 }
 
@@ -75,6 +79,7 @@
 	}
 	e.cancel()
 	e.releaseBuffer()
+	e.server.progress.remove(e)
 	e.server.deps.Metrics.InProgress.Dec(1)
 }
 
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -37,6 +37,8 @@
 	FirstByte metrics.Histogram
 	// InProgress is the number of requests that were accepted and have not ended; a stream counts until its end.
 	InProgress metrics.Counter
+	// Connections is the number of open connections of callers at the last call of Server.Sweep.
+	Connections metrics.Gauge
 }
 
 // reservoirSize is the number of values in the latency histogram's exponentially decaying sample.
@@ -57,6 +59,7 @@
 		Quarantined: counter("forward_quarantined"),
 		Oversized:   counter("forward_oversized"),
 		InProgress:  counter("forward_in_progress"),
+		Connections: metrics.NewRegisteredGauge("forward_connections", registry),
 		FirstByte: metrics.NewRegisteredHistogram("forward_first_byte_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, 0.015)),
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -23,10 +23,13 @@
 	conns    connections
 	listener atomic.Pointer[listener] // set by Serve
 	answers  *boundedbuffer.Memory
+	// progress holds the accepted requests until their end.
+	progress inProgress
 	// startBy is the time until which requests wait for the start of the instance.
 	startBy  time.Time
 	draining atomic.Bool // set by Drain
 	refusing atomic.Bool // set by Refuse
+	cutting  atomic.Bool // set by Cut
 }
 
 // NewServer returns a Server that accepts connections once Serve is called.
@@ -34,6 +37,7 @@
 	s := &Server{cfg: cfg.withDefaults(), deps: deps}
 	s.startBy = time.Now().Add(s.cfg.StartWait)
 	s.answers = boundedbuffer.NewMemory(s.cfg.MaxAnswerMemory)
+	s.conns.limit = s.cfg.MaxConnections
 	s.http = &fasthttp.Server{
 		Handler:                       s.handle,
 		NoDefaultServerHeader:         true,
@@ -42,7 +46,7 @@
 		MaxRequestBodySize:            s.cfg.MaxBodyBytes,
 		ReadBufferSize:                readBufferBytes,
 		ReadTimeout:                   s.cfg.ReadTimeout,
-		IdleTimeout:                   s.cfg.IdleTimeout,
+		IdleTimeout:                   maxIdleTimeout,
 		WriteTimeout:                  0, // a stream may last longer than any fixed limit
 		DisablePreParseMultipartForm:  true,
 		DisableHeaderNamesNormalizing: false,
@@ -55,6 +59,9 @@
 // readBufferBytes bounds a request's header: twice the 16 KiB that today's platforms allow, plus 1 KiB.
 const readBufferBytes = 33 << 10
 
+// maxIdleTimeout is longer than any idle timeout of a configuration, which Sweep applies.
+const maxIdleTimeout = 24 * time.Hour
+
 // discardLogger drops the log lines of fasthttp, which report connections whose caller sent no valid request.
 type discardLogger struct{}
 
@@ -63,7 +70,7 @@
 
 // Serve accepts connections from ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	wrapped := &listener{ln}
+	wrapped := &listener{Listener: ln, readTimeout: s.cfg.ReadTimeout}
 	s.listener.Store(wrapped)
 	return s.http.Serve(wrapped)
 }
@@ -82,10 +89,23 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	if ln := s.listener.Load(); ln != nil {
 		if err := ln.Close(); err != nil {
-			return err
+			s.deps.Log.Warn("listener for callers not closed", "error", err.Error())
 		}
 	}
-	for s.conns.closeIdle() > 0 {
+	return s.awaitConnections(ctx)
+}
+
+// Cut ends all requests in progress: those without an answer are answered with 502, or with 503 if they were not sent, and
+// streams break off. It must be called after Shutdown, and waits as Shutdown does.
+func (s *Server) Cut(ctx context.Context) error {
+	s.cutting.Store(true)
+	s.progress.cancel()
+	return s.awaitConnections(ctx)
+}
+
+// awaitConnections closes idle connections until none is open or ctx is done.
+func (s *Server) awaitConnections(ctx context.Context) error {
+	for s.conns.closeAllIdle() > 0 {
 		if !wait.For(ctx, closeInterval) {
 			return ctx.Err()
 		}
@@ -96,6 +116,23 @@
 // InProgress returns the number of requests that were accepted and have not ended; a stream counts until its end.
 func (s *Server) InProgress() int { return int(s.deps.Metrics.InProgress.Count()) }
 
+// maxListedRequests is the largest number of request ids that RequestsInProgress returns.
+const maxListedRequests = 50
+
+// RequestsInProgress returns the ids of at most 50 of the requests that InProgress counts.
+func (s *Server) RequestsInProgress() []string { return s.progress.ids(maxListedRequests) }
+
+// Sweep closes the connections of callers that have been idle for the time of the configuration in force. The caller invokes
+// it about once a second.
+func (s *Server) Sweep(now time.Time) {
+	timeout := s.cfg.IdleTimeout
+	if config := s.deps.State.View().Config; config != nil && config.Limits.IdleTimeout > 0 {
+		timeout = config.Limits.IdleTimeout
+	}
+	s.conns.closeIdleSince(now.Add(-timeout))
+	s.deps.Metrics.Connections.Update(int64(s.conns.count()))
+}
+
 // handle serves a request. A panic ends that request only.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	var e *exchange
@@ -139,13 +176,22 @@
 		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "instance is stopping", retryAfter: minRetryAfter})
 		return
 	}
+	if s.conns.isSurplus(ctx.Conn()) {
+		ctx.SetConnectionClose()
+		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "too many connections", retryAfter: minRetryAfter})
+		return
+	}
 	s.awaitStart(e)
 	if refusal := e.admit(); refusal != nil {
 		e.refuse(refusal)
 		return
 	}
 	s.deps.Metrics.InProgress.Inc(1)
+	s.progress.add(e)
 	e.accepted = true
+	if s.cutting.Load() { // Cut may not have seen the exchange
+		e.cancel()
+	}
 	e.watchCaller()
 	answer, err := e.sendWithRetries()
 	switch {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"knapweedhoist/dispatch"
@@ -14,6 +15,7 @@
 // returns complete events only. When the endpoint's stream breaks, a resumable one
 // continues at another endpoint after the last event if a retry is allowed. Otherwise
 // it ends with an error, which closes the caller's connection before the end of the body.
+// Silence of the endpoint does not end it, see takeover.
 type eventStream struct {
 	exchange *exchange
 	answer   *upstream.Response
@@ -22,17 +24,30 @@
 	pending []byte
 	// err is what Read returns after pending: io.EOF, or the failure that ended the stream.
 	err error
+
+	// silence calls takeOver. It is nil until the first read during which the stream may be continued elsewhere.
+	silence *time.Timer
+	mu      sync.Mutex // guards the fields below and those of takeover that name it
+	// readingSince is the time at which the current read began, zero between reads.
+	readingSince time.Time
+	// takeover is the attempt to continue the stream elsewhere during the current read, nil without one.
+	takeover *takeover
 }
 
-// openStream waits for the first events, so that a request whose endpoint fails before them can still be sent again.
+// openStream waits for the first events, so that a request whose endpoint fails before them can still be sent again. A stream
+// that ends without an event is complete only if it goes on after one: the end of the stream before it was lost.
 func (e *exchange) openStream(answer *upstream.Response) (*endpointAnswer, *failure) {
 	stream := &eventStream{exchange: e, answer: answer, reader: newEventReader(answer.Body, e.newBuffer(initialBufferBytes))}
 	pending, err := stream.reader.next()
-	if err != nil {
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF // a stream that ends without an event is incomplete
-		}
+	switch {
+	case err == nil:
+	case !errors.Is(err, io.EOF):
 		return nil, e.abortSend(answer, err)
+	case e.lastEventID == "" && !e.request.Continues:
+		return nil, e.abortSend(answer, io.ErrUnexpectedEOF)
+	default:
+		e.recordStart()
+		return &endpointAnswer{header: &answer.Header, stream: stream}, nil // Read returns the end
 	}
 	now := time.Now()
 	e.inFlight.FirstToken(now)
@@ -52,7 +67,7 @@
 
 // Read implements io.Reader.
 func (s *eventStream) Read(p []byte) (int, error) {
-	if len(s.pending) == 0 && s.err == nil {
+	for len(s.pending) == 0 && s.err == nil {
 		if err := contain.Run(s.exchange.server.deps.Log, "read stream", s.readEvents); err != nil {
 			s.answer.Abort()
 			s.err = err
@@ -66,17 +81,22 @@
 	return n, nil
 }
 
-// readEvents reads the next events, from another endpoint if the stream breaks or stalls and is resumable.
+// readEvents reads the next events, from another endpoint if the stream breaks or is silent and is resumable.
 func (s *eventStream) readEvents() {
-	s.answer.SetReadDeadline(s.exchange.nextEventDue(time.Now()))
+	s.beginRead()
 	events, err := s.reader.next()
+	next := s.endRead(err == nil || errors.Is(err, io.EOF))
 	switch {
+	case next != nil:
+		s.adopt(next)
 	case err == nil:
 		s.exchange.observeEvents(time.Now())
 		s.setPending(events)
 	case errors.Is(err, io.EOF):
 		s.endSend(dispatch.Served)
-		s.exchange.recordProgress()
+		if !s.exchange.firstEventAt.IsZero() {
+			s.exchange.recordProgress()
+		}
 		s.err = io.EOF
 	default:
 		s.resume(err)
@@ -88,8 +108,12 @@
 // answers without a stream.
 func (s *eventStream) resume(readErr error) {
 	s.answer.Abort()
+	s.continueAfter(s.exchange.endFailedSend(readErr))
+}
+
+// continueAfter continues the stream at another endpoint after a failed send, or sets s.err.
+func (s *eventStream) continueAfter(failed *failure) {
 	e := s.exchange
-	failed := e.endFailedSend(readErr)
 	for e.route.Resumable && e.lastEventID != "" && e.allowRetry(failed) {
 		next, err := e.attempt()
 		if err == nil && next.stream != nil {
@@ -108,26 +132,6 @@
 	s.err = failed
 }
 
-const (
-	// minPauseLimit, objectivePauses and aimedPauses give the pause after which callers abandon a stream: the longest of
-	// that time, of so many latency objectives and of so many pause objectives.
-	minPauseLimit   = 2 * time.Second
-	objectivePauses = 4
-	aimedPauses     = 8
-	// resumableAimedPauses is the number of pause objectives after which a resumable stream continues at another endpoint.
-	resumableAimedPauses = 3
-)
-
-// nextEventDue returns the time until which the next complete event must arrive. Bytes that complete no event do not
-// extend it.
-func (e *exchange) nextEventDue(now time.Time) time.Time {
-	limit := max(minPauseLimit, objectivePauses*e.route.Objective, aimedPauses*e.route.PauseObjective)
-	if e.route.Resumable && e.route.PauseObjective > 0 {
-		limit = resumableAimedPauses * e.route.PauseObjective
-	}
-	return earlier(now.Add(limit), e.deadline)
-}
-
 // endSend closes the endpoint's answer and ends the in-flight request.
 func (s *eventStream) endSend(outcome dispatch.Outcome) {
 	s.answer.Close()
