--- a/entry/instance.go
+++ b/entry/instance.go
@@ -137,6 +137,7 @@
 		Started:     i.started,
 		RecordStart: func(team string) { i.ledger.RecordStart(i.wallNow(), team) },
 	})
+	_ = i.registry.Register("forward_answer_memory_bytes", metrics.NewFunctionalGauge(i.server.AnswerMemory)) // the only one of this name
 	return i
 }
 
--- a/forward/server.go
+++ b/forward/server.go
@@ -133,6 +133,9 @@
 	s.deps.Metrics.Connections.Update(int64(s.conns.count()))
 }
 
+// AnswerMemory returns the memory of incomplete events and buffered answers in bytes, see Config.MaxAnswerMemory.
+func (s *Server) AnswerMemory() int64 { return s.answers.Used() }
+
 // handle serves a request. A panic ends that request only.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	var e *exchange
