--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -11,6 +11,7 @@
 
 	"knapweedhoist/deployment"
 	"knapweedhoist/dispatch"
+	"knapweedhoist/internal/boundedbuffer"
 	"knapweedhoist/upstream"
 )
 
@@ -167,11 +168,28 @@
 	default:
 		e.inFlight.Done(now, dispatch.Failed)
 		e.mayHaveRun = true
+		e.recordOversized(err)
 		e.investigateLoss(err)
 		return &failure{cause: causeBroken, err: err}
 	}
 }
 
+// isOversized reports whether err ended an answer with more bytes than its bound, or than there is memory for.
+func isOversized(err error) bool {
+	return errors.Is(err, upstream.ErrOversized) || errors.Is(err, boundedbuffer.ErrTooLarge) ||
+		errors.Is(err, errEventTooLong) || errors.Is(err, boundedbuffer.ErrNoMemory)
+}
+
+// recordOversized logs and counts an answer that was given up because of its size.
+func (e *exchange) recordOversized(err error) {
+	if !isOversized(err) {
+		return
+	}
+	e.server.deps.Metrics.Oversized.Inc(1)
+	e.server.deps.Log.Warn("oversized answer given up", "step", "read answer", "id", e.request.ID,
+		"endpoint", e.inFlight.Endpoint.ID, "peer", e.inFlight.Endpoint.Address, "reason", err.Error())
+}
+
 // isTimeout reports whether err is a timeout of the connection, of fasthttp or of the context.
 func isTimeout(err error) bool {
 	var timeout net.Error
@@ -182,7 +200,6 @@
 var (
 	errUnsigned         = errors.New("2xx answer without the endpoint's signature")
 	errEncoded          = errors.New("answer body has a content encoding")
-	errAnswerTooLarge   = errors.New("answer body is larger than 16 MiB")
 	errUnexpectedAnswer = errors.New("unexpected answer from the endpoint")
 )
 
@@ -218,6 +235,9 @@
 
 // endRejectedSend ends a send that the endpoint rejected without running the request.
 func (e *exchange) endRejectedSend(answer *upstream.Response, status int) *failure {
+	if due := time.Now().Add(rejectionBodyTime); due.Before(e.deadline) {
+		answer.SetReadDeadline(due)
+	}
 	discardBody(answer)
 	answer.Close()
 	e.inFlight.Done(time.Now(), dispatch.Shed)
@@ -231,6 +251,9 @@
 	}
 }
 
+// rejectionBodyTime bounds how long the rest of a rejection is awaited in order to reuse the connection; the request waits.
+const rejectionBodyTime = 100 * time.Millisecond
+
 // maxRejectionBytes bounds how much of a rejection's body is read in order to reuse the connection.
 const maxRejectionBytes = 64 << 10
 
@@ -242,8 +265,7 @@
 
 // readBuffered reads the complete body. An answer with a 5xx status is returned together with a failure.
 func (e *exchange) readBuffered(answer *upstream.Response, status int) (*endpointAnswer, *failure) {
-	body, taken, err := e.server.answers.read(answer.Body, maxAnswerBytes)
-	e.answerBytes += taken
+	body, err := e.newBuffer(bodyBufferBytes(answer)).ReadAll(answer.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, e.abortSend(answer, err)
 	}
@@ -262,6 +284,11 @@
 	return buffered, &failure{cause: causeBroken, err: statusError(status)}
 }
 
+// bodyBufferBytes returns the initial size of the buffer for a body. A byte more than the length is read to find the end.
+func bodyBufferBytes(answer *upstream.Response) int {
+	return min(max(answer.Header.ContentLength()+1, initialBufferBytes), boundedbuffer.FreeBytes)
+}
+
 // allowRetry reports whether the request is sent again after a failed attempt, and takes the retry from the budget
 // unless the request did not reach the endpoint.
 func (e *exchange) allowRetry(failed *failure) bool {
--- a/forward/events.go
+++ b/forward/events.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"knapweedhoist/internal/boundedbuffer"
 )
 
 // maxEventBytes is the largest size of one event of a stream.
@@ -20,19 +22,21 @@
 
 // eventReader splits a stream of server-sent events into complete events.
 type eventReader struct {
-	src io.Reader
-	buf []byte
-	// start and end delimit the bytes of buf that were read from src and not yet returned.
+	src    io.Reader
+	buffer *boundedbuffer.Buffer
+	// start and end delimit the bytes of buffer that were read from src and not yet returned.
 	start, end int
+	// searched is the number of bytes from start that are known to contain no end of an event.
+	searched int
 	// err is the error of the last read of src.
 	err error
 }
 
-// initialBufferBytes is the initial size of an eventReader's buffer; it fits several events.
+// initialBufferBytes is the usual size of an eventReader's buffer; it fits several events.
 const initialBufferBytes = 2048
 
-func newEventReader(src io.Reader) *eventReader {
-	return &eventReader{src: src, buf: make([]byte, initialBufferBytes)}
+func newEventReader(src io.Reader, buffer *boundedbuffer.Buffer) *eventReader {
+	return &eventReader{src: src, buffer: buffer}
 }
 
 // next returns all complete events that have arrived, at least one, each with
@@ -41,9 +45,7 @@
 // event remains.
 func (r *eventReader) next() ([]byte, error) {
 	for {
-		if length := lastEventEnd(r.buf[r.start:r.end]); length > 0 {
-			events := r.buf[r.start : r.start+length]
-			r.start += length
+		if events := r.takeEvents(); len(events) > 0 {
 			return events, nil
 		}
 		if r.err != nil {
@@ -55,6 +57,24 @@
 	}
 }
 
+// takeEvents returns the complete events among the unread bytes. It searches each byte once: an event of many small reads
+// would otherwise take time with the square of its size.
+func (r *eventReader) takeEvents() []byte {
+	from := max(r.searched-len(eventEndCRLF)+1, 0)
+	length := lastEventEnd(r.unread()[from:])
+	if length == 0 {
+		r.searched = r.end - r.start
+		return nil
+	}
+	events := r.unread()[:from+length]
+	r.start += len(events)
+	r.searched = 0
+	return events
+}
+
+// unread returns the bytes that were read from src and not yet returned.
+func (r *eventReader) unread() []byte { return r.buffer.Bytes()[r.start:r.end] }
+
 // endError returns the read error, or errTruncatedEvent for an io.EOF inside an event.
 func (r *eventReader) endError() error {
 	if errors.Is(r.err, io.EOF) && r.start < r.end {
@@ -63,25 +83,41 @@
 	return r.err
 }
 
-// fill reads more bytes into buf, which grows up to maxEventBytes. A read error is
+// fill reads more bytes into the buffer, which grows up to maxEventBytes. A read error is
 // stored in r.err, so that next returns the complete events before it.
 func (r *eventReader) fill() error {
-	if r.start > 0 {
-		r.end = copy(r.buf, r.buf[r.start:r.end])
-		r.start = 0
-	}
-	if r.end == len(r.buf) {
-		if len(r.buf) >= maxEventBytes {
-			return fmt.Errorf("%w: more than %d bytes", errEventTooLong, maxEventBytes)
-		}
-		r.buf = append(r.buf, make([]byte, len(r.buf))...)
+	if err := r.makeRoom(); err != nil {
+		return err
 	}
 	var n int
-	n, r.err = r.src.Read(r.buf[r.end:])
+	n, r.err = r.src.Read(r.buffer.Bytes()[r.end:])
 	r.end += n
 	return nil
 }
 
+// makeRoom removes the bytes that were returned and grows the buffer if an event fills it. After a large event the buffer
+// has its usual size again.
+func (r *eventReader) makeRoom() error {
+	unread, size := r.unread(), len(r.buffer.Bytes())
+	switch {
+	case len(unread) == size && size >= maxEventBytes:
+		return fmt.Errorf("%w: more than %d bytes", errEventTooLong, maxEventBytes)
+	case len(unread) == size:
+		size *= 2
+	case len(unread) < initialBufferBytes && r.buffer.Counts():
+		size = initialBufferBytes
+	}
+	if size != len(r.buffer.Bytes()) {
+		if err := r.buffer.Resize(size, unread); err != nil {
+			return err
+		}
+	} else if r.start > 0 {
+		copy(r.buffer.Bytes(), unread)
+	}
+	r.start, r.end = 0, len(unread)
+	return nil
+}
+
 // lastEventEnd returns the length of the complete events at the start of b.
 func lastEventEnd(b []byte) int {
 	end := 0
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -8,6 +8,7 @@
 
 	"knapweedhoist/deployment"
 	"knapweedhoist/dispatch"
+	"knapweedhoist/internal/boundedbuffer"
 )
 
 // exchange is one request of a caller and its answer. One goroutine at a time
@@ -53,10 +54,10 @@
 	// firstEventAt is the time of the first event of the current send, progressed whether its answer went on after that.
 	firstEventAt time.Time
 	progressed   bool
+	// buffer holds what was read of the current endpoint's answer and not passed on; nil before the first answer.
+	buffer *boundedbuffer.Buffer
 	// lastEventAt is the time of the last event read for the caller, zero before the first one.
 	lastEventAt time.Time
-	// answerBytes is the memory that buffered answers took.
-	answerBytes int64
 	watchedConn *clientConn
 }
 
@@ -77,11 +78,24 @@
 		e.watchedConn.unwatch()
 	}
 	e.cancel()
-	e.server.answers.release(e.answerBytes)
+	e.releaseBuffer()
 	e.server.progress.remove(e)
 	e.server.deps.Metrics.InProgress.Dec(1)
 }
 
+// newBuffer returns the buffer for an answer. It replaces that of the answer before.
+func (e *exchange) newBuffer(size int) *boundedbuffer.Buffer {
+	e.releaseBuffer()
+	e.buffer = boundedbuffer.New(e.server.answers, size)
+	return e.buffer
+}
+
+func (e *exchange) releaseBuffer() {
+	if e.buffer != nil {
+		e.buffer.Release()
+	}
+}
+
 // recordStart calls Deps.RecordStart for the team, if there is one, at the first call.
 func (e *exchange) recordStart() {
 	if e.started {
--- a/forward/server.go
+++ b/forward/server.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"knapweedhoist/dispatch"
+	"knapweedhoist/internal/boundedbuffer"
 	"knapweedhoist/internal/contain"
 	"knapweedhoist/internal/wait"
 )
@@ -21,7 +22,7 @@
 	http     *fasthttp.Server
 	conns    connections
 	listener atomic.Pointer[listener] // set by Serve
-	answers  answerMemory
+	answers  *boundedbuffer.Memory
 	// progress holds the accepted requests until their end.
 	progress inProgress
 	// startBy is the time until which requests wait for the start of the instance.
@@ -35,8 +36,8 @@
 func NewServer(cfg Config, deps Deps) *Server {
 	s := &Server{cfg: cfg.withDefaults(), deps: deps}
 	s.startBy = time.Now().Add(s.cfg.StartWait)
+	s.answers = boundedbuffer.NewMemory(s.cfg.MaxAnswerMemory)
 	s.conns.limit = s.cfg.MaxConnections
-	s.answers.limit = int64(s.cfg.MaxAnswerMemory)
 	s.http = &fasthttp.Server{
 		Handler:                       s.handle,
 		NoDefaultServerHeader:         true,
@@ -132,6 +133,9 @@
 	s.deps.Metrics.Connections.Update(int64(s.conns.count()))
 }
 
+// AnswerMemory returns the memory of incomplete events and buffered answers in bytes, see Config.MaxAnswerMemory.
+func (s *Server) AnswerMemory() int64 { return s.answers.Used() }
+
 // handle serves a request. A panic ends that request only.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	var e *exchange
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -37,7 +37,7 @@
 // openStream waits for the first events, so that a request whose endpoint fails before them can still be sent again. A stream
 // that ends without an event is complete only if it goes on after one: the end of the stream before it was lost.
 func (e *exchange) openStream(answer *upstream.Response) (*endpointAnswer, *failure) {
-	stream := &eventStream{exchange: e, answer: answer, reader: newEventReader(answer.Body)}
+	stream := &eventStream{exchange: e, answer: answer, reader: newEventReader(answer.Body, e.newBuffer(initialBufferBytes))}
 	pending, err := stream.reader.next()
 	switch {
 	case err == nil:
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -43,7 +43,7 @@
 	forked := *e
 	forked.context, forked.cancel = context.WithCancel(e.context)
 	forked.tried = maps.Clone(e.tried)
-	forked.answerBytes = 0
+	forked.buffer = nil
 	return &forked
 }
 
@@ -93,7 +93,6 @@
 	<-t.done
 	e := s.exchange
 	e.sends, e.tried = t.exchange.sends, t.exchange.tried
-	e.answerBytes += t.exchange.answerBytes
 	if !t.won {
 		return nil
 	}
@@ -120,6 +119,7 @@
 		}
 		if t.failed != nil || !t.won {
 			t.exchange.cancel()
+			t.exchange.releaseBuffer()
 		}
 	}()
 }
@@ -200,6 +200,8 @@
 	e.inFlight, e.lastEventID, e.lastEventAt = other.inFlight, other.lastEventID, other.lastEventAt
 	e.firstEventAt, e.progressed = other.firstEventAt, other.progressed
 	s.answer, s.reader, s.pending = t.answer.stream.answer, t.answer.stream.reader, t.answer.stream.pending
+	e.releaseBuffer()
+	e.buffer = other.buffer
 	e.server.deps.Metrics.Resumed.Inc(1)
 	e.server.deps.Log.Info("stream resumed", "id", e.request.ID, "endpoint", e.inFlight.Endpoint.ID,
 		"after_event", after, "reason", fmt.Sprintf("%v for %v", errSilent, silent.Round(time.Millisecond)))
