forward: log the fingerprint of failed requests and of those at a crash

What callers saw: nothing new.

Change: a fingerprint of method, host, route, path, team, prompt parts and body in the lines request failed, request repeated and endpoint crashed, and the process in the latter. No decision uses it yet.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -45,7 +45,7 @@
 		}
 		e.server.deps.Metrics.Repeated.Inc(1)
 		e.server.deps.Log.Info("request repeated", "id", e.request.ID, "endpoint", e.inFlight.Endpoint.ID,
-			"reason", err.Error(), "sends", e.sends, "parts", formatContents(e.contents))
+			"reason", err.Error(), "sends", e.sends, "fingerprint", formatContents([]uint64{e.fingerprint}), "parts", formatContents(e.contents))
 	}
 }
 
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -66,7 +66,7 @@
 	if e.progressed || len(e.contents) == 0 || !connectionLost(err) {
 		return
 	}
-	s, inFlight, id, contents := e.server, e.inFlight, e.request.ID, e.contents
+	s, inFlight, id, contents, fingerprint := e.server, e.inFlight, e.request.ID, e.contents, e.fingerprint
 	endpoint, idleLimit := inFlight.Endpoint, e.idleLimit()
 	go func() {
 		_ = contain.Run(s.deps.Log, "investigate a lost exchange", func() {
@@ -74,12 +74,14 @@
 			if !s.deps.Pool.Refuses(context.Background(), target, idleLimit) {
 				return
 			}
-			s.deps.Quarantine.RecordCrash(s.deps.Now(), quarantine.ProcessKey(endpoint.ID, endpoint.StartedAtMs), contents)
+			process := quarantine.ProcessKey(endpoint.ID, endpoint.StartedAtMs)
+			s.deps.Quarantine.RecordCrash(s.deps.Now(), process, contents)
 			if inFlight.RecordCrash(time.Now()) {
 				s.logAvoidance(inFlight, id, dispatch.Crashed, 0)
 			}
 			s.deps.Metrics.Crashes.Inc(1)
-			s.deps.Log.Warn("endpoint crashed", "endpoint", endpoint.ID, "started_ms", endpoint.StartedAtMs, "id", id,
+			s.deps.Log.Warn("endpoint crashed", "endpoint", endpoint.ID, "started_ms", endpoint.StartedAtMs,
+				"process", formatContents([]uint64{process}), "id", id, "fingerprint", formatContents([]uint64{fingerprint}),
 				"parts", formatContents(contents))
 		})
 	}()
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -48,6 +48,8 @@
 	inFlight    *dispatch.InFlight
 	// contents identifies the parts of the prompt that other requests can have in common with this one.
 	contents []uint64
+	// fingerprint identifies the request without its id; setFingerprint sets it.
+	fingerprint uint64
 	// firstEventAt is the time of the first event of the current send, progressed whether its answer went on after that.
 	firstEventAt time.Time
 	progressed   bool
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -145,6 +145,9 @@
 		e.server.deps.Log.Info(message, append(attributes, extra...)...)
 		return
 	}
+	if e.fingerprint != 0 {
+		attributes = append(attributes, "fingerprint", formatContents([]uint64{e.fingerprint}))
+	}
 	if len(e.contents) > 0 {
 		attributes = append(attributes, "parts", formatContents(e.contents))
 	}
