--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -41,6 +41,7 @@
 // quarantineRecord is one entry of the object. Ages are not kept, since the clocks of instances may differ: a quarantine that
 // is read begins anew.
 type quarantineRecord struct {
+	// Part is the quarantine.Key as a number.
 	Part  uint64 `json:"part"`
 	Epoch int    `json:"epoch"`
 }
@@ -102,7 +103,7 @@
 	records := []quarantineRecord{}
 	for _, record := range s.guard.Own(clock.Now()).Records {
 		if !record.Lifted {
-			records = append(records, quarantineRecord{Part: record.Part, Epoch: record.Epoch})
+			records = append(records, quarantineRecord{Part: uint64(record.Key), Epoch: record.Epoch})
 		}
 	}
 	return records
@@ -121,7 +122,7 @@
 	}
 	var evidence quarantine.Evidence
 	for _, record := range records[:min(len(records), quarantine.MaxRecords)] {
-		evidence.Records = append(evidence.Records, quarantine.Record{Part: record.Part, Epoch: record.Epoch})
+		evidence.Records = append(evidence.Records, quarantine.Record{Key: quarantine.Key(record.Part), Epoch: record.Epoch})
 	}
 	s.guard.Observe(clock.Now(), evidence)
 }
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -27,7 +27,7 @@
 {"time":"2026-04-17T19:07:04.000Z","level":"INFO","msg":"request served","instance":"b","id":"r-2","status":200,"ms":5,"sends":1,"endpoint":"i-2"}
 {"time":"2026-04-17T19:07:05.000Z","level":"WARN","msg":"request failed","instance":"b","id":"r-4","status":502,"ms":9,"sends":1,"endpoint":"i-2","reason":"broken"}
 {"time":"2026-04-17T19:07:05.010Z","level":"WARN","msg":"endpoint crashed","instance":"b","id":"r-4","endpoint":"i-2","parts":"a1"}
-{"time":"2026-04-17T19:07:05.020Z","level":"WARN","msg":"prompt part quarantined","instance":"b","part":"a1","crashes":3,"epoch":1}
+{"time":"2026-04-17T19:07:05.020Z","level":"WARN","msg":"requests quarantined","instance":"b","kind":"prompt part","key":"a1","crashes":3,"epoch":1}
 not a line
 `
 
--- a/explain/history.go
+++ b/explain/history.go
@@ -67,7 +67,7 @@
 	"endpoint watch lost": true, "endpoint watch regained": true, "relay lost": true,
 	"endpoint changed": true, "endpoint gone": true, "endpoint entry missing after an outage of the store": true,
 	"endpoint crashed": true, "endpoint avoided": true, "endpoint used again": true,
-	"prompt part quarantined": true, "quarantine of prompt part lifted": true, "quarantine of prompt part expired": true,
+	"requests quarantined": true, "quarantine lifted": true, "quarantine expired": true,
 }
 
 func isStateMessage(message string) bool { return stateMessages[message] }
@@ -119,9 +119,8 @@
 	"configuration watch lost": "configuration watch", "configuration watch regained": "configuration watch",
 	"endpoint watch lost": "endpoint watch", "endpoint watch regained": "endpoint watch",
 	"endpoint avoided": "avoidance", "endpoint used again": "avoidance",
-	"prompt part quarantined": "quarantine", "quarantine of prompt part lifted": "quarantine",
-	"quarantine of prompt part expired": "quarantine",
-	"endpoint changed":                  "endpoint", "endpoint gone": "endpoint",
+	"requests quarantined": "quarantine", "quarantine lifted": "quarantine", "quarantine expired": "quarantine",
+	"endpoint changed": "endpoint", "endpoint gone": "endpoint",
 	"endpoint entry missing after an outage of the store": "endpoint",
 }
 
--- a/explain/verdict.go
+++ b/explain/verdict.go
@@ -66,8 +66,8 @@
 			text += "; the instance was stopping"
 		case "configuration watch lost", "endpoint watch lost":
 			text += fmt.Sprintf("; %s since %s (%s)", line.Message, line.Time.Format("15:04:05.000"), line.Text("error"))
-		case "prompt part quarantined":
-			text += "; the instance refused requests with the prompt part " + line.Text("part")
+		case "requests quarantined":
+			text += "; the instance refused requests with the " + line.Text("kind") + " " + line.Text("key")
 		case "endpoint gone":
 			text += "; the instance considered endpoint " + line.Text(endpointField) + " gone"
 		}
--- a/fleetstate/fleet_test.go
+++ b/fleetstate/fleet_test.go
@@ -198,7 +198,7 @@
 	ginkgo.It("reaches the members of other data centres through aggregators", func() {
 		a, b := nodesOf("a", 3), nodesOf("b", 3)
 		for i, n := range []*node{a[2], b[2]} {
-			n.SetOwn(State{Evidence: quarantine.Evidence{Crashes: []quarantine.Crash{{Process: uint64(i + 1), Parts: []uint64{7}}}}})
+			n.SetOwn(State{Evidence: quarantine.Evidence{Crashes: []quarantine.Crash{{Process: uint64(i + 1), Keys: []quarantine.Key{7}}}}})
 		}
 		a[2].report(start, a[0])
 		b[2].report(start, b[0])
@@ -206,8 +206,8 @@
 		later := start.Add(200 * time.Millisecond)
 		b[1].ObserveDigest(later, b[0].digest(later, b[1]))
 		Expect(b[1].Advance(later, 1).Evidence.Crashes).To(ConsistOf(
-			quarantine.Crash{Process: 1, Age: 200 * time.Millisecond, Parts: []uint64{7}},
-			quarantine.Crash{Process: 2, Age: 200 * time.Millisecond, Parts: []uint64{7}},
+			quarantine.Crash{Process: 1, Age: 200 * time.Millisecond, Keys: []quarantine.Key{7}},
+			quarantine.Crash{Process: 2, Age: 200 * time.Millisecond, Keys: []quarantine.Key{7}},
 		))
 	})
 })
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -115,7 +115,7 @@
 	e.header = &fasthttp.RequestHeader{}
 	e.ctx.Request.Header.CopyTo(e.header)
 	e.body = append([]byte(nil), e.ctx.Request.Body()...)
-	e.setFingerprint()
+	e.setKeys()
 }
 
 // chargeTeam takes the request's cost from the team's limit.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -45,14 +45,14 @@
 		}
 		e.server.deps.Metrics.Repeated.Inc(1)
 		e.server.deps.Log.Info("request repeated", "id", e.request.ID, "endpoint", e.inFlight.Endpoint.ID,
-			"reason", err.Error(), "sends", e.sends, "fingerprint", formatContents([]uint64{e.fingerprint}), "parts", formatContents(e.contents))
+			"reason", err.Error(), "sends", e.sends, "fingerprint", e.keys.Key.String(), "parts", formatKeys(e.keys.Parts))
 	}
 }
 
 // attempt sends the request to one endpoint. An answer returned together with a
 // failure is passed on to the caller if the request is not sent again.
 func (e *exchange) attempt() (*endpointAnswer, *failure) {
-	if err := e.server.deps.Quarantine.Admit(e.server.deps.Now(), e.contents); err != nil {
+	if err := e.server.deps.Quarantine.Admit(e.server.deps.Now(), e.keys); err != nil {
 		return nil, &failure{cause: causeQuarantined, err: err}
 	}
 	now := time.Now()
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -18,20 +18,11 @@
 // the request.
 const progressTime = 200 * time.Millisecond
 
-// sharedContents returns the content of each part of the prompt that other requests can have in common with this one.
-func sharedContents(prompt []dispatch.Part) []uint64 {
-	var contents []uint64
-	for _, part := range dispatch.SharedParts(prompt) {
-		contents = append(contents, part.Content)
-	}
-	return contents
-}
-
-// formatContents returns contents in hexadecimal, as callers state them.
-func formatContents(contents []uint64) string {
-	texts := make([]string, len(contents))
-	for i, content := range contents {
-		texts[i] = strconv.FormatUint(content, 16)
+// formatKeys returns keys in hexadecimal, those of parts as callers state them.
+func formatKeys(keys []quarantine.Key) string {
+	texts := make([]string, len(keys))
+	for i, key := range keys {
+		texts[i] = key.String()
 	}
 	return strings.Join(texts, ",")
 }
@@ -49,9 +40,7 @@
 // recordProgress notes that the endpoint was able to answer the request.
 func (e *exchange) recordProgress() {
 	e.progressed = true
-	if len(e.contents) > 0 {
-		e.server.deps.Quarantine.RecordAnswer(e.server.deps.Now(), e.contents)
-	}
+	e.server.deps.Quarantine.RecordAnswer(e.server.deps.Now(), e.keys)
 }
 
 // connectionLost reports whether err ended an exchange without any statement of the endpoint, as its crash does.
@@ -63,10 +52,10 @@
 // investigateLoss finds out whether the endpoint of a failed send has crashed, if the request may be the cause: it has parts
 // in common with others, and its answer had made no progress.
 func (e *exchange) investigateLoss(err error) {
-	if e.progressed || len(e.contents) == 0 || !connectionLost(err) {
+	if e.progressed || len(e.keys.Parts) == 0 || !connectionLost(err) {
 		return
 	}
-	s, inFlight, id, contents, fingerprint := e.server, e.inFlight, e.request.ID, e.contents, e.fingerprint
+	s, inFlight, id, keys := e.server, e.inFlight, e.request.ID, e.keys
 	endpoint, idleLimit := inFlight.Endpoint, e.idleLimit()
 	go func() {
 		_ = contain.Run(s.deps.Log, "investigate a lost exchange", func() {
@@ -75,14 +64,13 @@
 				return
 			}
 			process := quarantine.ProcessKey(endpoint.ID, endpoint.StartedAtMs)
-			s.deps.Quarantine.RecordCrash(s.deps.Now(), process, contents)
+			s.deps.Quarantine.RecordCrash(s.deps.Now(), process, keys)
 			if inFlight.RecordCrash(time.Now()) {
 				s.logAvoidance(inFlight, id, dispatch.Crashed, 0)
 			}
 			s.deps.Metrics.Crashes.Inc(1)
 			s.deps.Log.Warn("endpoint crashed", "endpoint", endpoint.ID, "started_ms", endpoint.StartedAtMs,
-				"process", formatContents([]uint64{process}), "id", id, "fingerprint", formatContents([]uint64{fingerprint}),
-				"parts", formatContents(contents))
+				"process", strconv.FormatUint(process, 16), "id", id, "fingerprint", keys.Key.String(), "parts", formatKeys(keys.Parts))
 		})
 	}()
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -8,6 +8,7 @@
 
 	"knapweedhoist/deployment"
 	"knapweedhoist/dispatch"
+	"knapweedhoist/quarantine"
 )
 
 // exchange is one request of a caller and its answer. One goroutine at a time
@@ -46,10 +47,8 @@
 	// lastEventID is the last event id in the stream read for the caller, "" before the first one.
 	lastEventID string
 	inFlight    *dispatch.InFlight
-	// contents identifies the parts of the prompt that other requests can have in common with this one.
-	contents []uint64
-	// fingerprint identifies the request without its id; setFingerprint sets it.
-	fingerprint uint64
+	// keys identifies the request without its id, and the parts of its prompt that other requests can have too; setKeys sets it.
+	keys quarantine.Request
 	// firstEventAt is the time of the first event of the current send, progressed whether its answer went on after that.
 	firstEventAt time.Time
 	progressed   bool
--- a/forward/fingerprint.go
+++ b/forward/fingerprint.go
@@ -6,6 +6,7 @@
 	"github.com/zeebo/xxh3"
 
 	"knapweedhoist/dispatch"
+	"knapweedhoist/quarantine"
 )
 
 // fingerprintOf identifies what an endpoint sees of a request: method, host, route, path with query, team, parts of the prompt
@@ -29,9 +30,12 @@
 	return hasher.Sum64()
 }
 
-// setFingerprint sets e.fingerprint once the route, the team and the copies of the request are known.
-func (e *exchange) setFingerprint() {
-	e.fingerprint = fingerprintOf([]string{
+// setKeys sets e.keys once the route, the team and the copies of the request are known.
+func (e *exchange) setKeys() {
+	e.keys.Key = quarantine.RequestKey(fingerprintOf([]string{
 		string(e.header.Method()), string(e.header.Host()), e.route.Name, string(e.header.RequestURI()), e.teamName(),
-	}, e.request.Prompt, e.body)
+	}, e.request.Prompt, e.body))
+	for _, part := range dispatch.SharedParts(e.request.Prompt) {
+		e.keys.Parts = append(e.keys.Parts, quarantine.PartKey(part.Content))
+	}
 }
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -145,11 +145,11 @@
 		e.server.deps.Log.Info(message, append(attributes, extra...)...)
 		return
 	}
-	if e.fingerprint != 0 {
-		attributes = append(attributes, "fingerprint", formatContents([]uint64{e.fingerprint}))
+	if e.keys.Key != 0 {
+		attributes = append(attributes, "fingerprint", e.keys.Key.String())
 	}
-	if len(e.contents) > 0 {
-		attributes = append(attributes, "parts", formatContents(e.contents))
+	if len(e.keys.Parts) > 0 {
+		attributes = append(attributes, "parts", formatKeys(e.keys.Parts))
 	}
 	e.server.deps.Log.Warn(message, append(append(attributes, "reason", err.Error()), extra...)...)
 }
--- a/forward/server.go
+++ b/forward/server.go
@@ -191,7 +191,6 @@
 		request: s.deps.Codec.DecodeRequest(&ctx.Request.Header),
 		tried:   make(map[string]bool),
 	}
-	e.contents = sharedContents(e.request.Prompt)
 	e.context, e.cancel = context.WithCancel(context.Background())
 	return e
 }
--- a/gossip/evidence.go
+++ b/gossip/evidence.go
@@ -16,21 +16,30 @@
 	message := &wire.Evidence{}
 	for _, crash := range e.Crashes {
 		message.Crashes = append(message.Crashes, &wire.EndpointCrash{
-			Process: crash.Process, AgeMs: encodeAge(crash.Age), Parts: crash.Parts, Explained: crash.Explained,
+			Process: crash.Process, AgeMs: encodeAge(crash.Age), Parts: convertKeys[uint64](crash.Keys), Explained: crash.Explained,
 		})
 	}
 	for _, answer := range e.Answers {
-		message.Answers = append(message.Answers, &wire.AnsweredPart{Part: answer.Part, AgeMs: encodeAge(answer.Age)})
+		message.Answers = append(message.Answers, &wire.AnsweredPart{Part: uint64(answer.Key), AgeMs: encodeAge(answer.Age)})
 	}
 	for _, record := range e.Records {
 		message.Records = append(message.Records, &wire.PartQuarantine{
-			Part: record.Part, Epoch: uint32(record.Epoch), Lifted: record.Lifted,
+			Part: uint64(record.Key), Epoch: uint32(record.Epoch), Lifted: record.Lifted,
 			AgeMs: encodeAge(record.Age), RefusedAgeMs: encodeAge(record.RefusedAge),
 		})
 	}
 	return message
 }
 
+// convertKeys converts keys to the numbers of messages, or back. It returns nil for none.
+func convertKeys[To, From ~uint64](from []From) []To {
+	var converted []To
+	for _, key := range from {
+		converted = append(converted, To(key))
+	}
+	return converted
+}
+
 // encodeAge returns an age in milliseconds.
 func encodeAge(age time.Duration) uint32 { return uint32(max(age, 0).Milliseconds()) }
 
@@ -49,22 +58,22 @@
 	}
 	parts := 0
 	for _, crash := range m.Crashes {
-		if parts += len(crash.Parts); parts > quarantine.MaxParts {
-			return decoded, fmt.Errorf("%w: too many prompt parts", errMalformed)
+		if parts += len(crash.Parts); parts > quarantine.MaxKeys {
+			return decoded, fmt.Errorf("%w: too many keys of crashes", errMalformed)
 		}
 		decoded.Crashes = append(decoded.Crashes, quarantine.Crash{
-			Process: crash.Process, Age: decodeAge(crash.AgeMs), Parts: crash.Parts, Explained: crash.Explained,
+			Process: crash.Process, Age: decodeAge(crash.AgeMs), Keys: convertKeys[quarantine.Key](crash.Parts), Explained: crash.Explained,
 		})
 	}
 	for _, answer := range m.Answers {
-		decoded.Answers = append(decoded.Answers, quarantine.Answer{Part: answer.Part, Age: decodeAge(answer.AgeMs)})
+		decoded.Answers = append(decoded.Answers, quarantine.Answer{Key: quarantine.Key(answer.Part), Age: decodeAge(answer.AgeMs)})
 	}
 	for _, record := range m.Records {
 		if record.Epoch == 0 || record.Epoch > maxEpoch {
 			return decoded, fmt.Errorf("%w: epoch %d of a quarantine", errMalformed, record.Epoch)
 		}
 		decoded.Records = append(decoded.Records, quarantine.Record{
-			Part: record.Part, Epoch: int(record.Epoch), Lifted: record.Lifted,
+			Key: quarantine.Key(record.Part), Epoch: int(record.Epoch), Lifted: record.Lifted,
 			Age: decodeAge(record.AgeMs), RefusedAge: decodeAge(record.RefusedAgeMs),
 		})
 	}
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -32,9 +32,9 @@
 		Services:  map[string]fleetstate.ServiceLoad{"s": {Prefill: 1024, InFlight: 2.5, Waiting: 1, Samples: enginemodel.Samples{Count: 8, Residence: 0.25}}},
 	}
 	state.Evidence = quarantine.Evidence{
-		Crashes: []quarantine.Crash{{Process: 1, Age: time.Second, Parts: []uint64{2, 3}}, {Process: 4, Explained: true}},
-		Answers: []quarantine.Answer{{Part: 2, Age: 20 * time.Millisecond}},
-		Records: []quarantine.Record{{Part: 3, Epoch: 2, Lifted: true, Age: time.Minute, RefusedAge: time.Second}},
+		Crashes: []quarantine.Crash{{Process: 1, Age: time.Second, Keys: []quarantine.Key{2, 3}}, {Process: 4, Explained: true}},
+		Answers: []quarantine.Answer{{Key: 2, Age: 20 * time.Millisecond}},
+		Records: []quarantine.Record{{Key: 3, Epoch: 2, Lifted: true, Age: time.Minute, RefusedAge: time.Second}},
 	}
 	state.Used.Add("t", 1000, 500)
 	state.Used.Add("t", 1003, 700)
--- a/quarantine/change.go
+++ b/quarantine/change.go
@@ -5,8 +5,8 @@
 
 // Kinds of changes.
 const (
-	// Imposed means that a quarantine began, Lifted that it ended with an answer to the part, and Expired that it ended since no
-	// request with the part arrived any more.
+	// Imposed means that a quarantine began, Lifted that it ended with an answer to the key, and Expired that it ended since no
+	// request with the key arrived any more.
 	Imposed ChangeKind = iota + 1
 	Lifted
 	Expired
@@ -16,18 +16,18 @@
 func (k ChangeKind) String() string {
 	switch k {
 	case Imposed:
-		return "prompt part quarantined"
+		return "requests quarantined"
 	case Lifted:
-		return "quarantine of prompt part lifted"
+		return "quarantine lifted"
 	default:
-		return "quarantine of prompt part expired"
+		return "quarantine expired"
 	}
 }
 
 // Change is the beginning or the end of a quarantine at this instance.
 type Change struct {
 	Kind ChangeKind
-	Part uint64
+	Key  Key
 	// Crashes is the number of crashes that led to the quarantine, 0 if another instance decided it.
 	Crashes int
 	Epoch   int
--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -8,24 +8,24 @@
 
 // Config holds the limits of a Guard. Zero fields take their defaults.
 type Config struct {
-	// MinCrashes is the number of crashes at which a part must have been in progress, without an answer since the first of
+	// MinCrashes is the number of crashes at which a key must have been in progress, without an answer since the first of
 	// them, before it is quarantined. Default 3.
 	MinCrashes int
-	// MinCrashesAnswered replaces MinCrashes for a part that was answered within EvidenceTTL. Default 4.
+	// MinCrashesAnswered replaces MinCrashes for a key that was answered within EvidenceTTL. Default 4.
 	MinCrashesAnswered int
-	// DecisionDelay is the time between the crash that reaches the limit and the quarantine, in which an answer to the part
+	// DecisionDelay is the time between the crash that reaches the limit and the quarantine, in which an answer to the key
 	// can become known. Default 800 ms: a first token, its progress and three reports.
 	DecisionDelay time.Duration
 	// EvidenceTTL is how long crashes and answers are remembered. Default 2 min.
 	EvidenceTTL time.Duration
-	// ExplainedTTL replaces EvidenceTTL for the crashes that a quarantined part explains. Default 10 s: longer than other
+	// ExplainedTTL replaces EvidenceTTL for the crashes that a quarantined key explains. Default 10 s: longer than other
 	// instances need to learn the cause of a crash that they have seen too.
 	ExplainedTTL time.Duration
-	// ReportTime is how long an instance reports a crash after it has learnt of it or of further parts. Others keep it for
+	// ReportTime is how long an instance reports a crash after it has learnt of it or of further keys. Others keep it for
 	// EvidenceTTL. Default 5 s: several reports on each of the ways between instances.
 	ReportTime time.Duration
 	// TrialWait is the time from the start of a quarantine to the first trial. It doubles with each further quarantine of the
-	// part, up to maxTrialDoublings times. Default 1 min.
+	// key, up to maxTrialDoublings times. Default 1 min.
 	TrialWait time.Duration
 	// Retention is how long a quarantine is kept after the last request that it refused. Default 10 min.
 	Retention time.Duration
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -35,56 +35,56 @@
 			delete(g.crashes, process)
 		}
 	}
-	for _, answered := range []map[uint64]time.Time{g.answered, g.answeredElsewhere} {
-		for part, at := range answered {
+	for _, answered := range []map[Key]time.Time{g.answered, g.answeredElsewhere} {
+		for key, at := range answered {
 			if now.Sub(at) > g.cfg.EvidenceTTL {
-				delete(answered, part)
+				delete(answered, key)
 			}
 		}
 	}
-	for part, r := range g.records {
+	for key, r := range g.records {
 		if now.Sub(r.lastUse()) <= g.cfg.Retention {
 			continue
 		}
-		delete(g.records, part)
+		delete(g.records, key)
 		if !r.lifted {
-			g.changes = append(g.changes, Change{Kind: Expired, Part: part, Epoch: r.epoch})
+			g.changes = append(g.changes, Change{Kind: Expired, Key: key, Epoch: r.epoch})
 		}
 	}
 }
 
-// lift ends the quarantine of parts that were answered since it began: a part that crashes endpoints has no answers, so
+// lift ends the quarantine of keys that were answered since it began: a key whose requests crash endpoints has no answers, so
 // that another one caused the crashes, or the endpoints are repaired.
 func (g *Guard) lift(now time.Time) {
-	for part, r := range g.records {
-		if !r.lifted && g.lastAnswer(part).After(r.at) {
+	for key, r := range g.records {
+		if !r.lifted && g.lastAnswer(key).After(r.at) {
 			r.lifted, r.at = true, now
-			g.changes = append(g.changes, Change{Kind: Lifted, Part: part, Epoch: r.epoch})
+			g.changes = append(g.changes, Change{Kind: Lifted, Key: key, Epoch: r.epoch})
 		}
 	}
 }
 
-// lastAnswer returns the time of the last answer to a part at any instance, the zero time if none is known.
-func (g *Guard) lastAnswer(part uint64) time.Time {
-	own, elsewhere := g.answered[part], g.answeredElsewhere[part]
+// lastAnswer returns the time of the last answer to a key at any instance, the zero time if none is known.
+func (g *Guard) lastAnswer(key Key) time.Time {
+	own, elsewhere := g.answered[key], g.answeredElsewhere[key]
 	if own.After(elsewhere) {
 		return own
 	}
 	return elsewhere
 }
 
-// suspect is a part that may be quarantined.
+// suspect is a key that may be quarantined.
 type suspect struct {
-	part uint64
-	// crashes holds the times of the crashes since the last answer to the part.
+	key Key
+	// crashes holds the times of the crashes since the last answer to the key.
 	crashes []time.Time
-	// answered is set if the part was answered before.
+	// answered is set if the key was answered before.
 	answered bool
-	// depth is the highest position of the part in a crash.
+	// depth is the highest position of the key in a crash.
 	depth int
 }
 
-// worstSuspect returns the part that is most likely to have caused the crashes, false if no part has reached the limits.
+// worstSuspect returns the key that is most likely to have caused the crashes, false if no key has reached the limits.
 func (g *Guard) worstSuspect(now time.Time) (suspect, bool) {
 	var reached []suspect
 	for _, s := range g.suspects() {
@@ -112,7 +112,7 @@
 		case a.depth != b.depth:
 			return cmp.Compare(b.depth, a.depth)
 		default:
-			return cmp.Compare(a.part, b.part)
+			return cmp.Compare(a.key, b.key)
 		}
 	}), true
 }
@@ -129,16 +129,16 @@
 	}
 }
 
-// suspects returns the parts in progress at crashes, by part.
-func (g *Guard) suspects() map[uint64]*suspect {
-	suspects := make(map[uint64]*suspect)
+// suspects returns the keys in progress at crashes, by key.
+func (g *Guard) suspects() map[Key]*suspect {
+	suspects := make(map[Key]*suspect)
 	for _, c := range g.crashes {
-		for depth, part := range c.parts {
-			lastAnswer := g.lastAnswer(part)
-			s := suspects[part]
+		for depth, key := range c.keys {
+			lastAnswer := g.lastAnswer(key)
+			s := suspects[key]
 			if s == nil {
-				s = &suspect{part: part, answered: !lastAnswer.IsZero()}
-				suspects[part] = s
+				s = &suspect{key: key, answered: !lastAnswer.IsZero()}
+				suspects[key] = s
 			}
 			s.depth = max(s.depth, depth)
 			if c.at.After(lastAnswer) {
@@ -149,14 +149,14 @@
 	return suspects
 }
 
-// impose quarantines a part. The crashes that it explains no longer count for other parts.
+// impose quarantines a key. The crashes that it explains no longer count for other keys.
 func (g *Guard) impose(now time.Time, s suspect) {
-	r := g.records[s.part]
+	r := g.records[s.key]
 	if r == nil {
 		r = &record{}
-		g.records[s.part] = r
+		g.records[s.key] = r
 	}
 	r.epoch, r.lifted, r.at = r.epoch+1, false, now
-	g.explainCrashes(now, s.part)
-	g.changes = append(g.changes, Change{Kind: Imposed, Part: s.part, Crashes: len(s.crashes), Epoch: r.epoch})
+	g.explainCrashes(now, s.key)
+	g.changes = append(g.changes, Change{Kind: Imposed, Key: s.key, Crashes: len(s.crashes), Epoch: r.epoch})
 }
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -10,9 +10,9 @@
 const (
 	// MaxCrashes is the number of crashes in an Evidence.
 	MaxCrashes = 64
-	// MaxParts is the number of parts of its crashes together.
-	MaxParts = 2048
-	// MaxAnswers is the number of answered parts in an Evidence.
+	// MaxKeys is the number of keys of its crashes together.
+	MaxKeys = 2048
+	// MaxAnswers is the number of answered keys in an Evidence.
 	MaxAnswers = 256
 	// MaxRecords is the number of quarantines in an Evidence.
 	MaxRecords = 256
@@ -23,32 +23,32 @@
 	// Process identifies the process, see ProcessKey.
 	Process uint64
 	Age     time.Duration
-	// Parts holds the parts that were in progress without an answer. A part stands behind those that precede it in a prompt.
-	Parts []uint64
-	// Explained is set if a quarantined part was in progress, so that the crash does not count for other parts.
+	// Keys holds the keys that were in progress without an answer. A part stands behind those that precede it in a prompt.
+	Keys []Key
+	// Explained is set if a quarantined key was in progress, so that the crash does not count for other keys.
 	Explained bool
 }
 
-// Answer states that a part was answered.
+// Answer states that a request with a key was answered.
 type Answer struct {
-	Part uint64
+	Key Key
 	// Age is the time since the last answer.
 	Age time.Duration
 }
 
-// Record is the quarantine of one part.
+// Record is the quarantine of one key.
 type Record struct {
-	Part uint64
-	// Epoch is the number of quarantines of the part so far.
+	Key Key
+	// Epoch is the number of quarantines of the key so far.
 	Epoch int
-	// Lifted is set once the latest quarantine has ended with an answer to the part.
+	// Lifted is set once the latest quarantine has ended with an answer to the key.
 	Lifted bool
 	// Age is the time since the quarantine began or was lifted, RefusedAge that since the sender refused a request because
 	// of it, or Age if it refused none.
 	Age, RefusedAge time.Duration
 }
 
-// newerThan reports whether r describes a later state of the part's quarantine than other.
+// newerThan reports whether r describes a later state of the key's quarantine than other.
 func (r Record) newerThan(other Record) bool {
 	if r.Epoch != other.Epoch {
 		return r.Epoch > other.Epoch
@@ -56,7 +56,7 @@
 	return r.Lifted && !other.Lifted
 }
 
-// Evidence is what instances tell each other: crashes, answers to parts that were in progress at them, and quarantines.
+// Evidence is what instances tell each other: crashes, answers to keys that were in progress at them, and quarantines.
 type Evidence struct {
 	Crashes []Crash
 	Answers []Answer
@@ -85,20 +85,20 @@
 // entries than the bounds allow, the newest are kept.
 func (e *Evidence) Merge(other Evidence) {
 	e.Crashes = boundCrashes(mergeBy(e.Crashes, other.Crashes, func(c Crash) uint64 { return c.Process }, mergeCrashes))
-	e.Answers = mergeBy(e.Answers, other.Answers, func(a Answer) uint64 { return a.Part }, func(a, b Answer) Answer {
-		return Answer{Part: a.Part, Age: min(a.Age, b.Age)}
+	e.Answers = mergeBy(e.Answers, other.Answers, func(a Answer) Key { return a.Key }, func(a, b Answer) Answer {
+		return Answer{Key: a.Key, Age: min(a.Age, b.Age)}
 	})
 	e.Answers = newest(e.Answers, MaxAnswers, func(a Answer) time.Duration { return a.Age })
-	e.Records = mergeBy(e.Records, other.Records, func(r Record) uint64 { return r.Part }, mergeRecords)
+	e.Records = mergeBy(e.Records, other.Records, func(r Record) Key { return r.Key }, mergeRecords)
 	e.Records = newest(e.Records, MaxRecords, func(r Record) time.Duration { return r.Age })
 }
 
 // mergeBy merges two lists of entries with unique keys. It does not change them.
-func mergeBy[T any](a, b []T, key func(T) uint64, merge func(T, T) T) []T {
+func mergeBy[T any, K comparable](a, b []T, key func(T) K, merge func(T, T) T) []T {
 	if len(b) == 0 {
 		return a
 	}
-	merged, index := slices.Clone(a), make(map[uint64]int, len(a)+len(b))
+	merged, index := slices.Clone(a), make(map[K]int, len(a)+len(b))
 	for i, entry := range merged {
 		index[key(entry)] = i
 	}
@@ -113,23 +113,23 @@
 	return merged
 }
 
-// mergeCrashes returns the crash with the parts of both and the age of the earlier observation.
+// mergeCrashes returns the crash with the keys of both and the age of the earlier observation.
 func mergeCrashes(a, b Crash) Crash {
 	merged := Crash{Process: a.Process, Age: max(a.Age, b.Age), Explained: a.Explained || b.Explained}
 	if !merged.Explained {
-		merged.Parts = addParts(slices.Clone(a.Parts), b.Parts)
+		merged.Keys = addKeys(slices.Clone(a.Keys), b.Keys)
 	}
 	return merged
 }
 
-// addParts appends the parts that are missing in parts.
-func addParts(parts, added []uint64) []uint64 {
-	for _, part := range added {
-		if !slices.Contains(parts, part) {
-			parts = append(parts, part)
+// addKeys appends the keys that are missing in keys.
+func addKeys(keys, added []Key) []Key {
+	for _, key := range added {
+		if !slices.Contains(keys, key) {
+			keys = append(keys, key)
 		}
 	}
-	return parts
+	return keys
 }
 
 // mergeRecords returns the later state of a quarantine, and of two equal ones the earlier observation of it and the latest
@@ -155,12 +155,12 @@
 	return sorted[:limit]
 }
 
-// boundCrashes returns the newest crashes within MaxCrashes and MaxParts.
+// boundCrashes returns the newest crashes within MaxCrashes and MaxKeys.
 func boundCrashes(crashes []Crash) []Crash {
 	kept := newest(crashes, MaxCrashes, func(c Crash) time.Duration { return c.Age })
-	parts := 0
+	keys := 0
 	for i, crash := range kept {
-		if parts += len(crash.Parts); parts > MaxParts {
+		if keys += len(crash.Keys); keys > MaxKeys {
 			return kept[:i]
 		}
 	}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -16,23 +16,23 @@
 
 // Bounds of what a Guard remembers. Further entries are ignored until others have expired.
 const (
-	maxAnsweredParts = 16 << 10
-	maxKnownCrashes  = 1024
-	maxKnownRecords  = 1024
-	// maxCrashParts is the number of parts of one crash.
-	maxCrashParts = 512
+	maxAnsweredKeys = 16 << 10
+	maxKnownCrashes = 1024
+	maxKnownRecords = 1024
+	// maxCrashKeys is the number of keys of one crash.
+	maxCrashKeys = 512
 )
 
-// Guard decides which parts of prompts are quarantined. It is safe for concurrent use.
+// Guard decides which keys are quarantined. It is safe for concurrent use.
 type Guard struct {
 	cfg Config
 	mu  sync.Mutex
 	// crashes holds the crashes by process.
 	crashes map[uint64]*crash
-	// answered and answeredElsewhere hold the time of the last answer to each part, at this instance and at the others.
-	answered, answeredElsewhere map[uint64]time.Time
-	records                     map[uint64]*record
-	// mayTry is set while this instance is the one that tries quarantined parts again.
+	// answered and answeredElsewhere hold the time of the last answer to each key, at this instance and at the others.
+	answered, answeredElsewhere map[Key]time.Time
+	records                     map[Key]*record
+	// mayTry is set while this instance is the one that tries quarantined keys again.
 	mayTry bool
 	// changes holds the changes since the last Update.
 	changes []Change
@@ -43,15 +43,15 @@
 	at time.Time
 	// learntAt is the time of the last news about the crash at this instance.
 	learntAt time.Time
-	parts    []uint64
-	// explained is set if a quarantined part was in progress. The crash then has no parts.
+	keys     []Key
+	// explained is set if a quarantined key was in progress. The crash then has no keys.
 	explained bool
 }
 
-// explain records at the given time that a quarantined part was in progress.
+// explain records at the given time that a quarantined key was in progress.
 func (c *crash) explain(now time.Time) {
 	if !c.explained {
-		c.explained, c.parts, c.learntAt = true, nil, now
+		c.explained, c.keys, c.learntAt = true, nil, now
 	}
 }
 
@@ -78,24 +78,24 @@
 // NewGuard returns a Guard without any quarantine.
 func NewGuard(cfg Config) *Guard {
 	return &Guard{
-		cfg: cfg.withDefaults(), crashes: make(map[uint64]*crash), answered: make(map[uint64]time.Time),
-		answeredElsewhere: make(map[uint64]time.Time), records: make(map[uint64]*record),
+		cfg: cfg.withDefaults(), crashes: make(map[uint64]*crash), answered: make(map[Key]time.Time),
+		answeredElsewhere: make(map[Key]time.Time), records: make(map[Key]*record),
 	}
 }
 
-// Admit returns a RefusedError if a part of the request is quarantined, unless the request is the trial that is due.
-func (g *Guard) Admit(now time.Time, parts []uint64) error {
+// Admit returns a RefusedError if a key of the request is quarantined, unless the request is the trial that is due.
+func (g *Guard) Admit(now time.Time, request Request) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var trials []*record
-	for _, part := range parts {
-		r := g.records[part]
+	for _, key := range request.keys() {
+		r := g.records[key]
 		if r == nil || r.lifted {
 			continue
 		}
 		if wait := g.nextTrial(r).Sub(now); wait > 0 || !g.mayTry {
 			r.refusedAt = now
-			return &RefusedError{Part: part, RetryAfter: max(wait, minRetryAfter)}
+			return &RefusedError{Key: key, RetryAfter: max(wait, minRetryAfter)}
 		}
 		trials = append(trials, r)
 	}
@@ -108,7 +108,7 @@
 // minRetryAfter is the shortest RefusedError.RetryAfter.
 const minRetryAfter = time.Second
 
-// nextTrial returns the time of the next trial of a quarantined part.
+// nextTrial returns the time of the next trial of a quarantined key.
 func (g *Guard) nextTrial(r *record) time.Time {
 	last := r.at
 	if r.triedAt.After(last) {
@@ -117,46 +117,46 @@
 	return last.Add(g.cfg.TrialWait << min(r.epoch-1, maxTrialDoublings))
 }
 
-// RecordAnswer notes that an endpoint was able to answer a request with the parts.
-func (g *Guard) RecordAnswer(now time.Time, parts []uint64) {
+// RecordAnswer notes that an endpoint was able to answer a request with the keys.
+func (g *Guard) RecordAnswer(now time.Time, request Request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, part := range parts {
-		if _, known := g.answered[part]; known || len(g.answered) < maxAnsweredParts {
-			g.answered[part] = now
+	for _, key := range request.keys() {
+		if _, known := g.answered[key]; known || len(g.answered) < maxAnsweredKeys {
+			g.answered[key] = now
 		}
 	}
 }
 
-// RecordCrash notes that a process crashed while a request with the parts was in progress there without an answer.
-func (g *Guard) RecordCrash(now time.Time, process uint64, parts []uint64) {
+// RecordCrash notes that a process crashed while a request with the keys was in progress there without an answer.
+func (g *Guard) RecordCrash(now time.Time, process uint64, request Request) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.endTrials(now, parts)
-	g.addCrash(now, process, now, parts)
+	g.endTrials(now, request.keys())
+	g.addCrash(now, process, now, request.keys())
 }
 
-// explains reports whether one of the parts is quarantined.
-func (g *Guard) explains(parts []uint64) bool {
-	return slices.ContainsFunc(parts, func(part uint64) bool {
-		r := g.records[part]
+// explains reports whether one of the keys is quarantined.
+func (g *Guard) explains(keys []Key) bool {
+	return slices.ContainsFunc(keys, func(key Key) bool {
+		r := g.records[key]
 		return r != nil && !r.lifted
 	})
 }
 
-// endTrials begins a new quarantine of the parts whose trial ended with a crash.
-func (g *Guard) endTrials(now time.Time, parts []uint64) {
-	for _, part := range parts {
-		if r := g.records[part]; r != nil && !r.lifted && r.triedAt.After(r.at) {
+// endTrials begins a new quarantine of the keys whose trial ended with a crash.
+func (g *Guard) endTrials(now time.Time, keys []Key) {
+	for _, key := range keys {
+		if r := g.records[key]; r != nil && !r.lifted && r.triedAt.After(r.at) {
 			r.epoch, r.at = r.epoch+1, now
-			g.changes = append(g.changes, Change{Kind: Imposed, Part: part, Crashes: 1, Epoch: r.epoch})
+			g.changes = append(g.changes, Change{Kind: Imposed, Key: key, Crashes: 1, Epoch: r.epoch})
 		}
 	}
 }
 
-// addCrash adds the parts to the crash of the process, which is as old as its first observation. A quarantined part
+// addCrash adds the keys to the crash of the process, which is as old as its first observation. A quarantined key
 // explains the crash.
-func (g *Guard) addCrash(now time.Time, process uint64, at time.Time, parts []uint64) *crash {
+func (g *Guard) addCrash(now time.Time, process uint64, at time.Time, keys []Key) *crash {
 	c := g.crashes[process]
 	if c == nil {
 		c = &crash{at: at, learntAt: now}
@@ -169,20 +169,20 @@
 	}
 	switch {
 	case c.explained:
-	case g.explains(parts):
+	case g.explains(keys):
 		c.explain(now)
 	default:
-		known := len(c.parts)
-		c.parts = addParts(c.parts, parts)
-		c.parts = c.parts[:min(len(c.parts), maxCrashParts)]
-		if len(c.parts) > known {
+		known := len(c.keys)
+		c.keys = addKeys(c.keys, keys)
+		c.keys = c.keys[:min(len(c.keys), maxCrashKeys)]
+		if len(c.keys) > known {
 			c.learntAt = now
 		}
 	}
 	return c
 }
 
-// SetMayTry sets whether this instance tries quarantined parts again. At most one instance may do so at a time.
+// SetMayTry sets whether this instance tries quarantined keys again. At most one instance may do so at a time.
 func (g *Guard) SetMayTry(mayTry bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -202,17 +202,17 @@
 		if g.crashes[received.Process] == nil && received.Age > g.cfg.EvidenceTTL/2 {
 			continue
 		}
-		if c := g.addCrash(now, received.Process, now.Add(-received.Age), received.Parts); received.Explained {
+		if c := g.addCrash(now, received.Process, now.Add(-received.Age), received.Keys); received.Explained {
 			c.explain(now)
 		}
 	}
 	for _, received := range evidence.Answers {
 		at := now.Add(-received.Age)
-		if _, known := g.answeredElsewhere[received.Part]; !known && len(g.answeredElsewhere) >= maxAnsweredParts {
+		if _, known := g.answeredElsewhere[received.Key]; !known && len(g.answeredElsewhere) >= maxAnsweredKeys {
 			continue
 		}
-		if at.After(g.answeredElsewhere[received.Part]) {
-			g.answeredElsewhere[received.Part] = at
+		if at.After(g.answeredElsewhere[received.Key]) {
+			g.answeredElsewhere[received.Key] = at
 		}
 	}
 }
@@ -220,19 +220,19 @@
 // observeRecord takes over a later state of a quarantine.
 func (g *Guard) observeRecord(now time.Time, received Record) {
 	at, refusedAt := now.Add(-received.Age), now.Add(-received.RefusedAge)
-	known := g.records[received.Part]
+	known := g.records[received.Key]
 	if now.Sub(refusedAt) > g.cfg.Retention || received.Epoch <= 0 || known == nil && len(g.records) >= maxKnownRecords {
 		return
 	}
 	switch {
-	case known == nil || received.newerThan(known.asRecord(now, received.Part)):
+	case known == nil || received.newerThan(known.asRecord(now, received.Key)):
 		if known == nil {
 			known = &record{}
-			g.records[received.Part] = known
+			g.records[received.Key] = known
 		}
 		known.epoch, known.lifted, known.at = received.Epoch, received.Lifted, at
 		g.noteChange(now, received)
-	case known.asRecord(now, received.Part).newerThan(received):
+	case known.asRecord(now, received.Key).newerThan(received):
 		return
 	case at.Before(known.at):
 		known.at = at
@@ -244,59 +244,59 @@
 
 // noteChange notes a change that another instance decided.
 func (g *Guard) noteChange(now time.Time, received Record) {
-	change := Change{Kind: Imposed, Part: received.Part, Epoch: received.Epoch}
+	change := Change{Kind: Imposed, Key: received.Key, Epoch: received.Epoch}
 	if received.Lifted {
 		change.Kind = Lifted
 	} else {
-		g.explainCrashes(now, received.Part)
+		g.explainCrashes(now, received.Key)
 	}
 	g.changes = append(g.changes, change)
 }
 
-// explainCrashes marks the crashes at which a quarantined part was in progress.
-func (g *Guard) explainCrashes(now time.Time, part uint64) {
+// explainCrashes marks the crashes at which a quarantined key was in progress.
+func (g *Guard) explainCrashes(now time.Time, key Key) {
 	for _, c := range g.crashes {
-		if slices.Contains(c.parts, part) {
+		if slices.Contains(c.keys, key) {
 			c.explain(now)
 		}
 	}
 }
 
 // asRecord returns the record for a message.
-func (r *record) asRecord(now time.Time, part uint64) Record {
-	record := Record{Part: part, Epoch: r.epoch, Lifted: r.lifted, Age: now.Sub(r.at), RefusedAge: now.Sub(r.at)}
+func (r *record) asRecord(now time.Time, key Key) Record {
+	record := Record{Key: key, Epoch: r.epoch, Lifted: r.lifted, Age: now.Sub(r.at), RefusedAge: now.Sub(r.at)}
 	if !r.refusedAt.IsZero() {
 		record.RefusedAge = min(record.RefusedAge, now.Sub(r.refusedAt))
 	}
 	return record
 }
 
-// Own returns what this instance tells the others: recent news of crashes, all quarantines, and its own answers to parts that
+// Own returns what this instance tells the others: recent news of crashes, all quarantines, and its own answers to keys that
 // matter for a decision. Crashes that others have seen are included, because those may have restarted meanwhile.
 func (g *Guard) Own(now time.Time) Evidence {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var own Evidence
-	crashesOf := make(map[uint64]int)
+	crashesOf := make(map[Key]int)
 	for process, c := range g.crashes {
 		weight := 1
 		if now.Sub(c.learntAt) <= g.cfg.ReportTime {
 			weight = minReportedCrashes
 			own.Crashes = append(own.Crashes, Crash{
-				Process: process, Age: now.Sub(c.at), Parts: slices.Clone(c.parts), Explained: c.explained,
+				Process: process, Age: now.Sub(c.at), Keys: slices.Clone(c.keys), Explained: c.explained,
 			})
 		}
-		for _, part := range c.parts {
-			crashesOf[part] += weight
+		for _, key := range c.keys {
+			crashesOf[key] += weight
 		}
 	}
-	for part, r := range g.records {
-		own.Records = append(own.Records, r.asRecord(now, part))
-		crashesOf[part] += minReportedCrashes
+	for key, r := range g.records {
+		own.Records = append(own.Records, r.asRecord(now, key))
+		crashesOf[key] += minReportedCrashes
 	}
-	for part, n := range crashesOf {
-		if at, ok := g.answered[part]; ok && n >= minReportedCrashes {
-			own.Answers = append(own.Answers, Answer{Part: part, Age: now.Sub(at)})
+	for key, n := range crashesOf {
+		if at, ok := g.answered[key]; ok && n >= minReportedCrashes {
+			own.Answers = append(own.Answers, Answer{Key: key, Age: now.Sub(at)})
 		}
 	}
 	var bounded Evidence
@@ -304,6 +304,6 @@
 	return bounded
 }
 
-// minReportedCrashes is the number of earlier crashes from which the answers to a part are reported. Those to parts of recent
-// crashes and to quarantined parts are always reported.
+// minReportedCrashes is the number of earlier crashes from which the answers to a key are reported. Those to keys of recent
+// crashes and to quarantined keys are always reported.
 const minReportedCrashes = 2
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -16,10 +16,10 @@
 	// Guards against requests that crash one endpoint after the other, and against refusing sound requests that share the
 	// parts before the one that does.
 	ginkgo.It("quarantines the part that was never answered, not the ones in progress beside it", func() {
-		g.RecordAnswer(start, []uint64{first})
-		now := crashes(g, start, 5, []uint64{first, crashing}, []uint64{first, other})
-		g.RecordAnswer(now, []uint64{first, other})
-		Expect(g.Update(now.Add(delay))).To(Equal([]Change{{Kind: Imposed, Part: crashing, Crashes: 5, Epoch: 1}}))
+		g.RecordAnswer(start, with(first))
+		now := crashes(g, start, 5, with(first, crashing), with(first, other))
+		g.RecordAnswer(now, with(first, other))
+		Expect(g.Update(now.Add(delay))).To(Equal([]Change{{Kind: Imposed, Key: crashing, Crashes: 5, Epoch: 1}}))
 		Expect(refuses(g, now.Add(delay), crashing)).To(BeTrue())
 		Expect(refuses(g, now.Add(delay), first)).To(BeFalse())
 		Expect(g.Update(now.Add(time.Minute))).To(BeEmpty())
@@ -27,26 +27,26 @@
 
 	// Guards against refusing the first part of the prompts, which no request has used before, instead of the one behind it.
 	ginkgo.It("quarantines the later one of two parts that explain the same crashes", func() {
-		now := crashes(g, start, 3, []uint64{first, crashing})
+		now := crashes(g, start, 3, with(first, crashing))
 		changes := g.Update(now.Add(delay))
 		Expect(changes).To(HaveLen(1))
-		Expect(changes[0].Part).To(Equal(crashing))
+		Expect(changes[0].Key).To(Equal(crashing))
 	})
 
 	// Guards against refusing a popular part after many endpoints were lost at the same time.
 	ginkgo.It("does not quarantine a part that is answered after the crashes", func() {
-		g.RecordAnswer(start, []uint64{first})
+		g.RecordAnswer(start, with(first))
 		for process := range uint64(20) {
-			g.RecordCrash(start.Add(time.Second), process, []uint64{first})
+			g.RecordCrash(start.Add(time.Second), process, with(first))
 		}
-		g.RecordAnswer(start.Add(1100*time.Millisecond), []uint64{first})
+		g.RecordAnswer(start.Add(1100*time.Millisecond), with(first))
 		Expect(g.Update(start.Add(3 * time.Second))).To(BeEmpty())
 	})
 
 	// Guards against counting one crash once for each request that it broke.
 	ginkgo.It("counts a crash once", func() {
 		for range 10 {
-			g.RecordCrash(start, 7, []uint64{crashing})
+			g.RecordCrash(start, 7, with(crashing))
 		}
 		Expect(g.Update(start.Add(delay))).To(BeEmpty())
 	})
@@ -54,27 +54,27 @@
 	// Guards against a sound part that is held responsible for crashes which another instance can explain.
 	ginkgo.It("does not count crashes for which another instance knows the cause", func() {
 		elsewhere := NewGuard(Config{})
-		now := crashes(elsewhere, start, 3, []uint64{crashing})
+		now := crashes(elsewhere, start, 3, with(crashing))
 		elsewhere.Update(now.Add(delay))
-		crashes(g, start, 3, []uint64{other})
+		crashes(g, start, 3, with(other))
 		g.Observe(now.Add(delay), elsewhere.Own(now.Add(delay)))
 		changes := g.Update(now.Add(2 * delay))
 		Expect(changes).To(HaveLen(1))
-		Expect(changes[0].Part).To(Equal(crashing))
+		Expect(changes[0].Key).To(Equal(crashing))
 	})
 
 	// Guards against a quarantine that never ends although the part does no harm.
 	ginkgo.It("lifts a quarantine at the next answer to the part", func() {
-		now := crashes(g, start, 3, []uint64{crashing}).Add(delay)
+		now := crashes(g, start, 3, with(crashing)).Add(delay)
 		g.Update(now)
-		g.RecordAnswer(now.Add(time.Second), []uint64{crashing})
-		Expect(g.Update(now.Add(time.Second))).To(Equal([]Change{{Kind: Lifted, Part: crashing, Epoch: 1}}))
+		g.RecordAnswer(now.Add(time.Second), with(crashing))
+		Expect(g.Update(now.Add(time.Second))).To(Equal([]Change{{Kind: Lifted, Key: crashing, Epoch: 1}}))
 		Expect(refuses(g, now.Add(time.Second), crashing)).To(BeFalse())
 	})
 
 	// Guards against more than three requests that reach endpoints after the quarantine began, within ten minutes.
 	ginkgo.It("tries a part again with single requests, each after twice the time", func() {
-		now := crashes(g, start, 3, []uint64{crashing}).Add(delay)
+		now := crashes(g, start, 3, with(crashing)).Add(delay)
 		g.Update(now)
 		g.SetMayTry(true)
 		var trials []time.Duration
@@ -83,7 +83,7 @@
 				continue
 			}
 			trials = append(trials, at)
-			g.RecordCrash(now.Add(at), uint64(at), []uint64{crashing})
+			g.RecordCrash(now.Add(at), uint64(at), with(crashing))
 		}
 		Expect(trials).To(Equal([]time.Duration{time.Minute, 3 * time.Minute, 7 * time.Minute}))
 		Expect(g.Update(now)).To(HaveLen(3))
@@ -91,44 +91,44 @@
 
 	// Guards against trials at each instance.
 	ginkgo.It("tries a part at one instance only, and states the time until then", func() {
-		now := crashes(g, start, 3, []uint64{crashing}).Add(delay)
+		now := crashes(g, start, 3, with(crashing)).Add(delay)
 		g.Update(now)
 		var refused *RefusedError
-		Expect(errors.As(g.Admit(now.Add(20*time.Second), []uint64{crashing}), &refused)).To(BeTrue())
-		Expect(*refused).To(Equal(RefusedError{Part: crashing, RetryAfter: 40 * time.Second}))
+		Expect(errors.As(g.Admit(now.Add(20*time.Second), with(crashing)), &refused)).To(BeTrue())
+		Expect(*refused).To(Equal(RefusedError{Key: crashing, RetryAfter: 40 * time.Second}))
 		Expect(refuses(g, now.Add(5*time.Minute), crashing)).To(BeTrue())
 	})
 
 	// Guards against state that grows for ever, and against a quarantine that ends while its requests still come.
 	ginkgo.It("keeps a quarantine until no request with the part has come for a while at any instance", func() {
-		now := crashes(g, start, 3, []uint64{crashing}).Add(delay)
+		now := crashes(g, start, 3, with(crashing)).Add(delay)
 		g.Update(now)
 		Expect(refuses(g, now.Add(9*time.Minute), crashing)).To(BeTrue())
 		Expect(g.Update(now.Add(18 * time.Minute))).To(BeEmpty())
 		g.Observe(now.Add(18*time.Minute), Evidence{Records: []Record{{
-			Part: crashing, Epoch: 1, Age: 18 * time.Minute, RefusedAge: time.Minute,
+			Key: crashing, Epoch: 1, Age: 18 * time.Minute, RefusedAge: time.Minute,
 		}}})
 		Expect(g.Update(now.Add(26 * time.Minute))).To(BeEmpty())
-		Expect(g.Update(now.Add(28 * time.Minute))).To(Equal([]Change{{Kind: Expired, Part: crashing, Epoch: 1}}))
+		Expect(g.Update(now.Add(28 * time.Minute))).To(Equal([]Change{{Kind: Expired, Key: crashing, Epoch: 1}}))
 		Expect(g.Own(now.Add(28 * time.Minute))).To(Equal(Evidence{}))
 	})
 
 	// Guards against reports that stay large long after many endpoints were lost together, with many parts in progress.
 	ginkgo.It("reports a crash for a few seconds only, and counts it for longer", func() {
-		now := crashes(g, start, 2, []uint64{crashing})
+		now := crashes(g, start, 2, with(crashing))
 		Expect(g.Own(now).Crashes).To(HaveLen(2))
 		Expect(g.Own(now.Add(10 * time.Second))).To(Equal(Evidence{}))
-		now = crashes(g, now.Add(time.Minute), 1, []uint64{crashing}).Add(delay)
+		now = crashes(g, now.Add(time.Minute), 1, with(crashing)).Add(delay)
 		Expect(g.Update(now)).To(HaveLen(1))
 	})
 
 	// Guards against a restarted instance that lets the part through again.
 	ginkgo.It("takes over the quarantines of other instances", func() {
-		now := crashes(g, start, 3, []uint64{crashing}).Add(delay)
+		now := crashes(g, start, 3, with(crashing)).Add(delay)
 		g.Update(now)
 		restarted := NewGuard(Config{})
 		restarted.Observe(now, g.Own(now))
 		Expect(refuses(restarted, now, crashing)).To(BeTrue())
-		Expect(restarted.Update(now)).To(Equal([]Change{{Kind: Imposed, Part: crashing, Epoch: 1}}))
+		Expect(restarted.Update(now)).To(Equal([]Change{{Kind: Imposed, Key: crashing, Epoch: 1}}))
 	})
 })
--- a/quarantine/property_test.go
+++ b/quarantine/property_test.go
@@ -28,23 +28,23 @@
 				g.Update(now)
 			}
 		}
-		sound := []uint64{first, other, 4, 5, 6}
+		sound := []Key{first, other, 4, 5, 6}
 		now, process := start, uint64(0)
 		for _, part := range sound {
-			guards[0].RecordAnswer(now, []uint64{part})
+			guards[0].RecordAnswer(now, with(part))
 		}
 		crashed := 0
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
 			now = now.Add(step)
 			for range draw(3, "answers") {
-				guards[draw(len(guards), "at")].RecordAnswer(now, []uint64{sound[draw(len(sound), "part")]})
+				guards[draw(len(guards), "at")].RecordAnswer(now, with(sound[draw(len(sound), "part")]))
 			}
-			if at := guards[draw(len(guards), "arrives at")]; draw(3, "crashing request") == 0 && at.Admit(now, []uint64{first, crashing}) == nil {
+			if at := guards[draw(len(guards), "arrives at")]; draw(3, "crashing request") == 0 && at.Admit(now, with(first, crashing)) == nil {
 				process++
 				crashed++
-				at.RecordCrash(now, process, []uint64{first, crashing})
+				at.RecordCrash(now, process, with(first, crashing))
 				for range draw(3, "in progress beside it") {
-					guards[draw(len(guards), "beside at")].RecordCrash(now, process, []uint64{sound[draw(len(sound), "beside")]})
+					guards[draw(len(guards), "beside at")].RecordCrash(now, process, with(sound[draw(len(sound), "beside")]))
 				}
 			}
 			if draw(4, "report") > 0 {
@@ -61,16 +61,16 @@
 			exchange(now)
 		}
 		for _, part := range sound {
-			guards[draw(len(guards), "last answer")].RecordAnswer(now, []uint64{part}) // from a request that was in progress
+			guards[draw(len(guards), "last answer")].RecordAnswer(now, with(part)) // from a request that was in progress
 		}
 		exchange(now)
 		for i, g := range guards {
 			for _, part := range sound {
-				if g.Admit(now, []uint64{part}) != nil {
+				if g.Admit(now, with(part)) != nil {
 					t.Fatalf("instance %d refuses sound part %d", i, part)
 				}
 			}
-			if crashed >= g.cfg.MinCrashes+len(guards) && g.Admit(now, []uint64{crashing}) == nil {
+			if crashed >= g.cfg.MinCrashes+len(guards) && g.Admit(now, with(crashing)) == nil {
 				t.Fatalf("instance %d admits the crashing part after %d crashes", i, crashed)
 			}
 		}
--- a/quarantine/refused_error.go
+++ b/quarantine/refused_error.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// RefusedError states that a request has a part that is quarantined.
+// RefusedError states that a key of a request is quarantined.
 type RefusedError struct {
-	Part uint64
-	// RetryAfter is the time until the part is tried again.
+	Key Key
+	// RetryAfter is the time until the key is tried again.
 	RetryAfter time.Duration
 }
 
 // Error implements error.
 func (e *RefusedError) Error() string {
-	return fmt.Sprintf("quarantine: requests with the prompt part %x crash endpoints", e.Part)
+	return fmt.Sprintf("quarantine: requests with the %s %v crash endpoints", e.Key.Kind(), e.Key)
 }
