quarantine: evidence for the request itself, beside its prompt parts

Cause: the evidence was kept by prompt part only. Answers to sound requests with the part spoke for the crashing request, and its quarantine refused them.

Change: the request is a key of its own, the narrowest. Of keys that explain the same crashes the request is quarantined; an answer speaks for its own keys only, so that one to another request clears the part and not the request. Crashes keep their keys when they are explained, so that they count again once the part that seemed to explain them is answered. All crashes that a quarantined request explains count once for a part: several requests with one part lead to the part, as before. Endpoints lost within 100 ms count once for a request. Requests of plain services have a key too. Answers to requests are remembered for 10 s, since most come once.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -49,10 +49,10 @@
 		errors.Is(err, errTruncatedEvent) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// investigateLoss finds out whether the endpoint of a failed send has crashed, if the request may be the cause: it has parts
-// in common with others, and its answer had made no progress.
+// investigateLoss finds out whether the endpoint of a failed send has crashed, if the request may be the cause: its answer had made no
+// progress.
 func (e *exchange) investigateLoss(err error) {
-	if e.progressed || len(e.keys.Parts) == 0 || !connectionLost(err) {
+	if e.progressed || !connectionLost(err) {
 		return
 	}
 	s, inFlight, id, keys := e.server, e.inFlight, e.request.ID, e.keys
--- a/gossip/evidence.go
+++ b/gossip/evidence.go
@@ -16,7 +16,7 @@
 	message := &wire.Evidence{}
 	for _, crash := range e.Crashes {
 		message.Crashes = append(message.Crashes, &wire.EndpointCrash{
-			Process: crash.Process, AgeMs: encodeAge(crash.Age), Parts: convertKeys[uint64](crash.Keys), Explained: crash.Explained,
+			Process: crash.Process, AgeMs: encodeAge(crash.Age), Parts: convertKeys[uint64](crash.Keys),
 		})
 	}
 	for _, answer := range e.Answers {
@@ -62,7 +62,7 @@
 			return decoded, fmt.Errorf("%w: too many keys of crashes", errMalformed)
 		}
 		decoded.Crashes = append(decoded.Crashes, quarantine.Crash{
-			Process: crash.Process, Age: decodeAge(crash.AgeMs), Keys: convertKeys[quarantine.Key](crash.Parts), Explained: crash.Explained,
+			Process: crash.Process, Age: decodeAge(crash.AgeMs), Keys: convertKeys[quarantine.Key](crash.Parts),
 		})
 	}
 	for _, answer := range m.Answers {
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -32,7 +32,7 @@
 		Services:  map[string]fleetstate.ServiceLoad{"s": {Prefill: 1024, InFlight: 2.5, Waiting: 1, Samples: enginemodel.Samples{Count: 8, Residence: 0.25}}},
 	}
 	state.Evidence = quarantine.Evidence{
-		Crashes: []quarantine.Crash{{Process: 1, Age: time.Second, Keys: []quarantine.Key{2, 3}}, {Process: 4, Explained: true}},
+		Crashes: []quarantine.Crash{{Process: 1, Age: time.Second, Keys: []quarantine.Key{2, 3}}, {Process: 4, Keys: []quarantine.Key{quarantine.RequestKey(5)}}},
 		Answers: []quarantine.Answer{{Key: 2, Age: 20 * time.Millisecond}},
 		Records: []quarantine.Record{{Key: 3, Epoch: 2, Lifted: true, Age: time.Minute, RefusedAge: time.Second}},
 	}
--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -18,6 +18,12 @@
 	DecisionDelay time.Duration
 	// EvidenceTTL is how long crashes and answers are remembered. Default 2 min.
 	EvidenceTTL time.Duration
+	// AnsweredRequestTTL replaces EvidenceTTL for answers to requests. Default 10 s: longer than other instances need to learn of a
+	// crash and its answers, since most requests come once and would fill the memory.
+	AnsweredRequestTTL time.Duration
+	// LostTogether is the time within which the crashes of several endpoints count once for a request: a common cause has ended
+	// them while the request was in progress there. Default 100 ms: the time within which instances notice such a loss.
+	LostTogether time.Duration
 	// ExplainedTTL replaces EvidenceTTL for the crashes that a quarantined key explains. Default 10 s: longer than other
 	// instances need to learn the cause of a crash that they have seen too.
 	ExplainedTTL time.Duration
@@ -39,6 +45,8 @@
 	defaults.Set(&c.MinCrashesAnswered, 4)
 	defaults.Set(&c.DecisionDelay, 800*time.Millisecond)
 	defaults.Set(&c.EvidenceTTL, 2*time.Minute)
+	defaults.Set(&c.AnsweredRequestTTL, 10*time.Second)
+	defaults.Set(&c.LostTogether, 100*time.Millisecond)
 	defaults.Set(&c.ExplainedTTL, 10*time.Second)
 	defaults.Set(&c.ReportTime, 5*time.Second)
 	defaults.Set(&c.TrialWait, time.Minute)
--- a/quarantine/crashing_request_test.go
+++ b/quarantine/crashing_request_test.go
@@ -6,8 +6,6 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"knapweedhoist/testutil"
 )
 
 // maxFurther is the number of times that a request may reach endpoints after three of them have crashed under it.
@@ -77,9 +75,6 @@
 var _ = ginkgo.Describe("A request that crashes endpoints", func() {
 	for after := time.Duration(0); after <= 2*time.Second; after += 100 * time.Millisecond {
 		ginkgo.It(fmt.Sprintf("is refused alone, if an answer to its part arrives %v after the third crash", after), func() {
-			if !testutil.RunsKnownRed() {
-				ginkgo.Skip("listed in KNOWN-RED.txt")
-			}
 			load := &crashingLoad{
 				guards:  []*Guard{NewGuard(Config{}), NewGuard(Config{}), NewGuard(Config{})},
 				harmful: Request{Key: RequestKey(1), Parts: []Key{crashing}},
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -28,7 +29,7 @@
 func (g *Guard) expire(now time.Time) {
 	for process, c := range g.crashes {
 		ttl := g.cfg.EvidenceTTL
-		if c.explained {
+		if slices.ContainsFunc(c.keys, g.isQuarantined) {
 			ttl = g.cfg.ExplainedTTL
 		}
 		if now.Sub(c.at) > ttl {
@@ -37,7 +38,11 @@
 	}
 	for _, answered := range []map[Key]time.Time{g.answered, g.answeredElsewhere} {
 		for key, at := range answered {
-			if now.Sub(at) > g.cfg.EvidenceTTL {
+			ttl := g.cfg.EvidenceTTL
+			if key.IsRequest() {
+				ttl = g.cfg.AnsweredRequestTTL
+			}
+			if now.Sub(at) > ttl {
 				delete(answered, key)
 			}
 		}
@@ -76,8 +81,10 @@
 // suspect is a key that may be quarantined.
 type suspect struct {
 	key Key
-	// crashes holds the times of the crashes since the last answer to the key.
+	// crashes holds the times of the crashes since the last answer to the key, in order.
 	crashes []time.Time
+	// requests holds the quarantined requests whose crashes are among them: each counts once.
+	requests map[Key]bool
 	// answered is set if the key was answered before.
 	answered bool
 	// depth is the highest position of the key in a crash.
@@ -88,6 +95,9 @@
 func (g *Guard) worstSuspect(now time.Time) (suspect, bool) {
 	var reached []suspect
 	for _, s := range g.suspects() {
+		if s.key.IsRequest() {
+			s.crashes = apart(s.crashes, g.cfg.LostTogether)
+		}
 		limit := g.cfg.MinCrashes
 		if s.answered {
 			limit = g.cfg.MinCrashesAnswered
@@ -95,7 +105,6 @@
 		if len(s.crashes) < limit {
 			continue
 		}
-		slices.SortFunc(s.crashes, time.Time.Compare)
 		if now.Sub(s.crashes[limit-1]) >= g.cfg.DecisionDelay {
 			reached = append(reached, *s)
 		}
@@ -109,6 +118,8 @@
 			return compareBool(a.answered, b.answered)
 		case len(a.crashes) != len(b.crashes):
 			return cmp.Compare(len(b.crashes), len(a.crashes))
+		case a.key.IsRequest() != b.key.IsRequest():
+			return compareBool(b.key.IsRequest(), a.key.IsRequest())
 		case a.depth != b.depth:
 			return cmp.Compare(b.depth, a.depth)
 		default:
@@ -117,6 +128,17 @@
 	}), true
 }
 
+// apart returns the times without those that follow a returned one within the given time. times is sorted.
+func apart(times []time.Time, within time.Duration) []time.Time {
+	var kept []time.Time
+	for _, at := range times {
+		if len(kept) == 0 || at.Sub(kept[len(kept)-1]) >= within {
+			kept = append(kept, at)
+		}
+	}
+	return kept
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
@@ -132,24 +154,46 @@
 // suspects returns the keys in progress at crashes, by key.
 func (g *Guard) suspects() map[Key]*suspect {
 	suspects := make(map[Key]*suspect)
-	for _, c := range g.crashes {
+	byTime := slices.SortedFunc(maps.Values(g.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+	for _, c := range byTime {
+		request, part := g.explanations(c)
 		for depth, key := range c.keys {
+			if part != 0 || request != 0 && key.IsRequest() {
+				continue
+			}
 			lastAnswer := g.lastAnswer(key)
 			s := suspects[key]
 			if s == nil {
-				s = &suspect{key: key, answered: !lastAnswer.IsZero()}
+				s = &suspect{key: key, answered: !lastAnswer.IsZero(), requests: make(map[Key]bool)}
 				suspects[key] = s
 			}
 			s.depth = max(s.depth, depth)
-			if c.at.After(lastAnswer) {
+			if c.at.After(lastAnswer) && !s.requests[request] {
 				s.crashes = append(s.crashes, c.at)
+				s.requests[request] = request != 0
 			}
 		}
 	}
 	return suspects
 }
 
-// impose quarantines a key. The crashes that it explains no longer count for other keys.
+// explanations returns a quarantined request and a quarantined part that were in progress at the crash, 0 for none. A crash that a
+// part explains does not count for other keys. One that a request explains does not count for other requests, and all that it
+// explains count once for a part, since several requests may crash endpoints because of a common part.
+func (g *Guard) explanations(c *crash) (request, part Key) {
+	for _, key := range c.keys {
+		switch {
+		case !g.isQuarantined(key):
+		case key.IsRequest():
+			request = key
+		default:
+			part = key
+		}
+	}
+	return request, part
+}
+
+// impose quarantines a key.
 func (g *Guard) impose(now time.Time, s suspect) {
 	r := g.records[s.key]
 	if r == nil {
@@ -157,6 +201,5 @@
 		g.records[s.key] = r
 	}
 	r.epoch, r.lifted, r.at = r.epoch+1, false, now
-	g.explainCrashes(now, s.key)
 	g.changes = append(g.changes, Change{Kind: Imposed, Key: s.key, Crashes: len(s.crashes), Epoch: r.epoch})
 }
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -23,10 +23,9 @@
 	// Process identifies the process, see ProcessKey.
 	Process uint64
 	Age     time.Duration
-	// Keys holds the keys that were in progress without an answer. A part stands behind those that precede it in a prompt.
+	// Keys holds the keys that were in progress without an answer. A request stands behind its parts, and a part behind those that
+	// precede it in a prompt.
 	Keys []Key
-	// Explained is set if a quarantined key was in progress, so that the crash does not count for other keys.
-	Explained bool
 }
 
 // Answer states that a request with a key was answered.
@@ -115,11 +114,7 @@
 
 // mergeCrashes returns the crash with the keys of both and the age of the earlier observation.
 func mergeCrashes(a, b Crash) Crash {
-	merged := Crash{Process: a.Process, Age: max(a.Age, b.Age), Explained: a.Explained || b.Explained}
-	if !merged.Explained {
-		merged.Keys = addKeys(slices.Clone(a.Keys), b.Keys)
-	}
-	return merged
+	return Crash{Process: a.Process, Age: max(a.Age, b.Age), Keys: addKeys(slices.Clone(a.Keys), b.Keys)}
 }
 
 // addKeys appends the keys that are missing in keys.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -14,7 +14,7 @@
 	return xxh3.HashString(endpoint + "/" + strconv.FormatInt(startedAtMs, 10))
 }
 
-// Bounds of what a Guard remembers. Further entries are ignored until others have expired.
+// Bounds of what a Guard remembers. Further crashes and quarantines are ignored until others have expired.
 const (
 	maxAnsweredKeys = 16 << 10
 	maxKnownCrashes = 1024
@@ -44,15 +44,6 @@
 	// learntAt is the time of the last news about the crash at this instance.
 	learntAt time.Time
 	keys     []Key
-	// explained is set if a quarantined key was in progress. The crash then has no keys.
-	explained bool
-}
-
-// explain records at the given time that a quarantined key was in progress.
-func (c *crash) explain(now time.Time) {
-	if !c.explained {
-		c.explained, c.keys, c.learntAt = true, nil, now
-	}
 }
 
 // record is a Record at points in time.
@@ -122,10 +113,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, key := range request.keys() {
-		if _, known := g.answered[key]; known || len(g.answered) < maxAnsweredKeys {
-			g.answered[key] = now
+		noteAnswer(g.answered, key, now)
+	}
+}
+
+// noteAnswer records an answer to a key, in place of any other one if the memory is full.
+func noteAnswer(answered map[Key]time.Time, key Key, at time.Time) {
+	if _, known := answered[key]; !known && len(answered) >= maxAnsweredKeys {
+		for other := range answered {
+			delete(answered, other)
+			break
 		}
 	}
+	answered[key] = at
 }
 
 // RecordCrash notes that a process crashed while a request with the keys was in progress there without an answer.
@@ -136,12 +136,10 @@
 	g.addCrash(now, process, now, request.keys())
 }
 
-// explains reports whether one of the keys is quarantined.
-func (g *Guard) explains(keys []Key) bool {
-	return slices.ContainsFunc(keys, func(key Key) bool {
-		r := g.records[key]
-		return r != nil && !r.lifted
-	})
+// isQuarantined reports whether requests with the key are refused.
+func (g *Guard) isQuarantined(key Key) bool {
+	r := g.records[key]
+	return r != nil && !r.lifted
 }
 
 // endTrials begins a new quarantine of the keys whose trial ended with a crash.
@@ -154,9 +152,8 @@
 	}
 }
 
-// addCrash adds the keys to the crash of the process, which is as old as its first observation. A quarantined key
-// explains the crash.
-func (g *Guard) addCrash(now time.Time, process uint64, at time.Time, keys []Key) *crash {
+// addCrash adds the keys to the crash of the process, which is as old as its first observation.
+func (g *Guard) addCrash(now time.Time, process uint64, at time.Time, keys []Key) {
 	c := g.crashes[process]
 	if c == nil {
 		c = &crash{at: at, learntAt: now}
@@ -167,19 +164,12 @@
 	if at.Before(c.at) {
 		c.at = at
 	}
-	switch {
-	case c.explained:
-	case g.explains(keys):
-		c.explain(now)
-	default:
-		known := len(c.keys)
-		c.keys = addKeys(c.keys, keys)
-		c.keys = c.keys[:min(len(c.keys), maxCrashKeys)]
-		if len(c.keys) > known {
-			c.learntAt = now
-		}
+	known := len(c.keys)
+	c.keys = addKeys(c.keys, keys)
+	c.keys = c.keys[:min(len(c.keys), maxCrashKeys)]
+	if len(c.keys) > known {
+		c.learntAt = now
 	}
-	return c
 }
 
 // SetMayTry sets whether this instance tries quarantined keys again. At most one instance may do so at a time.
@@ -202,17 +192,12 @@
 		if g.crashes[received.Process] == nil && received.Age > g.cfg.EvidenceTTL/2 {
 			continue
 		}
-		if c := g.addCrash(now, received.Process, now.Add(-received.Age), received.Keys); received.Explained {
-			c.explain(now)
-		}
+		g.addCrash(now, received.Process, now.Add(-received.Age), received.Keys)
 	}
 	for _, received := range evidence.Answers {
 		at := now.Add(-received.Age)
-		if _, known := g.answeredElsewhere[received.Key]; !known && len(g.answeredElsewhere) >= maxAnsweredKeys {
-			continue
-		}
 		if at.After(g.answeredElsewhere[received.Key]) {
-			g.answeredElsewhere[received.Key] = at
+			noteAnswer(g.answeredElsewhere, received.Key, at)
 		}
 	}
 }
@@ -231,7 +216,7 @@
 			g.records[received.Key] = known
 		}
 		known.epoch, known.lifted, known.at = received.Epoch, received.Lifted, at
-		g.noteChange(now, received)
+		g.noteChange(received)
 	case known.asRecord(now, received.Key).newerThan(received):
 		return
 	case at.Before(known.at):
@@ -243,25 +228,14 @@
 }
 
 // noteChange notes a change that another instance decided.
-func (g *Guard) noteChange(now time.Time, received Record) {
+func (g *Guard) noteChange(received Record) {
 	change := Change{Kind: Imposed, Key: received.Key, Epoch: received.Epoch}
 	if received.Lifted {
 		change.Kind = Lifted
-	} else {
-		g.explainCrashes(now, received.Key)
 	}
 	g.changes = append(g.changes, change)
 }
 
-// explainCrashes marks the crashes at which a quarantined key was in progress.
-func (g *Guard) explainCrashes(now time.Time, key Key) {
-	for _, c := range g.crashes {
-		if slices.Contains(c.keys, key) {
-			c.explain(now)
-		}
-	}
-}
-
 // asRecord returns the record for a message.
 func (r *record) asRecord(now time.Time, key Key) Record {
 	record := Record{Key: key, Epoch: r.epoch, Lifted: r.lifted, Age: now.Sub(r.at), RefusedAge: now.Sub(r.at)}
@@ -283,7 +257,7 @@
 		if now.Sub(c.learntAt) <= g.cfg.ReportTime {
 			weight = minReportedCrashes
 			own.Crashes = append(own.Crashes, Crash{
-				Process: process, Age: now.Sub(c.at), Keys: slices.Clone(c.keys), Explained: c.explained,
+				Process: process, Age: now.Sub(c.at), Keys: slices.Clone(c.keys),
 			})
 		}
 		for _, key := range c.keys {
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "strconv"
+import (
+	"slices"
+	"strconv"
+)
 
 // Key is what evidence is kept for: a part of prompts, or one request whatever its id. The highest bit states the kind.
 type Key uint64
@@ -30,11 +33,16 @@
 
 // Request holds the keys of one request.
 type Request struct {
-	// Key is the key of the request itself.
+	// Key is the key of the request itself, 0 if it has none.
 	Key Key
 	// Parts holds the keys of the prompt parts that other requests can have too, in the order of the prompt.
 	Parts []Key
 }
 
-// keys returns the keys that evidence is kept for.
-func (r Request) keys() []Key { return r.Parts }
+// keys returns the keys that evidence is kept for, the narrowest last.
+func (r Request) keys() []Key {
+	if r.Key == 0 {
+		return r.Parts
+	}
+	return append(slices.Clone(r.Parts), r.Key)
+}
--- a/quarantine/property_test.go
+++ b/quarantine/property_test.go
@@ -7,10 +7,10 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against a crashing part that some instance still lets through, and against a sound part that stays refused, under
+// Guards against a crashing part or request that some instance still lets through, and against a sound part that stays refused, under
 // random traffic, lost reports and restarts. What an instance has not reported before its restart is lost, so that the
 // crashes of the time since its last report cannot count; here it reports right before.
-func TestOnlyTheCrashingPartStaysQuarantined(t *testing.T) {
+func TestOnlyWhatCrashesStaysQuarantined(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const step = 100 * time.Millisecond
 		guards := make([]*Guard, rapid.IntRange(1, 4).Draw(t, "instances"))
@@ -29,6 +29,20 @@
 			}
 		}
 		sound := []Key{first, other, 4, 5, 6}
+		wholeRequest := rapid.Bool().Draw(t, "one whole request crashes, not a part")
+		// harmful returns a request that crashes its endpoint, soundRequest one that does not.
+		requests := uint64(1)
+		soundRequest := func(part Key) Request {
+			requests++
+			return Request{Key: RequestKey(requests), Parts: []Key{part}}
+		}
+		harmful := func() Request {
+			if wholeRequest {
+				return Request{Key: RequestKey(1), Parts: []Key{first, other}}
+			}
+			requests++
+			return Request{Key: RequestKey(requests - uint64(draw(2, "repeat of the request before"))), Parts: []Key{first, crashing}}
+		}
 		now, process := start, uint64(0)
 		for _, part := range sound {
 			guards[0].RecordAnswer(now, with(part))
@@ -37,14 +51,15 @@
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
 			now = now.Add(step)
 			for range draw(3, "answers") {
-				guards[draw(len(guards), "at")].RecordAnswer(now, with(sound[draw(len(sound), "part")]))
+				guards[draw(len(guards), "at")].RecordAnswer(now, soundRequest(sound[draw(len(sound), "part")]))
 			}
-			if at := guards[draw(len(guards), "arrives at")]; draw(3, "crashing request") == 0 && at.Admit(now, with(first, crashing)) == nil {
+			request := harmful()
+			if at := guards[draw(len(guards), "arrives at")]; draw(3, "crashing request") == 0 && at.Admit(now, request) == nil {
 				process++
 				crashed++
-				at.RecordCrash(now, process, with(first, crashing))
+				at.RecordCrash(now, process, request)
 				for range draw(3, "in progress beside it") {
-					guards[draw(len(guards), "beside at")].RecordCrash(now, process, with(sound[draw(len(sound), "beside")]))
+					guards[draw(len(guards), "beside at")].RecordCrash(now, process, soundRequest(sound[draw(len(sound), "beside")]))
 				}
 			}
 			if draw(4, "report") > 0 {
@@ -61,17 +76,17 @@
 			exchange(now)
 		}
 		for _, part := range sound {
-			guards[draw(len(guards), "last answer")].RecordAnswer(now, with(part)) // from a request that was in progress
+			guards[draw(len(guards), "last answer")].RecordAnswer(now, soundRequest(part)) // from a request that was in progress
 		}
 		exchange(now)
 		for i, g := range guards {
 			for _, part := range sound {
-				if g.Admit(now, with(part)) != nil {
+				if g.Admit(now, soundRequest(part)) != nil {
 					t.Fatalf("instance %d refuses sound part %d", i, part)
 				}
 			}
-			if crashed >= g.cfg.MinCrashes+len(guards) && g.Admit(now, with(crashing)) == nil {
-				t.Fatalf("instance %d admits the crashing part after %d crashes", i, crashed)
+			if request := harmful(); crashed >= g.cfg.MinCrashes+len(guards) && g.Admit(now, request) == nil {
+				t.Fatalf("instance %d admits the request %v after %d crashes", i, request, crashed)
 			}
 		}
 	})
