forward: hold repeats of a request until a crash under it is understood

Cause: a repeat, within a request or by its caller, went to the next endpoint at once. Each decision was 0.8 s behind.

Change: Guard.EvidenceWait states how long it takes until the evidence of the last crash under a request is known: 0.8 s, none once it was answered. Until then it is not repeated within the request, and a repeat of its caller is held, with a random part, unless that takes over half of its time. The guard decides at the end of the wait. Sound requests that were in progress at the crash are held as well.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -32,6 +32,7 @@
 // answers or the request must not be sent again. The error is a *failure.
 func (e *exchange) sendWithRetries() (*endpointAnswer, error) {
 	e.server.deps.Budget.RecordRequest(e.server.deps.Now(), e.service.Name)
+	e.awaitEvidence()
 	for {
 		answer, err := e.attempt()
 		if err == nil {
@@ -263,7 +264,7 @@
 	case failed.cause == causeNotSent:
 		return len(e.tried) < maxEndpointsTried
 	case failed.cause == causeNotRun:
-	case failed.cause == causeBroken && e.route.Repeatable():
+	case failed.cause == causeBroken && e.route.Repeatable() && e.server.deps.Quarantine.EvidenceWait(e.server.deps.Now(), e.keys) == 0:
 	default:
 		return false
 	}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -50,14 +50,16 @@
 }
 
 // investigateLoss finds out whether the endpoint of a failed send has crashed, if the request may be the cause: its answer had made no
-// progress.
+// progress. It waits for the result if the request may be sent again.
 func (e *exchange) investigateLoss(err error) {
 	if e.progressed || !connectionLost(err) {
 		return
 	}
 	s, inFlight, id, keys := e.server, e.inFlight, e.request.ID, e.keys
 	endpoint, idleLimit := inFlight.Endpoint, e.idleLimit()
+	done := make(chan struct{})
 	go func() {
+		defer close(done)
 		_ = contain.Run(s.deps.Log, "investigate a lost exchange", func() {
 			target := upstream.Target{Address: endpoint.Address, ID: endpoint.ID}
 			if !s.deps.Pool.Refuses(context.Background(), target, idleLimit) {
@@ -73,4 +75,29 @@
 				"process", strconv.FormatUint(process, 16), "id", id, "fingerprint", keys.Key.String(), "parts", formatKeys(keys.Parts))
 		})
 	}()
+	if e.route.Repeatable() {
+		<-done
+	}
 }
+
+// awaitEvidence holds a request that was in progress at a crash a moment ago until it is known whether it is the cause. A random part
+// keeps its repeats at several instances from going on together. A request that would lose over half of its time goes on at once.
+func (e *exchange) awaitEvidence() {
+	for {
+		wait := e.server.deps.Quarantine.EvidenceWait(e.server.deps.Now(), e.keys)
+		if wait <= 0 || wait > e.remaining()/2 {
+			return
+		}
+		wait += time.Duration(e.server.deps.Random() * float64(maxExtraWait))
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-e.context.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// maxExtraWait bounds the random part of awaitEvidence.
+const maxExtraWait = 300 * time.Millisecond
--- a/quarantine/crashing_request_test.go
+++ b/quarantine/crashing_request_test.go
@@ -86,3 +86,68 @@
 		})
 	}
 })
+
+var _ = ginkgo.Describe("Evidence for a request and for its parts", func() {
+	const delay = 800 * time.Millisecond // Config.DecisionDelay
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	request := func(number uint64, parts ...Key) Request { return Request{Key: RequestKey(number), Parts: parts} }
+	crash := func(ms int, request Request) func(*Guard) {
+		return func(g *Guard) { g.RecordCrash(at(ms), uint64(ms+1), request) }
+	}
+	answer := func(ms int, request Request) func(*Guard) {
+		return func(g *Guard) { g.Update(at(ms - 1)); g.RecordAnswer(at(ms), request) }
+	}
+	harmful := request(1, first, crashing)
+
+	ginkgo.DescribeTable("quarantines the narrowest key that explains the crashes", func(expected []Key, events ...func(*Guard)) {
+		g := NewGuard(Config{})
+		for _, event := range events {
+			event(g)
+		}
+		g.Update(at(5000))
+		var quarantined []Key
+		for _, record := range g.Own(at(5000)).Records {
+			if !record.Lifted {
+				quarantined = append(quarantined, record.Key)
+			}
+		}
+		Expect(quarantined).To(ConsistOf(expected))
+	},
+		// Guards against refusing sound requests that share the parts of the one request that crashes.
+		ginkgo.Entry("a request that is alone at all crashes", []Key{harmful.Key},
+			crash(0, harmful), crash(500, harmful), crash(1000, harmful)),
+		// Guards against requests with a common part of which each crashes a few endpoints.
+		ginkgo.Entry("a part, if different requests with it crash", []Key{crashing},
+			crash(0, request(1, first, crashing)), crash(500, request(1, first, crashing)), crash(1000, request(2, other, crashing))),
+		ginkgo.Entry("a part too, if further requests with it crash after one is quarantined", []Key{harmful.Key, crashing},
+			crash(0, harmful), crash(500, harmful), crash(1000, harmful), answer(2000, request(9, first)),
+			crash(2100, request(2, other, crashing)), crash(2200, request(3, 7, crashing))),
+		// Guards against evidence that is lost while another key seems to explain the crashes.
+		ginkgo.Entry("the request, once its part is answered", []Key{harmful.Key},
+			crash(0, harmful), crash(500, harmful), crash(1000, request(2, crashing)), answer(2000, request(3, crashing)), crash(2500, harmful)),
+		ginkgo.Entry("no request that was answered since", nil,
+			answer(0, harmful), crash(10, harmful), crash(500, harmful), crash(1000, harmful), answer(1100, harmful)),
+		// Guards against refusing a sound request that was in progress at several endpoints when these were lost together.
+		ginkgo.Entry("no request whose crashes have a common cause", nil,
+			crash(0, request(1)), crash(20, request(1)), crash(40, request(1)), crash(99, request(1))),
+	)
+
+	// Guards against repeats that reach endpoints before the evidence of the crash before them is known.
+	ginkgo.It("states how long a repeat has to wait", func() {
+		g := NewGuard(Config{})
+		Expect(g.EvidenceWait(at(0), harmful)).To(BeZero())
+		g.RecordCrash(at(0), 1, harmful)
+		Expect(g.EvidenceWait(at(100), harmful)).To(Equal(delay - 100*time.Millisecond))
+		Expect(g.EvidenceWait(at(100), request(2, first, crashing))).To(BeZero(), "another request with the same parts")
+		g.RecordAnswer(at(200), harmful)
+		Expect(g.EvidenceWait(at(200), harmful)).To(BeZero(), "answered since")
+	})
+
+	// Guards against a repeat that has waited and is sent since the instance decides a moment later only.
+	ginkgo.It("decides at the end of the wait", func() {
+		g := NewGuard(Config{})
+		now := crashes(g, start, 3, harmful)
+		Expect(g.EvidenceWait(now.Add(delay), harmful)).To(BeZero())
+		Expect(g.Admit(now.Add(delay), harmful)).To(HaveOccurred())
+	})
+})
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -11,6 +11,13 @@
 func (g *Guard) Update(now time.Time) []Change {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.decide(now)
+	changes := g.changes
+	g.changes = nil
+	return changes
+}
+
+func (g *Guard) decide(now time.Time) {
 	g.expire(now)
 	g.lift(now)
 	for {
@@ -20,9 +27,6 @@
 		}
 		g.impose(now, suspect)
 	}
-	changes := g.changes
-	g.changes = nil
-	return changes
 }
 
 // expire drops evidence that is too old, and quarantines that refused no request for a while.
@@ -47,6 +51,11 @@
 			}
 		}
 	}
+	for key, at := range g.suspected {
+		if now.Sub(at) > g.cfg.DecisionDelay {
+			delete(g.suspected, key)
+		}
+	}
 	for key, r := range g.records {
 		if now.Sub(r.lastUse()) <= g.cfg.Retention {
 			continue
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -32,6 +32,8 @@
 	// answered and answeredElsewhere hold the time of the last answer to each key, at this instance and at the others.
 	answered, answeredElsewhere map[Key]time.Time
 	records                     map[Key]*record
+	// suspected holds the time of the last crash at which each request was in progress, for Config.DecisionDelay.
+	suspected map[Key]time.Time
 	// mayTry is set while this instance is the one that tries quarantined keys again.
 	mayTry bool
 	// changes holds the changes since the last Update.
@@ -71,6 +73,7 @@
 	return &Guard{
 		cfg: cfg.withDefaults(), crashes: make(map[uint64]*crash), answered: make(map[Key]time.Time),
 		answeredElsewhere: make(map[Key]time.Time), records: make(map[Key]*record),
+		suspected: make(map[Key]time.Time),
 	}
 }
 
@@ -96,6 +99,22 @@
 	return nil
 }
 
+// EvidenceWait returns the time until it is known what speaks for and against a request that was in progress at a crash, 0 if there
+// is nothing to wait for. Until then it should not be sent to a further endpoint.
+func (g *Guard) EvidenceWait(now time.Time, request Request) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, ok := g.suspected[request.Key]
+	if !ok || g.lastAnswer(request.Key).After(at) {
+		return 0
+	}
+	wait := at.Add(g.cfg.DecisionDelay).Sub(now)
+	if wait <= 0 {
+		g.decide(now) // the next Update may come later than the request
+	}
+	return max(wait, 0)
+}
+
 // minRetryAfter is the shortest RefusedError.RetryAfter.
 const minRetryAfter = time.Second
 
@@ -164,6 +183,11 @@
 	if at.Before(c.at) {
 		c.at = at
 	}
+	for _, key := range keys {
+		if key.IsRequest() && c.at.After(g.suspected[key]) {
+			g.suspected[key] = c.at
+		}
+	}
 	known := len(c.keys)
 	c.keys = addKeys(c.keys, keys)
 	c.keys = c.keys[:min(len(c.keys), maxCrashKeys)]
