explain: the crashes that a refusal rests on

What callers saw: a refused request names the key, but which crashes led to it had to be searched for in the logs of all instances.

Change: request failed states key and kind of the quarantine, and hoistctl explain lists one line for each crash at which the key was in progress, at any instance, with their number and times in the verdict. Of the quarantines it names those of the request's own keys only. The kind of a request's key is fingerprint in the log.

Measured: go test of explain and hoistctl.

--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -28,6 +28,12 @@
 {"time":"2026-04-17T19:07:05.000Z","level":"WARN","msg":"request failed","instance":"b","id":"r-4","status":502,"ms":9,"sends":1,"endpoint":"i-2","reason":"broken"}
 {"time":"2026-04-17T19:07:05.010Z","level":"WARN","msg":"endpoint crashed","instance":"b","id":"r-4","endpoint":"i-2","parts":"a1"}
 {"time":"2026-04-17T19:07:05.020Z","level":"WARN","msg":"requests quarantined","instance":"b","kind":"prompt part","key":"a1","crashes":3,"epoch":1}
+{"time":"2026-04-17T19:07:05.100Z","level":"WARN","msg":"endpoint crashed","instance":"a","id":"r-5","endpoint":"i-3","process":"c1","fingerprint":"f1","parts":"a1"}
+{"time":"2026-04-17T19:07:05.101Z","level":"WARN","msg":"endpoint crashed","instance":"b","id":"r-6","endpoint":"i-3","process":"c1","fingerprint":"f2","parts":"a1"}
+{"time":"2026-04-17T19:07:05.200Z","level":"WARN","msg":"endpoint crashed","instance":"b","id":"r-7","endpoint":"i-4","process":"c2","fingerprint":"f1","parts":"a1"}
+{"time":"2026-04-17T19:07:05.300Z","level":"WARN","msg":"requests quarantined","instance":"b","kind":"fingerprint","key":"f1","crashes":2,"epoch":1}
+{"time":"2026-04-17T19:07:05.400Z","level":"WARN","msg":"request failed","instance":"b","id":"r-8","status":503,"ms":0,"sends":0,"fingerprint":"f1","parts":"a1","reason":"quarantined","key":"f1","kind":"fingerprint"}
+{"time":"2026-04-17T19:07:05.500Z","level":"WARN","msg":"endpoint crashed","instance":"a","id":"r-9","endpoint":"i-5","process":"c3","fingerprint":"f1","parts":"a1"}
 not a line
 `
 
@@ -63,6 +69,19 @@
 		Expect(got.Verdict).To(Equal("failed with 502 at i-2 after 1 sends: broken; the instance refused requests with the prompt part a1"))
 	})
 
+	// Guards against a refusal without the crashes that led to it, which other instances have logged, and against crashes of other
+	// requests with the same prompt part among them.
+	It("lists the crashes that the refusal of a request rests on", func() {
+		got := history("r-8")
+		var crashed []string
+		for _, line := range got.Crashes {
+			crashed = append(crashed, line.Instance+" "+line.Text("endpoint"))
+		}
+		Expect(crashed).To(Equal([]string{"a i-3", "b i-4"}))
+		Expect(got.Verdict).To(ContainSubstring("the instance refused requests with the fingerprint f1"))
+		Expect(got.Verdict).To(ContainSubstring("rests on 2 crashes of endpoints from 19:07:05.100 to 19:07:05.200, the last that of i-4"))
+	})
+
 	// Guards against an empty or wrong verdict for a request without log lines.
 	It("lists the possible causes if no instance logged the request", func() {
 		got := history("r-3")
--- a/explain/history.go
+++ b/explain/history.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"io"
+	"maps"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -22,11 +25,14 @@
 type History struct {
 	ID string
 	// Before holds, for each instance that logged the request, the newest state line of each subject up to stateMargin
-	// after the last of Lines. Subjects are the configuration, each watch, the relay, each endpoint that Lines name, and
+	// after the last of Lines. Subjects are the configuration, each watch, the relay, each endpoint that Lines name, the quarantine of each key that Lines name, and
 	// each other state message by itself.
 	Before []Line
 	// Lines holds the lines of the request, sorted by time.
 	Lines []Line
+	// Crashes holds, if the request was refused because of a quarantine, a line of each crash of an endpoint at which its key was in
+	// progress, at any instance, sorted by time.
+	Crashes []Line
 	// Verdict states in one sentence how the request ended and why.
 	Verdict string
 }
@@ -78,11 +84,39 @@
 	history := History{ID: c.id, Lines: c.requestLines}
 	if len(c.requestLines) > 0 {
 		history.Before = c.newestState()
+		history.Crashes = c.crashesOf(history.outcome())
 	}
 	history.Verdict = verdict(history)
 	return history
 }
 
+// crashesOf returns the lines of History.Crashes for the line that reports the end of the request.
+func (c *Collector) crashesOf(outcome Line) []Line {
+	key := outcome.Text("key")
+	if key == "" {
+		return nil
+	}
+	first := make(map[string]Line) // by process
+	for _, line := range append(slices.Clone(c.stateLines), c.requestLines...) {
+		if line.Message != "endpoint crashed" || line.Time.After(outcome.Time) || !concerns(line, key) {
+			continue
+		}
+		process := line.Text("process")
+		if known, ok := first[process]; !ok || line.Time.Before(known.Time) {
+			first[process] = line
+		}
+	}
+	crashes := slices.Collect(maps.Values(first))
+	sortByTime(crashes)
+	return crashes
+}
+
+// concerns reports whether a line names the key of a quarantine.
+func concerns(line Line, key string) bool {
+	return line.Text("key") == key || line.Text("fingerprint") == key ||
+		slices.Contains(strings.Split(line.Text("parts"), ","), key)
+}
+
 // stateMargin extends the period for state lines beyond the request's last line, because a pause is logged only when it
 // has ended. A pause is also reported if it was logged up to stateMargin before the request's start.
 const stateMargin = 200 * time.Millisecond
@@ -98,10 +132,13 @@
 	newest := make(map[string]Line)
 	for _, line := range c.stateLines {
 		endpoint := line.Text(endpointField)
-		if !instances[line.Instance] || line.Time.After(end) || endpoint != "" && !endpoints[endpoint] {
+		key := line.Text("key")
+		named := func(of Line) bool { return concerns(of, key) }
+		if !instances[line.Instance] || line.Time.After(end) || endpoint != "" && !endpoints[endpoint] ||
+			key != "" && !slices.ContainsFunc(c.requestLines, named) {
 			continue
 		}
-		subject := line.Instance + "/" + stateSubject(line) + "/" + endpoint
+		subject := line.Instance + "/" + stateSubject(line) + "/" + endpoint + key
 		if kept, ok := newest[subject]; !ok || line.Time.After(kept.Time) {
 			newest[subject] = line
 		}
--- a/explain/verdict.go
+++ b/explain/verdict.go
@@ -25,7 +25,23 @@
 }
 
 // verdict describes how a request ended, based on its last line and the state lines.
-func verdict(h History) string {
+func verdict(h History) string { return h.ending() + h.crashNotes() }
+
+// crashNotes describes the crashes on which the refusal of the request rests. It returns "" if it was not refused because of them.
+func (h History) crashNotes() string {
+	if len(h.Crashes) == 0 {
+		return ""
+	}
+	last := h.Crashes[len(h.Crashes)-1]
+	return fmt.Sprintf("; the refusal rests on %d crashes of endpoints from %s to %s, the last that of %s with request %s in progress",
+		len(h.Crashes), h.Crashes[0].Time.Format(clockFormat), last.Time.Format(clockFormat), last.Text(endpointField), last.Text(idField))
+}
+
+// clockFormat is the time of day in a verdict.
+const clockFormat = "15:04:05.000"
+
+// ending describes how the request ended.
+func (h History) ending() string {
 	if len(h.Lines) == 0 {
 		return "no instance logged the request: it reached none, its line was dropped from the log (see lines_left_out), or its " +
 			"instance was killed (look for an instance started line with a different boot)"
@@ -60,12 +76,12 @@
 		switch line.Message {
 		case "instance was paused":
 			if line.Time.After(started.Add(-stateMargin)) {
-				text += fmt.Sprintf("; the instance was paused for %s ms until %s", line.Text(durationField), line.Time.Format("15:04:05.000"))
+				text += fmt.Sprintf("; the instance was paused for %s ms until %s", line.Text(durationField), line.Time.Format(clockFormat))
 			}
 		case "instance stopping", "requests cut at the stop":
 			text += "; the instance was stopping"
 		case "configuration watch lost", "endpoint watch lost":
-			text += fmt.Sprintf("; %s since %s (%s)", line.Message, line.Time.Format("15:04:05.000"), line.Text("error"))
+			text += fmt.Sprintf("; %s since %s (%s)", line.Message, line.Time.Format(clockFormat), line.Text("error"))
 		case "requests quarantined":
 			text += "; the instance refused requests with the " + line.Text("kind") + " " + line.Text("key")
 		case "endpoint gone":
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -57,7 +57,12 @@
 	status, retryAfter := e.failureStatus(failed)
 	e.countFailure(status, failed)
 	e.respondLocal(status, failed.cause.String(), retryAfter)
-	e.logOutcome("request failed", status, failed, "retry_after_ms", retryAfter.Milliseconds())
+	attributes := []any{"retry_after_ms", retryAfter.Milliseconds()}
+	var refused *quarantine.RefusedError
+	if errors.As(failed, &refused) {
+		attributes = append(attributes, "key", refused.Key.String(), "kind", refused.Key.Kind())
+	}
+	e.logOutcome("request failed", status, failed, attributes...)
 }
 
 // failureStatus returns the status and Retry-After of a failed request. It refunds the cost of a request that did not run.
--- a/hoistctl/explain_command.go
+++ b/hoistctl/explain_command.go
@@ -65,6 +65,12 @@
 	for _, line := range history.Before {
 		c.app.printf("  %s\n", line)
 	}
+	if len(history.Crashes) > 0 {
+		c.app.printf("\ncrashes that the refusal rests on\n")
+	}
+	for _, line := range history.Crashes {
+		c.app.printf("  %s\n", line)
+	}
 	c.app.printf("\ncourse\n")
 	for _, line := range history.Lines {
 		c.app.printf("  %s\n", line)
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -23,7 +23,7 @@
 // Kind returns the text for the log.
 func (k Key) Kind() string {
 	if k.IsRequest() {
-		return "request"
+		return "fingerprint"
 	}
 	return "prompt part"
 }
