quarantine: no wait for a request that was answered of late; log and count waits

Cause: the wait looked at answers since the crash only.

Change: it is not held. request held and hoist_forward_held show the waits.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -10,6 +10,7 @@
 
 	"knapweedhoist/dispatch"
 	"knapweedhoist/internal/contain"
+	"knapweedhoist/internal/wait"
 	"knapweedhoist/quarantine"
 	"knapweedhoist/upstream"
 )
@@ -84,16 +85,14 @@
 // keeps its repeats at several instances from going on together. A request that would lose over half of its time goes on at once.
 func (e *exchange) awaitEvidence() {
 	for {
-		wait := e.server.deps.Quarantine.EvidenceWait(e.server.deps.Now(), e.keys)
-		if wait <= 0 || wait > e.remaining()/2 {
+		hold := e.server.deps.Quarantine.EvidenceWait(e.server.deps.Now(), e.keys)
+		if hold <= 0 || hold > e.remaining()/2 {
 			return
 		}
-		wait += time.Duration(e.server.deps.Random() * float64(maxExtraWait))
-		timer := time.NewTimer(wait)
-		select {
-		case <-timer.C:
-		case <-e.context.Done():
-			timer.Stop()
+		hold += time.Duration(e.server.deps.Random() * float64(maxExtraWait))
+		e.server.deps.Metrics.Held.Inc(1)
+		e.server.deps.Log.Info("request held", "id", e.request.ID, "fingerprint", e.keys.Key.String(), "for_ms", hold.Milliseconds())
+		if !wait.For(e.context, hold) {
 			return
 		}
 	}
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -25,8 +25,9 @@
 	// Resumed counts the continuations of a broken stream by a further send. Repeated counts the other retries of failed
 	// requests; a retry sends nothing if no endpoint is available.
 	Resumed, Repeated metrics.Counter
-	// Quarantined counts the requests that were refused, or not sent again, because of a quarantined part of their prompt.
-	Quarantined metrics.Counter
+	// Quarantined counts the requests that were refused, or not sent again, because of a quarantined key. Held counts the waits of requests
+	// that were in progress at a crash a moment ago.
+	Quarantined, Held metrics.Counter
 	// Avoided counts how often an endpoint began to be avoided, by reason.
 	Avoided map[dispatch.Reason]metrics.Counter
 	// Crashes counts the sends that were in progress at an endpoint that crashed before it had answered them.
@@ -52,7 +53,7 @@
 			dispatch.Crashed: counter("forward_avoided_crashed"),
 		},
 		Crashes:     counter("forward_endpoint_crashes"),
-		Quarantined: counter("forward_quarantined"),
+		Quarantined: counter("forward_quarantined"), Held: counter("forward_held"),
 		InProgress:  counter("forward_in_progress"),
 		FirstByte: metrics.NewRegisteredHistogram("forward_first_byte_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, 0.015)),
--- a/quarantine/crashing_request_test.go
+++ b/quarantine/crashing_request_test.go
@@ -141,6 +141,8 @@
 		Expect(g.EvidenceWait(at(100), request(2, first, crashing))).To(BeZero(), "another request with the same parts")
 		g.RecordAnswer(at(200), harmful)
 		Expect(g.EvidenceWait(at(200), harmful)).To(BeZero(), "answered since")
+		g.RecordCrash(at(300), 2, harmful)
+		Expect(g.EvidenceWait(at(300), harmful)).To(BeZero(), "answered of late, as a popular request of a plain service")
 	})
 
 	// Guards against a repeat that has waited and is sent since the instance decides a moment later only.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -100,12 +100,12 @@
 }
 
 // EvidenceWait returns the time until it is known what speaks for and against a request that was in progress at a crash, 0 if there
-// is nothing to wait for. Until then it should not be sent to a further endpoint.
+// is nothing to wait for or the request was answered of late. Until then it should not be sent to a further endpoint.
 func (g *Guard) EvidenceWait(now time.Time, request Request) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	at, ok := g.suspected[request.Key]
-	if !ok || g.lastAnswer(request.Key).After(at) {
+	if !ok || !g.lastAnswer(request.Key).IsZero() {
 		return 0
 	}
 	wait := at.Add(g.cfg.DecisionDelay).Sub(now)
