--- a/fleetstate/state.go
+++ b/fleetstate/state.go
@@ -18,7 +18,7 @@
 	// Endpoints holds the load at each endpoint by EndpointKey, Services the demand for each service.
 	Endpoints map[uint32]EndpointLoad
 	Services  map[string]ServiceLoad
-	// Evidence holds the crashes and answers that the instances have seen, and the quarantines of prompt parts.
+	// Evidence holds the crashes and answers that the instances have seen, and the quarantines.
 	Evidence quarantine.Evidence
 }
 
--- a/forward/config.go
+++ b/forward/config.go
@@ -52,7 +52,7 @@
 	Limiter  *teamlimit.Limiter
 	Budget   *retrybudget.Budget
 	Pool     *upstream.Pool
-	// Quarantine refuses requests with prompt parts that crash endpoints.
+	// Quarantine refuses requests, and prompt parts, that crash endpoints.
 	Quarantine *quarantine.Guard
 	Metrics    *Metrics
 	// Started is closed once the instance has read the configuration, the endpoints and the list of instances. Requests do
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -16,7 +16,7 @@
 	causeTimeout
 	// causeCallerClosed: the caller closed its connection.
 	causeCallerClosed
-	// causeQuarantined: a part of the prompt has crashed endpoints.
+	// causeQuarantined: requests like this one, or with a part of its prompt, have crashed endpoints.
 	causeQuarantined
 	// causeNoEndpoint: every endpoint of the service is leaving, full or was tried, or it has none.
 	causeNoEndpoint
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// retryAfter returns when the caller should try again: when a quarantined part is tried again, after the first of the pauses
+// retryAfter returns when the caller should try again: when a quarantined key is tried again, after the first of the pauses
 // that the endpoints have asked for, or after the wait for a slot if every endpoint is full, but at least retryAfterNoEndpoint. Random parts spread the retries of callers that are refused at the same time.
 func (e *exchange) retryAfter(failed *failure) time.Duration {
 	wait := retryAfterNoEndpoint
--- a/objectapi/object.go
+++ b/objectapi/object.go
@@ -16,7 +16,7 @@
 	KindDuty Kind = "duty"
 	// KindInstance holds one object for each entry instance.
 	KindInstance Kind = "instance"
-	// KindQuarantine holds the prompt parts that crash endpoints.
+	// KindQuarantine holds the keys of requests and prompt parts that crash endpoints.
 	KindQuarantine Kind = "quarantine"
 )
 
