--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -54,7 +54,7 @@
 		},
 		Crashes:     counter("forward_endpoint_crashes"),
 		Quarantined: counter("forward_quarantined"), Held: counter("forward_held"),
-		InProgress:  counter("forward_in_progress"),
+		InProgress: counter("forward_in_progress"),
 		FirstByte: metrics.NewRegisteredHistogram("forward_first_byte_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, 0.015)),
 	}
