--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -33,6 +33,7 @@
 // answers or the request must not be sent again. The error is a *failure.
 func (e *exchange) sendWithRetries() (*endpointAnswer, error) {
 	e.server.deps.Budget.RecordRequest(e.server.deps.Now(), e.service.Name)
+	e.awaitEvidence()
 	for {
 		answer, err := e.attempt()
 		if err == nil {
@@ -46,14 +47,14 @@
 		}
 		e.server.deps.Metrics.Repeated.Inc(1)
 		e.server.deps.Log.Info("request repeated", "id", e.request.ID, "endpoint", e.inFlight.Endpoint.ID,
-			"reason", err.Error(), "sends", e.sends, "parts", formatContents(e.contents))
+			"reason", err.Error(), "sends", e.sends, "fingerprint", e.keys.Key.String(), "parts", formatKeys(e.keys.Parts))
 	}
 }
 
 // attempt sends the request to one endpoint. An answer returned together with a
 // failure is passed on to the caller if the request is not sent again.
 func (e *exchange) attempt() (*endpointAnswer, *failure) {
-	if err := e.server.deps.Quarantine.Admit(e.server.deps.Now(), e.contents); err != nil {
+	if err := e.server.deps.Quarantine.Admit(e.server.deps.Now(), e.keys); err != nil {
 		return nil, &failure{cause: causeQuarantined, err: err}
 	}
 	now := time.Now()
@@ -298,7 +299,7 @@
 	case failed.cause == causeNotSent:
 		return len(e.tried) < maxEndpointsTried
 	case failed.cause == causeNotRun:
-	case failed.cause == causeBroken && e.route.Repeatable():
+	case failed.cause == causeBroken && e.route.Repeatable() && e.server.deps.Quarantine.EvidenceWait(e.server.deps.Now(), e.keys) == 0:
 	default:
 		return false
 	}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -10,6 +10,7 @@
 
 	"knapweedhoist/dispatch"
 	"knapweedhoist/internal/contain"
+	"knapweedhoist/internal/wait"
 	"knapweedhoist/quarantine"
 	"knapweedhoist/upstream"
 )
@@ -18,20 +19,11 @@
 // the request.
 const progressTime = 200 * time.Millisecond
 
-// sharedContents returns the content of each part of the prompt that other requests can have in common with this one.
-func sharedContents(prompt []dispatch.Part) []uint64 {
-	var contents []uint64
-	for _, part := range dispatch.SharedParts(prompt) {
-		contents = append(contents, part.Content)
-	}
-	return contents
-}
-
-// formatContents returns contents in hexadecimal, as callers state them.
-func formatContents(contents []uint64) string {
-	texts := make([]string, len(contents))
-	for i, content := range contents {
-		texts[i] = strconv.FormatUint(content, 16)
+// formatKeys returns keys in hexadecimal, those of parts as callers state them.
+func formatKeys(keys []quarantine.Key) string {
+	texts := make([]string, len(keys))
+	for i, key := range keys {
+		texts[i] = key.String()
 	}
 	return strings.Join(texts, ",")
 }
@@ -50,9 +42,7 @@
 // recordProgress notes that the endpoint was able to answer the request.
 func (e *exchange) recordProgress() {
 	e.progressed = true
-	if len(e.contents) > 0 {
-		e.server.deps.Quarantine.RecordAnswer(e.server.deps.Now(), e.contents)
-	}
+	e.server.deps.Quarantine.RecordAnswer(e.server.deps.Now(), e.keys)
 }
 
 // connectionLost reports whether err ended an exchange without any statement of the endpoint, as its crash does.
@@ -61,27 +51,53 @@
 		errors.Is(err, errTruncatedEvent) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// investigateLoss finds out whether the endpoint of a failed send has crashed, if the request may be the cause: it has parts
-// in common with others, and its answer had made no progress.
+// investigateLoss finds out whether the endpoint of a failed send has crashed, if the request may be the cause: its answer had made no
+// progress. It waits for the result if the request may be sent again.
 func (e *exchange) investigateLoss(err error) {
-	if e.progressed || len(e.contents) == 0 || !connectionLost(err) {
+	if e.progressed || !connectionLost(err) {
 		return
 	}
-	s, inFlight, id, contents := e.server, e.inFlight, e.request.ID, e.contents
+	s, inFlight, id, keys := e.server, e.inFlight, e.request.ID, e.keys
 	endpoint, idleLimit := inFlight.Endpoint, e.idleLimit()
+	done := make(chan struct{})
 	go func() {
+		defer close(done)
 		_ = contain.Run(s.deps.Log, "investigate a lost exchange", func() {
 			target := upstream.Target{Address: endpoint.Address, ID: endpoint.ID}
 			if !s.deps.Pool.Refuses(context.Background(), target, idleLimit) {
 				return
 			}
-			s.deps.Quarantine.RecordCrash(s.deps.Now(), quarantine.ProcessKey(endpoint.ID, endpoint.StartedAtMs), contents)
+			process := quarantine.ProcessKey(endpoint.ID, endpoint.StartedAtMs)
+			s.deps.Quarantine.RecordCrash(s.deps.Now(), process, keys)
 			if inFlight.RecordCrash(time.Now()) {
 				s.logAvoidance(inFlight, id, dispatch.Crashed, 0)
 			}
 			s.deps.Metrics.Crashes.Inc(1)
-			s.deps.Log.Warn("endpoint crashed", "endpoint", endpoint.ID, "started_ms", endpoint.StartedAtMs, "id", id,
-				"parts", formatContents(contents))
+			s.deps.Log.Warn("endpoint crashed", "endpoint", endpoint.ID, "started_ms", endpoint.StartedAtMs,
+				"process", strconv.FormatUint(process, 16), "id", id, "fingerprint", keys.Key.String(), "parts", formatKeys(keys.Parts))
 		})
 	}()
+	if e.route.Repeatable() {
+		<-done
+	}
 }
+
+// awaitEvidence holds a request that was in progress at a crash a moment ago until it is known whether it is the cause. A random part
+// keeps its repeats at several instances from going on together. A request that would lose over half of its time goes on at once.
+func (e *exchange) awaitEvidence() {
+	for {
+		hold := e.server.deps.Quarantine.EvidenceWait(e.server.deps.Now(), e.keys)
+		if hold <= 0 || hold > e.remaining()/2 {
+			return
+		}
+		hold += time.Duration(e.server.deps.Random() * float64(maxExtraWait))
+		e.server.deps.Metrics.Held.Inc(1)
+		e.server.deps.Log.Info("request held", "id", e.request.ID, "fingerprint", e.keys.Key.String(), "for_ms", hold.Milliseconds())
+		if !wait.For(e.context, hold) {
+			return
+		}
+	}
+}
+
+// maxExtraWait bounds the random part of awaitEvidence.
+const maxExtraWait = 300 * time.Millisecond
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -9,6 +9,7 @@
 	"knapweedhoist/deployment"
 	"knapweedhoist/dispatch"
 	"knapweedhoist/internal/boundedbuffer"
+	"knapweedhoist/quarantine"
 )
 
 // exchange is one request of a caller and its answer. One goroutine at a time
@@ -49,8 +50,8 @@
 	inFlight    *dispatch.InFlight
 	// onSent is upstream.Request.Sent of each attempt.
 	onSent func()
-	// contents identifies the parts of the prompt that other requests can have in common with this one.
-	contents []uint64
+	// keys identifies the request without its id, and the parts of its prompt that other requests can have too; setKeys sets it.
+	keys quarantine.Request
 	// firstEventAt is the time of the first event of the current send, progressed whether its answer went on after that.
 	firstEventAt time.Time
 	progressed   bool
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -18,7 +18,7 @@
 	causeCallerClosed
 	// causeStopping: the instance ended the request in a planned stop.
 	causeStopping
-	// causeQuarantined: a part of the prompt has crashed endpoints.
+	// causeQuarantined: requests like this one, or with a part of its prompt, have crashed endpoints.
 	causeQuarantined
 	// causeNoEndpoint: every endpoint of the service is leaving, full or was tried, or it has none.
 	causeNoEndpoint
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -68,7 +68,12 @@
 	status, retryAfter := e.failureStatus(failed)
 	e.countFailure(status, failed)
 	e.respondLocal(status, failed.cause.String(), retryAfter)
-	e.logOutcome("request failed", status, failed, "retry_after_ms", retryAfter.Milliseconds())
+	attributes := []any{"retry_after_ms", retryAfter.Milliseconds()}
+	var refused *quarantine.RefusedError
+	if errors.As(failed, &refused) {
+		attributes = append(attributes, "key", refused.Key.String(), "kind", refused.Key.Kind())
+	}
+	e.logOutcome("request failed", status, failed, attributes...)
 }
 
 // failureStatus returns the status and Retry-After of a failed request. It refunds the cost of a request that did not run.
@@ -84,7 +89,7 @@
 	}
 }
 
-// retryAfter returns when the caller should try again: when a quarantined part is tried again, after the first of the pauses
+// retryAfter returns when the caller should try again: when a quarantined key is tried again, after the first of the pauses
 // that the endpoints have asked for, or after the wait for a slot if every endpoint is full, but at least retryAfterNoEndpoint. Random parts spread the retries of callers that are refused at the same time.
 func (e *exchange) retryAfter(failed *failure) time.Duration {
 	wait := retryAfterNoEndpoint
@@ -159,8 +164,11 @@
 		e.server.deps.Log.Info(message, append(attributes, extra...)...)
 		return
 	}
-	if len(e.contents) > 0 {
-		attributes = append(attributes, "parts", formatContents(e.contents))
+	if e.keys.Key != 0 {
+		attributes = append(attributes, "fingerprint", e.keys.Key.String())
+	}
+	if len(e.keys.Parts) > 0 {
+		attributes = append(attributes, "parts", formatKeys(e.keys.Parts))
 	}
 	e.server.deps.Log.Warn(message, append(append(attributes, "reason", err.Error()), extra...)...)
 }
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -10,6 +11,13 @@
 func (g *Guard) Update(now time.Time) []Change {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.decide(now)
+	changes := g.changes
+	g.changes = nil
+	return changes
+}
+
+func (g *Guard) decide(now time.Time) {
 	g.expire(now)
 	g.lift(now)
 	for {
@@ -19,75 +27,84 @@
 		}
 		g.impose(now, suspect)
 	}
-	changes := g.changes
-	g.changes = nil
-	return changes
 }
 
 // expire drops evidence that is too old, and quarantines that refused no request for a while.
 func (g *Guard) expire(now time.Time) {
 	for process, c := range g.crashes {
 		ttl := g.cfg.EvidenceTTL
-		if c.explained {
+		if slices.ContainsFunc(c.keys, g.isQuarantined) {
 			ttl = g.cfg.ExplainedTTL
 		}
 		if now.Sub(c.at) > ttl {
 			delete(g.crashes, process)
 		}
 	}
-	for _, answered := range []map[uint64]time.Time{g.answered, g.answeredElsewhere} {
-		for part, at := range answered {
-			if now.Sub(at) > g.cfg.EvidenceTTL {
-				delete(answered, part)
+	for _, answered := range []map[Key]time.Time{g.answered, g.answeredElsewhere} {
+		for key, at := range answered {
+			ttl := g.cfg.EvidenceTTL
+			if key.IsRequest() {
+				ttl = g.cfg.AnsweredRequestTTL
+			}
+			if now.Sub(at) > ttl {
+				delete(answered, key)
 			}
 		}
 	}
-	for part, r := range g.records {
+	for key, at := range g.suspected {
+		if now.Sub(at) > g.cfg.DecisionDelay {
+			delete(g.suspected, key)
+		}
+	}
+	for key, r := range g.records {
 		if now.Sub(r.lastUse()) <= g.cfg.Retention {
 			continue
 		}
-		delete(g.records, part)
+		delete(g.records, key)
 		if !r.lifted {
-			g.changes = append(g.changes, Change{Kind: Expired, Part: part, Epoch: r.epoch})
+			g.changes = append(g.changes, Change{Kind: Expired, Key: key, Epoch: r.epoch})
 		}
 	}
 }
 
-// lift ends the quarantine of parts that were answered since it began: a part that crashes endpoints has no answers, so
+// lift ends the quarantine of keys that were answered since it began: a key whose requests crash endpoints has no answers, so
 // that another one caused the crashes, or the endpoints are repaired.
 func (g *Guard) lift(now time.Time) {
-	for part, r := range g.records {
-		if !r.lifted && g.lastAnswer(part).After(r.at) {
+	for key, r := range g.records {
+		if !r.lifted && g.lastAnswer(key).After(r.at) {
 			r.lifted, r.at = true, now
-			g.changes = append(g.changes, Change{Kind: Lifted, Part: part, Epoch: r.epoch})
+			g.changes = append(g.changes, Change{Kind: Lifted, Key: key, Epoch: r.epoch})
 		}
 	}
 }
 
-// lastAnswer returns the time of the last answer to a part at any instance, the zero time if none is known.
-func (g *Guard) lastAnswer(part uint64) time.Time {
-	own, elsewhere := g.answered[part], g.answeredElsewhere[part]
+// lastAnswer returns the time of the last answer to a key at any instance, the zero time if none is known.
+func (g *Guard) lastAnswer(key Key) time.Time {
+	own, elsewhere := g.answered[key], g.answeredElsewhere[key]
 	if own.After(elsewhere) {
 		return own
 	}
 	return elsewhere
 }
 
-// suspect is a part that may be quarantined.
+// suspect is a key that may be quarantined.
 type suspect struct {
-	part uint64
-	// crashes holds the times of the crashes since the last answer to the part.
+	key Key
+	// crashes holds the times of the crashes since the last answer to the key, in order.
 	crashes []time.Time
-	// answered is set if the part was answered before.
+	// requests holds the quarantined requests whose crashes are among them: each counts once.
+	requests map[Key]bool
+	// answered is set if the key was answered before.
 	answered bool
-	// depth is the highest position of the part in a crash.
+	// depth is the highest position of the key in a crash.
 	depth int
 }
 
-// worstSuspect returns the part that is most likely to have caused the crashes, false if no part has reached the limits.
+// worstSuspect returns the key that is most likely to have caused the crashes, false if no key has reached the limits.
 func (g *Guard) worstSuspect(now time.Time) (suspect, bool) {
 	var reached []suspect
 	for _, s := range g.suspects() {
+		s.crashes = apart(s.crashes, g.cfg.LostTogether)
 		limit := g.cfg.MinCrashes
 		if s.answered {
 			limit = g.cfg.MinCrashesAnswered
@@ -95,7 +112,6 @@
 		if len(s.crashes) < limit {
 			continue
 		}
-		slices.SortFunc(s.crashes, time.Time.Compare)
 		if now.Sub(s.crashes[limit-1]) >= g.cfg.DecisionDelay {
 			reached = append(reached, *s)
 		}
@@ -109,14 +125,27 @@
 			return compareBool(a.answered, b.answered)
 		case len(a.crashes) != len(b.crashes):
 			return cmp.Compare(len(b.crashes), len(a.crashes))
+		case a.key.IsRequest() != b.key.IsRequest():
+			return compareBool(b.key.IsRequest(), a.key.IsRequest())
 		case a.depth != b.depth:
 			return cmp.Compare(b.depth, a.depth)
 		default:
-			return cmp.Compare(a.part, b.part)
+			return cmp.Compare(a.key, b.key)
 		}
 	}), true
 }
 
+// apart returns the times without those that follow a returned one within the given time. times is sorted.
+func apart(times []time.Time, within time.Duration) []time.Time {
+	var kept []time.Time
+	for _, at := range times {
+		if len(kept) == 0 || at.Sub(kept[len(kept)-1]) >= within {
+			kept = append(kept, at)
+		}
+	}
+	return kept
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
@@ -129,34 +158,55 @@
 	}
 }
 
-// suspects returns the parts in progress at crashes, by part.
-func (g *Guard) suspects() map[uint64]*suspect {
-	suspects := make(map[uint64]*suspect)
-	for _, c := range g.crashes {
-		for depth, part := range c.parts {
-			lastAnswer := g.lastAnswer(part)
-			s := suspects[part]
+// suspects returns the keys in progress at crashes, by key.
+func (g *Guard) suspects() map[Key]*suspect {
+	suspects := make(map[Key]*suspect)
+	byTime := slices.SortedFunc(maps.Values(g.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+	for _, c := range byTime {
+		request, part := g.explanations(c)
+		for depth, key := range c.keys {
+			if part != 0 || request != 0 && key.IsRequest() {
+				continue
+			}
+			lastAnswer := g.lastAnswer(key)
+			s := suspects[key]
 			if s == nil {
-				s = &suspect{part: part, answered: !lastAnswer.IsZero()}
-				suspects[part] = s
+				s = &suspect{key: key, answered: !lastAnswer.IsZero(), requests: make(map[Key]bool)}
+				suspects[key] = s
 			}
 			s.depth = max(s.depth, depth)
-			if c.at.After(lastAnswer) {
+			if c.at.After(lastAnswer) && !s.requests[request] {
 				s.crashes = append(s.crashes, c.at)
+				s.requests[request] = request != 0
 			}
 		}
 	}
 	return suspects
 }
 
-// impose quarantines a part. The crashes that it explains no longer count for other parts.
+// explanations returns a quarantined request and a quarantined part that were in progress at the crash, 0 for none. A crash that a
+// part explains does not count for other keys. One that a request explains does not count for other requests, and all that it
+// explains count once for a part, since several requests may crash endpoints because of a common part.
+func (g *Guard) explanations(c *crash) (request, part Key) {
+	for _, key := range c.keys {
+		switch {
+		case !g.isQuarantined(key):
+		case key.IsRequest():
+			request = key
+		default:
+			part = key
+		}
+	}
+	return request, part
+}
+
+// impose quarantines a key.
 func (g *Guard) impose(now time.Time, s suspect) {
-	r := g.records[s.part]
+	r := g.records[s.key]
 	if r == nil {
 		r = &record{}
-		g.records[s.part] = r
+		g.records[s.key] = r
 	}
 	r.epoch, r.lifted, r.at = r.epoch+1, false, now
-	g.explainCrashes(now, s.part)
-	g.changes = append(g.changes, Change{Kind: Imposed, Part: s.part, Crashes: len(s.crashes), Epoch: r.epoch})
+	g.changes = append(g.changes, Change{Kind: Imposed, Key: s.key, Crashes: len(s.crashes), Epoch: r.epoch})
 }
