forward: log and count the rate limits that endpoints state

Callers saw requests far above the limit that an endpoint had named, and no log line mentioned the limit. The header is now decoded once, kept for each process of an endpoint (package endpointlimit), and its changes are logged and counted; nothing acts on it yet.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -9,6 +9,7 @@
 	"github.com/zeebo/xxh3"
 
 	"knapweedhoist/deployment"
+	"knapweedhoist/endpointlimit"
 	"knapweedhoist/enginemodel"
 	"knapweedhoist/fleetstate"
 )
@@ -23,6 +24,8 @@
 type Balancer struct {
 	cfg     Config
 	learner *enginemodel.Learner
+	// limits holds the rate limits of endpoints.
+	limits *endpointlimit.Limits
 	// mu guards the fields below, including the endpointStates.
 	mu     sync.Mutex
 	states map[string]*endpointState
@@ -39,7 +42,7 @@
 // speeds that learner estimates.
 func NewBalancer(cfg Config, learner *enginemodel.Learner) *Balancer {
 	return &Balancer{
-		cfg: cfg.withDefaults(), learner: learner, states: make(map[string]*endpointState),
+		cfg: cfg.withDefaults(), learner: learner, limits: endpointlimit.New(), states: make(map[string]*endpointState),
 		prefillTokens: make(map[string]int64), running: make(map[string]int),
 	}
 }
--- a/forward/avoidance.go
+++ b/forward/avoidance.go
@@ -25,6 +25,7 @@
 	if status == fasthttp.StatusServiceUnavailable && header.RetryAfter > 0 && e.inFlight.RecordPause(now, header.RetryAfter) {
 		e.server.logAvoidance(e.inFlight, e.request.ID, dispatch.Paused, header.RetryAfter)
 	}
+	e.observeRateLimit(now, header)
 }
 
 // logAvoidance logs and counts that an endpoint gets no new requests. id is the request that led to it, duration how long it
--- a/forward/header_codec.go
+++ b/forward/header_codec.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"knapweedhoist/dispatch"
+	"knapweedhoist/endpointlimit"
 )
 
 // HeaderCodec decodes and encodes the header fields of a platform. It must be safe for concurrent use.
@@ -64,6 +65,8 @@
 	Leaving bool
 	// RetryAfter is the time within which the endpoint wants no further request, 0 if it states none.
 	RetryAfter time.Duration
+	// RateLimit is what the answer says about the rate limit of the endpoint.
+	RateLimit endpointlimit.Statement
 	// Load is nil if the endpoint does not report its load.
 	Load *dispatch.Load
 }
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -29,6 +29,9 @@
 	Quarantined metrics.Counter
 	// Avoided counts how often an endpoint began to be avoided, by reason.
 	Avoided map[dispatch.Reason]metrics.Counter
+	// RateLimitChanges counts the rate limits of endpoints that were stated, changed or ended in answers, InvalidRateLimits the
+	// answers with one that cannot be read.
+	RateLimitChanges, InvalidRateLimits metrics.Counter
 	// Crashes counts the sends that were in progress at an endpoint that crashed before it had answered them.
 	Crashes metrics.Counter
 	// FirstByte is the time from the arrival of a request to its answer or first event, in microseconds.
@@ -51,6 +54,7 @@
 			dispatch.Leaving: counter("forward_avoided_leaving"), dispatch.Paused: counter("forward_avoided_paused"),
 			dispatch.Crashed: counter("forward_avoided_crashed"),
 		},
+		RateLimitChanges: counter("forward_rate_limit_changes"), InvalidRateLimits: counter("forward_rate_limits_invalid"),
 		Crashes:     counter("forward_endpoint_crashes"),
 		Quarantined: counter("forward_quarantined"),
 		InProgress:  counter("forward_in_progress"),
