endpointlimit: limits take turns in reports; tests of merging, bounds and the whole path

When more endpoints name a limit than fit into a report, half of the records are those learned last and the others take turns, so that a new process learns of all. Lists of records are merged in one pass, since an aggregator merges those of 60 members at each step.

--- a/endpointlimit/limits.go
+++ b/endpointlimit/limits.go
@@ -25,6 +25,8 @@
 	// share is that of the last SetShare, which was called at sharedAt.
 	share    Share
 	sharedAt time.Time
+	// reported is the position of the last call of Records in the limits that take turns.
+	reported int
 }
 
 // limit is the last statement of one process.
@@ -120,7 +122,8 @@
 	return Record{Process: process, PerSecond: k.perSecond, Ended: k.ended, Age: max(now.Sub(k.statedAt), 0)}
 }
 
-// Records returns what this instance knows, at most n records: those whose change it learned last.
+// Records returns what this instance knows, at most n records. If it knows more, half of them are those whose change it learned
+// last; the others take turns from call to call.
 func (l *Limits) Records(now time.Time, n int) Records {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -131,8 +134,12 @@
 	slices.SortFunc(processes, func(a, b uint64) int {
 		return cmp.Or(l.limits[b].changedAt.Compare(l.limits[a].changedAt), cmp.Compare(a, b))
 	})
-	records := make(Records, 0, min(n, len(processes)))
-	for _, process := range processes[:min(n, len(processes))] {
+	if rest := processes[min(n/2, len(processes)):]; len(processes) > n {
+		l.reported = (l.reported + n - n/2) % len(rest)
+		processes = append(processes[:n/2], slices.Concat(rest[l.reported:], rest[:l.reported])[:n-n/2]...)
+	}
+	records := make(Records, 0, len(processes))
+	for _, process := range processes {
 		records = append(records, l.limits[process].record(now, process))
 	}
 	return records
--- /dev/null
+++ b/endpointlimit/limits_test.go
@@ -0,0 +1,93 @@
+package endpointlimit
+
+import (
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Limits", func() {
+	start := time.Unix(1_800_000_000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	named := func(perSecond float32) Statement { return Statement{Kind: Named, PerSecond: perSecond} }
+	// taken returns the number of turns that are due and taken in steps of a millisecond.
+	taken := func(l *Limits, from time.Time, d time.Duration) (n int) {
+		for now := from; now.Before(from.Add(d)); now = now.Add(time.Millisecond) {
+			if l.Wait(now, process) == 0 {
+				l.Take(now, process)
+				n++
+			}
+		}
+		return n
+	}
+
+	// Guards against an old limit that supersedes a newer one or its end, and against values of a faulty server that end one.
+	It("keep the newest valid statement, whoever was told", func() {
+		l := New()
+		l.Observe(start, process, named(2))
+		_, changed := l.Observe(at(time.Second), process, Statement{Kind: Invalid})
+		Expect(changed).To(BeFalse())
+		l.Observe(at(2*time.Second), process, Statement{Kind: Absent})
+		Expect(l.Merge(at(3*time.Second), Records{{Process: process, PerSecond: 2, Age: 2 * time.Second}})).To(BeEmpty())
+		Expect(l.InForce()).To(BeZero())
+		Expect(l.Merge(at(3*time.Second), Records{{Process: process, PerSecond: 3, Age: time.Millisecond}})).To(Equal(
+			[]Change{{Process: process, PerSecond: 3}}))
+		Expect(l.Merge(at(4*time.Second), Records{{Process: process, Ended: true}})).To(HaveLen(1))
+		Expect(l.Records(at(5*time.Second), 9)).To(Equal(Records{{Process: process, Ended: true, Age: time.Second}}))
+		stricter := Records{{Process: 1, PerSecond: 2}, {Process: 2, Ended: true}}
+		Expect(Merge(Records{{Process: 1, PerSecond: 3}, {Process: 2, PerSecond: 9}}, stricter)).To(Equal(
+			Records{{Process: 1, PerSecond: 2}, {Process: 2, PerSecond: 9}}))
+	})
+
+	// Guards against a report that grows without bound, and against limits that are kept for ever.
+	It("are bounded and forgotten", func() {
+		l := New()
+		for i := range uint64(maxProcesses + 1) {
+			l.Observe(at(time.Duration(i)), i, named(1))
+		}
+		Expect(l.InForce()).To(Equal(maxProcesses))
+		records := l.Records(start, MaxRecords)
+		Expect(records).To(HaveLen(MaxRecords))
+		Expect(records[0].Process).To(Equal(uint64(maxProcesses - 1)))
+		Expect(Merge(records, Records{{Process: math.MaxUint64}})).To(HaveLen(MaxRecords))
+		reported := make(map[uint64]bool)
+		for range 2 * maxProcesses / MaxRecords {
+			for _, record := range l.Records(start, MaxRecords) {
+				reported[record.Process] = true
+			}
+		}
+		Expect(reported).To(HaveLen(maxProcesses))
+		l.Sweep(at(2*time.Minute), func(process uint64) bool { return process < 7 })
+		Expect(l.InForce()).To(Equal(7))
+	})
+
+	// Guards against turns of a former, higher limit that are used after it has fallen, and against a limit of 0 that never ends.
+	It("apply a lower limit at once and try a limit of 0 rarely", func() {
+		l := New()
+		l.Observe(start, process, named(50))
+		Expect(taken(l, start, 10*time.Second)).To(BeNumerically("~", 475, 3))
+		l.Observe(at(20*time.Second), process, named(1)) // unused turns of 10 s
+		Expect(taken(l, at(20*time.Second), 4*time.Second)).To(BeNumerically("<=", 5))
+		l.Observe(at(24*time.Second), process, named(0))
+		Expect(taken(l, at(24*time.Second), 100*time.Second)).To(BeNumerically("~", 9, 2))
+	})
+
+	// Guards against a burst of unused turns.
+	It("let unused turns lapse", func() {
+		l := New()
+		l.Observe(start, process, named(2))
+		Expect(taken(l, at(time.Minute), time.Millisecond)).To(BeNumerically("<=", 4))
+	})
+
+	// Guards against an endpoint that gets nothing, or everything, after the estimated time of day was corrected.
+	DescribeTable("divide the limit after a correction of the time of day", func(correction time.Duration) {
+		l := New()
+		l.SetShare(start, Share{Instances: 2, Rank: 1, FleetTime: start})
+		l.Observe(start, process, named(10))
+		taken(l, start, 2*time.Second)
+		l.SetShare(at(2*time.Second), Share{Instances: 2, Rank: 1, FleetTime: at(2*time.Second + correction)})
+		Expect(taken(l, at(2*time.Second), 10*time.Second)).To(BeNumerically("~", 10*4.75, 6))
+	}, Entry("forward", time.Hour), Entry("back", -time.Hour))
+})
--- a/endpointlimit/record.go
+++ b/endpointlimit/record.go
@@ -45,24 +45,21 @@
 	return aged
 }
 
-// Merge returns the records of both, which are of the same time. Merging the same records again changes nothing. Of more than
-// MaxRecords, the newest are kept.
-func (r Records) Merge(other Records) Records {
-	if len(other) == 0 {
-		return r
-	}
-	merged, index := slices.Clone(r), make(map[uint64]int, len(r)+len(other))
-	for i, record := range merged {
-		index[record.Process] = i
-	}
-	for _, record := range other {
-		i, known := index[record.Process]
-		switch {
-		case !known:
-			index[record.Process] = len(merged)
-			merged = append(merged, record)
-		case record.supersedes(merged[i]):
-			merged[i] = record
+// Merge returns the records of all lists, which are of the same time, with one for each process. Merging the same records again
+// changes nothing. Of more than MaxRecords, the newest are kept.
+func Merge(lists ...Records) Records {
+	var merged Records
+	index := make(map[uint64]int)
+	for _, list := range lists {
+		for _, record := range list {
+			i, known := index[record.Process]
+			switch {
+			case !known:
+				index[record.Process] = len(merged)
+				merged = append(merged, record)
+			case record.supersedes(merged[i]):
+				merged[i] = record
+			}
 		}
 	}
 	if len(merged) > MaxRecords {
--- a/fleetstate/build.go
+++ b/fleetstate/build.go
@@ -32,7 +32,7 @@
 	summary.State.addGauges(f.ownState)
 	summary.State.Levels = f.ownState.Levels
 	known := f.membersKnowledge(now)
-	summary.State.Evidence, summary.State.Limits = known.evidence, known.limits
+	summary.State.Evidence, summary.State.Limits = known.evidence, known.mergedLimits()
 	summary.State.Used = f.ownState.Used.From(f.slot - reportedSlots)
 	summary.State.Used.Sum(f.membersUsed.From(f.slot - reportedSlots))
 	summary.State.Started = f.startedIn(f.membersStarted)
@@ -86,7 +86,7 @@
 	}
 	state.Levels = f.ownState.Levels
 	known := f.directKnowledge(now)
-	state.Evidence, state.Limits = known.evidence, known.limits
+	state.Evidence, state.Limits = known.evidence, known.mergedLimits()
 	first := f.slot - reportedSlots
 	state.Used = f.ownState.Used.From(first)
 	state.Used.Sum(f.membersUsed.From(first))
--- a/fleetstate/fleet.go
+++ b/fleetstate/fleet.go
@@ -95,7 +95,7 @@
 	others.Levels = f.newestLevels(now)
 	others.Delay = f.delay(now)
 	known := f.knowledge(now)
-	others.Evidence, others.Limits = known.evidence, known.limits
+	others.Evidence, others.Limits = known.evidence, known.mergedLimits()
 	return others
 }
 
--- a/fleetstate/fleet_test.go
+++ b/fleetstate/fleet_test.go
@@ -6,6 +6,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"knapweedhoist/endpointlimit"
 	"knapweedhoist/quarantine"
 )
 
@@ -44,6 +45,26 @@
 		}
 	}
 
+	// Guards against an instance that does not learn of a limit, or of its end, which others were told, and against two instances
+	// that take the same part of it.
+	ginkgo.It("passes the newest statement about a rate limit on to all and ranks all differently", func() {
+		a, b := deployment(start)
+		a[3].SetOwn(State{Limits: endpointlimit.Records{{Process: 1, PerSecond: 2}, {Process: 2, PerSecond: 3, Age: time.Second}}})
+		b[3].SetOwn(State{Limits: endpointlimit.Records{{Process: 2, Ended: true}}})
+		exchange(start, a, b)
+		exchange(start.Add(100*time.Millisecond), a, b)
+		ranks := make(map[int]bool)
+		for _, n := range append(append([]*node{}, a...), b...) {
+			limits := n.Advance(start.Add(100*time.Millisecond), slot).Limits
+			Expect(limits).To(HaveLen(2), n.name)
+			for _, record := range limits {
+				Expect(record.Ended).To(Equal(record.Process == 2), n.name)
+			}
+			ranks[n.Rank()] = true
+		}
+		Expect(ranks).To(HaveLen(8))
+	})
+
 	// Guards against use that is counted twice because two aggregators report it, and against use that is missing.
 	ginkgo.It("knows the use of every other instance once", func() {
 		a, b := deployment(start)
--- a/fleetstate/knowledge.go
+++ b/fleetstate/knowledge.go
@@ -11,15 +11,20 @@
 // has to be subtracted.
 type knowledge struct {
 	evidence quarantine.Evidence
-	limits   endpointlimit.Records
+	limits   []endpointlimit.Records
 }
 
 // add adds what a state contained some time ago.
 func (k *knowledge) add(state State, age time.Duration) {
 	k.evidence.Merge(state.Evidence.Aged(age))
-	k.limits = k.limits.Merge(state.Limits.Aged(age))
+	if len(state.Limits) > 0 {
+		k.limits = append(k.limits, state.Limits.Aged(age))
+	}
 }
 
+// mergedLimits returns the last statements about rate limits.
+func (k *knowledge) mergedLimits() endpointlimit.Records { return endpointlimit.Merge(k.limits...) }
+
 // membersKnowledge returns that of this instance and of the connected members.
 func (f *Fleet) membersKnowledge(now time.Time) knowledge {
 	var merged knowledge
