entry: a new process knows its part of rate limits as soon as it is ready

A test of the whole path failed once: for up to 100 ms after its start an instance still assumed 360 instances, so that it refused requests to an endpoint with a limit, with 2,453 s in Retry-After. A request that must not be repeated is not sent for a caller that left while it waited for a limit.

--- a/entry/control.go
+++ b/entry/control.go
@@ -90,7 +90,7 @@
 	}
 	i.limiter.Observe(now, slot, others, connectivity)
 	i.quarantine.Observe(now, others.Evidence)
-	i.updateRateLimits(others.Limits, total)
+	i.updateRateLimits(others.Limits)
 	i.budget.SetInstances(total)
 	i.balancer.SetOtherLoads(others.Endpoints, others.EndpointKnown, others.Delay)
 	i.otherServices.Store(&others.Services)
--- a/entry/join.go
+++ b/entry/join.go
@@ -86,6 +86,7 @@
 	}
 	if i.fleet.Followed(now) {
 		i.joined.Store(true)
+		i.shareRateLimits()
 	}
 	for i.listDue(now, m) {
 		if err := i.listInstances(ctx, m); err != nil {
@@ -130,6 +131,7 @@
 	_, self := listed[i.settings.Instance]
 	if !stale {
 		i.joined.Store(true)
+		i.shareRateLimits()
 	}
 	if !self && m.fresh {
 		m.written = false // another instance has removed this one as dead
--- a/entry/rate_limits.go
+++ b/entry/rate_limits.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
+	"knapweedhoist/clock"
 	"knapweedhoist/endpointlimit"
 	"knapweedhoist/quarantine"
 )
@@ -20,14 +23,20 @@
 	return i.balancer.Limits().Records(time.Now(), n)
 }
 
-// updateRateLimits takes over what the other instances know and the part of the limits that belongs to this instance.
-func (i *Instance) updateRateLimits(known endpointlimit.Records, instances int) {
-	limits := i.balancer.Limits()
-	share := endpointlimit.Share{Instances: instances, Rank: i.fleet.Rank(), FleetTime: i.wallNow()}
+// shareRateLimits sets the part of the limits that belongs to this instance.
+func (i *Instance) shareRateLimits() {
+	share := endpointlimit.Share{Instances: i.fleet.Total(clock.Now()), Rank: i.fleet.Rank(), FleetTime: i.wallNow()}
 	if !i.joined.Load() {
 		share.Instances = endpointlimit.AssumedInstances // the other instances are not known yet
 	}
-	limits.SetShare(time.Now(), share)
+	i.balancer.Limits().SetShare(time.Now(), share)
+}
+
+// updateRateLimits takes over what the other instances know, and the part of the limits that belongs to this instance.
+func (i *Instance) updateRateLimits(known endpointlimit.Records) {
+	limits := i.balancer.Limits()
+	i.shareRateLimits()
+	metrics.GetOrRegisterGauge("limited_endpoints", i.registry).Update(int64(limits.InForce()))
 	for _, change := range limits.Merge(time.Now(), known) {
 		message := "rate limit of endpoint stated"
 		if change.Ended {
--- a/fleetstate/listing.go
+++ b/fleetstate/listing.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 // Listing is what the store holds about an instance.
@@ -101,10 +103,13 @@
 }
 
 // Rank returns the number of instances whose names come before that of this one, among those that are listed or members of
-// its data centre.
+// its data centre. Before the first list it is a hash of the name, so that instances that start together differ.
 func (f *Fleet) Rank() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(f.listed) == 0 {
+		return int(xxh3.HashString(f.cfg.Self.Instance) >> 1)
+	}
 	rank := 0
 	for name := range f.listed {
 		if name < f.cfg.Self.Instance {
--- a/forward/rate_limit.go
+++ b/forward/rate_limit.go
@@ -19,6 +19,7 @@
 		return nil
 	}
 	e.server.deps.Metrics.RateLimitWaits.Inc(1)
+	defer e.watchWait()()
 	timer := time.NewTimer(e.inFlight.Wait)
 	defer timer.Stop()
 	select {
@@ -39,6 +40,20 @@
 	return nil
 }
 
+// watchWait cancels the exchange if the caller closes its connection, until stop is called. Requests that must not be repeated
+// are not watched otherwise, but one that was not sent yet must not be sent for a caller that has left.
+func (e *exchange) watchWait() (stop func()) {
+	if e.watchedConn != nil {
+		return func() {}
+	}
+	conn, ok := e.ctx.Conn().(*clientConn)
+	if !ok {
+		return func() {}
+	}
+	conn.watch(e.cancel)
+	return conn.unwatch
+}
+
 // observeRateLimit takes over what the header of an answer states about the endpoint's rate limit. An answer without a limit
 // ends one only if the endpoint has signed it: a refusal may have been written before the endpoint counted the request.
 func (e *exchange) observeRateLimit(now time.Time, header AnswerHeader) {
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -88,7 +88,7 @@
 	}
 	var limited *dispatch.RateLimitedError
 	if errors.As(failed, &limited) {
-		return max(limited.Wait, minRetryAfter) + time.Duration(e.server.deps.Random()*float64(retryAfterNoEndpoint))
+		return min(max(limited.Wait, minRetryAfter), maxRetryAfter) + time.Duration(e.server.deps.Random()*float64(retryAfterNoEndpoint))
 	}
 	var refused *quarantine.RefusedError
 	if errors.As(failed, &refused) {
