--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -39,14 +39,12 @@
 // instead, as long as the endpoints are full, and the others are on time.
 func (c *choice) checkOverload(endpoint *deployment.Endpoint) error {
 	state := c.balancer.state(endpoint)
-	if late := c.prefillLate(state, endpoint); late > 0 {
-		return &OverloadedError{Wait: late}
-	}
 	wait := c.slotWait(state.total(), endpoint.Slots)
 	if wait == 0 || c.query.Objective <= 0 || c.engine.Ended < minEnded {
 		return nil
 	}
-	wait = time.Duration(c.byRank(int(wait)))
+	// Requests of a higher rank start before those of a lower one that came earlier.
+	wait = wait * time.Duration(min(c.query.Rank, ranks-1)+1) / ranks
 	start := time.Duration(float64(wait+c.serviceTime(state, endpoint)) * state.slowdown(c.now))
 	if start <= c.query.Objective && start <= c.query.Remaining {
 		return nil
@@ -54,27 +52,6 @@
 	return &OverloadedError{Wait: wait}
 }
 
-// latestStart is the part of the remaining time within which an engine must begin its answer, so that there is time for the rest.
-const latestStart = 0.5
-
-// prefillLate returns how much too late an engine with the lowest cost would begin its answer, because of the prompts that it
-// has to prefill before, or 0.
-//
-// Load pattern: most engines of a service fail or name a rate limit, and the prompts for all of them reach the others, which have
-// free slots and more prompts than they can prefill. Requests would reach their deadline there, and delay those behind them.
-func (c *choice) prefillLate(state *endpointState, endpoint *deployment.Endpoint) time.Duration {
-	if c.query.Service.Engine == nil || c.query.Objective <= 0 || c.engine.Ended < minEnded {
-		return 0
-	}
-	ahead := c.byRank(state.pendingTokens + state.others.PendingTokens)
-	start := c.engine.TimeToFirstToken(float64(ahead + c.work(state, endpoint).expected()))
-	return max(start-time.Duration(latestStart*float64(c.query.Remaining)), 0)
-}
-
-// byRank returns the part of a queue that the request waits for: requests of a higher rank start before those of a lower one that
-// came earlier.
-func (c *choice) byRank(queue int) int { return queue * (min(c.query.Rank, ranks-1) + 1) / ranks }
-
 // serviceTime returns the expected time from the start of the request at the endpoint to its first token or answer.
 func (c *choice) serviceTime(state *endpointState, endpoint *deployment.Endpoint) time.Duration {
 	if c.query.Service.Engine == nil {
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -130,30 +130,6 @@
 		Expect(overloaded.Wait).To(BeNumerically("~", 200*time.Millisecond, time.Millisecond))
 	})
 
-	// Guards against requests that are sent to an engine with free slots whose backlog of prompts they cannot outlive, and against
-	// urgent ones that are refused for the backlog of others.
-	It("refuses a request whose answer would begin too late behind the prompts that an engine has to prefill", func() {
-		learner := enginemodel.NewLearner()
-		learner.SetOthers(map[string]enginemodel.Samples{"model": {Ended: 1e6, Residence: 1e6}})
-		balancer := NewBalancer(Config{}, learner)
-		query := Query{
-			Service: &deployment.Service{Name: "model", Engine: &deployment.Engine{Slots: 1000}}, Tokens: 30_000, Rank: 2,
-			Objective: time.Second, Remaining: 10 * time.Second,
-			Endpoints: map[string]*deployment.Endpoint{"e": {ID: "e", Service: "model", Slots: 1000}},
-		}
-		admitted, err := 0, error(nil)
-		for ; err == nil && admitted < 100; admitted++ {
-			_, err = balancer.Choose(time.Unix(1000, 0), query)
-		}
-		var overloaded *OverloadedError
-		Expect(errors.As(err, &overloaded)).To(BeTrue())
-		Expect(overloaded.Wait).To(And(BeNumerically(">", 0), BeNumerically("<", time.Second)))
-		Expect(admitted).To(BeNumerically("~", 10, 2)) // at 60 tokens a millisecond
-		query.Rank = 0
-		_, err = balancer.Choose(time.Unix(1000, 0), query)
-		Expect(err).NotTo(HaveOccurred())
-	})
-
 	// Guards against urgent requests that are refused for a queue that they would overtake.
 	It("admits a request of a higher rank into a longer queue", func() {
 		learner := enginemodel.NewLearner()
