--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -30,6 +30,12 @@
 	Quarantined, Held metrics.Counter
 	// Avoided counts how often an endpoint began to be avoided, by reason.
 	Avoided map[dispatch.Reason]metrics.Counter
+	// RateLimitChanges counts the rate limits of endpoints that were stated, changed or ended in answers, InvalidRateLimits the
+	// answers with one that cannot be read.
+	RateLimitChanges, InvalidRateLimits metrics.Counter
+	// RateLimitWaits counts the attempts that waited until the rate limit of an endpoint allowed them, RateLimited those that
+	// found all endpoints at their limits for too long.
+	RateLimitWaits, RateLimited metrics.Counter
 	// Crashes counts the sends that were in progress at an endpoint that crashed before it had answered them.
 	Crashes metrics.Counter
 	// Oversized counts the answers that were given up because of their size or of the memory of all answers, see isOversized.
@@ -56,6 +62,8 @@
 			dispatch.Leaving: counter("forward_avoided_leaving"), dispatch.Paused: counter("forward_avoided_paused"),
 			dispatch.Crashed: counter("forward_avoided_crashed"),
 		},
+		RateLimitChanges: counter("forward_rate_limit_changes"), InvalidRateLimits: counter("forward_rate_limits_invalid"),
+		RateLimitWaits: counter("forward_rate_limit_waits"), RateLimited: counter("forward_rate_limited"),
 		Crashes:     counter("forward_endpoint_crashes"),
 		Quarantined: counter("forward_quarantined"), Held: counter("forward_held"),
 		Oversized:   counter("forward_oversized"),
