Accept no key while the configuration has an empty list of tenants

Cause: DecodeConfig decoded an empty list of Tenants like an absent one, and HasTeams took a configuration without teams for one that needs no key.

Change: deployment.Config states its Access; it is OpenToAll only if the document has no Tenants, and empty and null make no key valid.

--- a/deployment/config.go
+++ b/deployment/config.go
@@ -9,6 +9,7 @@
 type Config struct {
 	Version  int64
 	Services map[string]*Service
+	Access   Access
 	Teams    []*Team
 	Limits   Limits
 
@@ -16,6 +17,16 @@
 	teamsByKey   map[string]*Team
 }
 
+// Access states which requests of routes that are not public are served.
+type Access int
+
+const (
+	// KeyRequired serves requests with the API key of a team; without any team none.
+	KeyRequired Access = iota
+	// OpenToAll serves all requests.
+	OpenToAll
+)
+
 // Limits bounds the requests of callers.
 type Limits struct {
 	// MaxBodyBytes bounds a request's body; 0 sets no limit.
@@ -25,9 +36,9 @@
 }
 
 // NewConfig returns a Config that indexes routes by host and teams by API key.
-func NewConfig(version int64, routes []*Route, services []*Service, teams []*Team, limits Limits) *Config {
+func NewConfig(version int64, routes []*Route, services []*Service, access Access, teams []*Team, limits Limits) *Config {
 	c := &Config{
-		Version: version, Teams: teams, Limits: limits,
+		Version: version, Access: access, Teams: teams, Limits: limits,
 		Services:     make(map[string]*Service, len(services)),
 		routesByHost: make(map[string][]*Route), teamsByKey: make(map[string]*Team),
 	}
@@ -60,6 +71,3 @@
 
 // Team returns the team with the API key, or nil if there is none.
 func (c *Config) Team(key string) *Team { return c.teamsByKey[key] }
-
-// HasTeams reports whether any team is configured, so that requests need an API key.
-func (c *Config) HasTeams() bool { return len(c.Teams) > 0 }
--- a/entry/config_sink.go
+++ b/entry/config_sink.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"knapweedhoist/clock"
 	"knapweedhoist/deployment"
 	"knapweedhoist/objectapi"
@@ -16,6 +18,8 @@
 	lg      *slog.Logger
 	adapter Adapter
 	state   *deployment.State
+	// refused counts the versions that could not be decoded.
+	refused metrics.Counter
 	// onApplied is called after a new version is in force.
 	onApplied func(*deployment.Config)
 	// raw is the encoded value of the newest version, which other instances may fetch.
@@ -57,6 +61,7 @@
 	}
 	config, err := s.adapter.DecodeConfig(object.Value)
 	if err != nil {
+		s.refused.Inc(1)
 		s.lg.Error("configuration cannot be decoded", "version", uint64(object.Version), "source", source, "error", err.Error())
 		return
 	}
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -121,9 +121,10 @@
 	i.budget = retrybudget.NewBudget(now, settings.Retries.config())
 	i.stopGrace.Store(int64(seconds(settings.StopGrace)))
 	i.ledger = usage.NewLedger(seconds(settings.Usage.Window), i.fleet.StartedElsewhere)
-	i.configSink = &configSink{lg: i.lg, adapter: adapter, state: i.state, onApplied: func(c *deployment.Config) {
-		i.limiter.SetTeams(clock.Now(), c.Teams)
-	}}
+	i.configSink = &configSink{
+		lg: i.lg, adapter: adapter, state: i.state, refused: metrics.NewRegisteredCounter("config_refused", i.registry),
+		onApplied: func(c *deployment.Config) { i.limiter.SetTeams(clock.Now(), c.Teams) },
+	}
 	i.endpointSink = newEndpointSink(i.lg, adapter, i.state, time.Now, i.balancer.Forget)
 	i.quarantineStore = newQuarantineStore(i.lg, adapter.Store, i.quarantine)
 	i.copies = i.newCopies()
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/deployment"
 )
 
 // refusal is the answer to a request that is not sent to any endpoint.
@@ -73,7 +75,7 @@
 }
 
 func (e *exchange) findTeam() *refusal {
-	if e.route.Public || !e.view.Config.HasTeams() {
+	if e.route.Public || e.view.Config.Access == deployment.OpenToAll {
 		return nil
 	}
 	e.team = e.view.Config.Team(e.request.Key)
--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -180,7 +180,7 @@
 	// Guards against idle connections that are kept longer than the configuration allows, or closed earlier.
 	It("closes the connections that are idle for longer than the configuration allows", func() {
 		server, dial := connect(0)
-		server.deps.State.SetConfig(deployment.NewConfig(1, nil, nil, nil, deployment.Limits{IdleTimeout: time.Minute}))
+		server.deps.State.SetConfig(deployment.NewConfig(1, nil, nil, deployment.OpenToAll, nil, deployment.Limits{IdleTimeout: time.Minute}))
 		conn := dial()
 		Expect(exchangeOnce(conn)).To(Equal(http.StatusServiceUnavailable))
 		server.Sweep(time.Now().Add(59 * time.Second))
--- a/sizing/planner_test.go
+++ b/sizing/planner_test.go
@@ -18,7 +18,7 @@
 			Prices: map[string]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9},
 		},
 	}
-	config := deployment.NewConfig(1, nil, []*deployment.Service{service}, nil, deployment.Limits{})
+	config := deployment.NewConfig(1, nil, []*deployment.Service{service}, deployment.OpenToAll, nil, deployment.Limits{})
 
 	// view returns a view with the given numbers of ready endpoints in each data centre.
 	view := func(reclaimable, onDemand int) *deployment.View {
