Bound the history of object copies by memory and keep it at relays only

Cause: objectrelay.Copy kept the last 512 changes whatever their size, at every instance, also where no other reads the copy. Batches that were dropped stayed referenced by the array of the slice until it was replaced.

Change: the history is a type of its own, bounded by bytes (0.01 of memory_mb for each kind; 1.84 MiB on 184 MiB, so that one object of 1 MiB fits) as well as by count, and is kept only while the instance is a relay. A reader behind it gets the compacted error and lists. The gauge hoist_objects_history_bytes shows it.

The spec "keeps the last ones up to a number of bytes" fails before the change for the same cause (a scratch copy of the former code: 104,872,576 bytes of heap after 400 changes of 256 KiB, bound 16 MiB).

--- a/entry/copies.go
+++ b/entry/copies.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"knapweedhoist/clock"
 	"knapweedhoist/objectapi"
 	"knapweedhoist/objectrelay"
@@ -32,8 +34,16 @@
 	} {
 		copies[kind] = objectrelay.NewCopy(objectrelay.CopyConfig{
 			Kind: kind, MaxAge: 2*i.settings.sharedWatchWait() + i.settings.sharedWatchGap() + copyMargin, Now: clock.Now,
+			MaxHistoryBytes: i.settings.maxHistoryBytes(), IsShared: func() bool { return i.readRoute().IsRelay },
 		}, sink)
 	}
+	_ = metrics.NewRegisteredFunctionalGauge("objects_history_bytes", i.registry, func() int64 {
+		total := int64(0)
+		for _, objectCopy := range copies {
+			total += objectCopy.HistoryBytes()
+		}
+		return total
+	})
 	return copies
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -174,6 +174,15 @@
 	return int(answerMemoryShare * float64(s.MemoryMB) * (1 << 20))
 }
 
+// historyShare is the share of MemoryMB that the changes kept for other instances may take, for each kind of object. On
+// the smallest machines (184 MiB) it holds one object of the largest size that the store allows, 1 MiB.
+const historyShare = 0.01
+
+// maxHistoryBytes is the memory in bytes that the changes kept of one kind of object may take, 0 for the default.
+func (s Settings) maxHistoryBytes() int {
+	return int(historyShare * float64(s.MemoryMB) * (1 << 20))
+}
+
 const (
 	// reservedDescriptors are left for files, listeners and the connections to the store and other instances.
 	reservedDescriptors = 250
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -98,3 +98,22 @@
 		Entry("longer bounds", 3000.0, 3000.0, 2250*time.Millisecond),
 	)
 })
+
+var _ = Describe("Bounds derived from the memory", func() {
+	// Guards against a history of changes that exceeds the memory of a process (LOST), or that holds no change of a large
+	// configuration, so that each reader lists at each change.
+	DescribeTable("hold one object of the largest size and are a small share",
+		func(memoryMB int) {
+			s := DefaultSettings()
+			s.MemoryMB = memoryMB
+			Expect(s.maxHistoryBytes()).To(BeNumerically(">", 1<<20))
+			kinds := len(New(slog.New(slog.DiscardHandler), s, Adapter{}).copies)
+			Expect(kinds * s.maxHistoryBytes()).To(BeNumerically("<=", memoryMB<<20/50))
+		},
+		Entry("smallest machine", 184),
+		Entry("usual machine", 284),
+		Entry("large machine", 4096),
+	)
+
+	It("are the defaults without a limit", func() { Expect(DefaultSettings().maxHistoryBytes()).To(BeZero()) })
+})
--- a/objectrelay/copy.go
+++ b/objectrelay/copy.go
@@ -15,18 +15,24 @@
 	"sync"
 	"time"
 
+	"knapweedhoist/internal/defaults"
 	"knapweedhoist/objectapi"
 	"knapweedhoist/objectwatch"
 )
 
-// maxHistory is the number of changes that a copy keeps for watches. A reader that is further behind lists again.
-const maxHistory = 512
+// defaultMaxHistoryBytes is the default of CopyConfig.MaxHistoryBytes.
+const defaultMaxHistoryBytes = 4 << 20
 
 // CopyConfig configures a Copy.
 type CopyConfig struct {
 	Kind objectapi.Kind
 	// MaxAge is the age above which the copy refuses reads.
 	MaxAge time.Duration
+	// MaxHistoryBytes bounds the memory of the changes that are kept for watches, in bytes. Default 4 MiB.
+	MaxHistoryBytes int
+	// IsShared reports whether others read the copy. While it returns false no changes are kept, and a watch from an older
+	// version is answered with ErrCompacted. nil keeps them always.
+	IsShared func() bool
 	// Now returns the time of a clock that also advances while the machine is suspended.
 	Now func() time.Time
 }
@@ -39,10 +45,9 @@
 
 	mu      sync.Mutex
 	objects map[string]objectapi.Object
-	history []batch
-	// historyStart is the version after which the history is complete. version is the version of the store that objects
-	// reflects.
-	historyStart, version objectapi.Version
+	history history
+	// version is the version of the store that objects reflects.
+	version objectapi.Version
 	// confirmedAt is the latest time at which the copy is known to have been complete.
 	confirmedAt time.Time
 	// unavailable is set before the first list and while the store does not answer.
@@ -51,16 +56,12 @@
 	changed chan struct{}
 }
 
-// batch holds the changes of one answer of the store. The version of the last change is at most version.
-type batch struct {
-	version objectapi.Version
-	events  []objectapi.WatchEvent
-}
-
 // NewCopy returns an empty Copy that passes the calls of the watch to next.
 func NewCopy(cfg CopyConfig, next objectwatch.Sink) *Copy {
+	defaults.Set(&cfg.MaxHistoryBytes, defaultMaxHistoryBytes)
 	return &Copy{
 		cfg: cfg, next: next, unavailable: true, objects: make(map[string]objectapi.Object), changed: make(chan struct{}),
+		history: history{maxBytes: cfg.MaxHistoryBytes},
 	}
 }
 
@@ -73,13 +74,15 @@
 	for _, object := range objects {
 		c.objects[object.Name] = object
 	}
-	c.history, c.historyStart, c.version = nil, version, version
+	c.history.reset(version)
+	c.version = version
 	c.wakeWatches()
 }
 
 // Apply implements objectwatch.Sink.
 func (c *Copy) Apply(events []objectapi.WatchEvent, version objectapi.Version) {
 	c.next.Apply(events, version)
+	isShared := c.cfg.IsShared == nil || c.cfg.IsShared()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, event := range events {
@@ -90,22 +93,19 @@
 		c.objects[event.Object.Name] = event.Object
 	}
 	c.version = version
-	c.history = append(c.history, batch{version: version, events: events})
-	c.trimHistory()
+	if isShared {
+		c.history.add(batch{version: version, events: events})
+	} else {
+		c.history.reset(version)
+	}
 	c.wakeWatches()
 }
 
-// trimHistory drops the oldest batches until at most maxHistory changes or one batch is left. The caller holds c.mu.
-func (c *Copy) trimHistory() {
-	count := 0
-	for _, b := range c.history {
-		count += len(b.events)
-	}
-	for count > maxHistory && len(c.history) > 1 {
-		count -= len(c.history[0].events)
-		c.historyStart = c.history[0].version
-		c.history = c.history[1:]
-	}
+// HistoryBytes returns the memory of the changes that are kept for watches.
+func (c *Copy) HistoryBytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return int64(c.history.bytes)
 }
 
 // wakeWatches ends the waits of all watches of the copy. The caller holds c.mu.
@@ -188,7 +188,7 @@
 }
 
 // changesSince returns the changes after a version, and a channel that is closed at the next change or when the store
-// stops answering. A batch of which the reader has a part is returned whole: applied in order, it leads to the same state.
+// stops answering.
 func (c *Copy) changesSince(from objectapi.Version) (objectapi.Reply, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -196,14 +196,9 @@
 	if err != nil {
 		return objectapi.Reply{}, nil, err
 	}
-	if from < c.historyStart {
-		return objectapi.Reply{}, nil, objectapi.ErrCompacted
-	}
-	reply := objectapi.Reply{Version: max(c.version, from), Age: age}
-	for _, b := range c.history {
-		if b.version > from {
-			reply.Events = append(reply.Events, b.events...)
-		}
+	events, err := c.history.since(from)
+	if err != nil {
+		return objectapi.Reply{}, nil, err
 	}
-	return reply, c.changed, nil
+	return objectapi.Reply{Events: events, Version: max(c.version, from), Age: age}, c.changed, nil
 }
--- a/objectrelay/copy_test.go
+++ b/objectrelay/copy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -92,13 +93,65 @@
 	It("refuses a watch from a version that is no longer in the history", func() {
 		copy.Replace(nil, 5)
 		copy.Confirm(0)
-		for n := range maxHistory + 1 {
+		for n := range maxChanges + 1 {
 			version := objectapi.Version(6 + n)
 			copy.Apply([]objectapi.WatchEvent{{Object: object(fmt.Sprint(n), version)}}, version)
 		}
 		_, err := watch(5)
 		Expect(err).To(MatchError(objectapi.ErrCompacted))
-		Expect(watch(6)).To(HaveField("Events", HaveLen(maxHistory)))
+		Expect(watch(6)).To(HaveField("Events", HaveLen(maxChanges)))
+	})
+
+	// Guards against a process that exceeds its memory after some hundred changes of a large configuration, and against a
+	// reader that then misses a change.
+	Describe("during many changes of a large object", func() {
+		const (
+			changes    = 400
+			valueBytes = 256 << 10
+			maxHeap    = 16 << 20 // bytes
+		)
+		applyAll := func() (heapBytes int64) {
+			copy.Replace(nil, 5)
+			copy.Confirm(0)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			for n := range changes {
+				changed := object("main", objectapi.Version(6+n))
+				changed.Value = make([]byte, valueBytes)
+				copy.Apply([]objectapi.WatchEvent{{Object: changed}}, changed.Version)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			return int64(after.HeapAlloc) - int64(before.HeapAlloc)
+		}
+
+		It("keeps the last ones up to a number of bytes, and a reader that is further behind lists again", func() {
+			Expect(applyAll()).To(BeNumerically("<", maxHeap))
+			_, err := watch(5)
+			Expect(err).To(MatchError(objectapi.ErrCompacted))
+			reply, err := list()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.Objects).To(HaveLen(1))
+			Expect(reply.Objects[0].Version).To(Equal(objectapi.Version(5 + changes)))
+			Expect(watch(4 + changes)).To(HaveField("Events", HaveLen(1)))
+		})
+
+		It("keeps none while no other instance reads the copy", func() {
+			copy.cfg.IsShared = func() bool { return false }
+			Expect(applyAll()).To(BeNumerically("<", 2*valueBytes))
+			_, err := watch(4 + changes)
+			Expect(err).To(MatchError(objectapi.ErrCompacted))
+			Expect(watch(5 + changes)).To(HaveField("Events", BeEmpty()))
+		})
+
+		It("does not keep a change that is larger than the bound", func() {
+			copy.history.maxBytes = valueBytes
+			applyAll()
+			Expect(copy.HistoryBytes()).To(BeZero())
+			_, err := watch(4 + changes)
+			Expect(err).To(MatchError(objectapi.ErrCompacted))
+		})
 	})
 
 	// Guards against changes and outages that a reader notices only at the end of its wait.
