Let requests in progress release the configuration that admitted them

Cause: an exchange kept the view of its arrival until its end, and with it a whole decoded configuration. A storm of changes of a large configuration beside long streams kept one configuration for each version at which a request arrived.

Change: the exchange keeps the version for the log, its route, service and team, and drops the view once it is admitted.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -34,6 +34,7 @@
 	if e.view.Config == nil || !e.view.EndpointsRead {
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: retryAfterNotReady}
 	}
+	e.configVersion = e.view.Config.Version
 	if refusal := e.findRoute(); refusal != nil {
 		return refusal
 	}
@@ -43,6 +44,8 @@
 	if maxBytes := e.view.Config.Limits.MaxBodyBytes; maxBytes > 0 && len(e.ctx.Request.Body()) > maxBytes {
 		return &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: "body larger than the configuration allows"}
 	}
+	// A stream may last for many versions of the configuration, which would all stay in memory.
+	e.view = nil
 	e.setDeadline()
 	e.copyRequest()
 	return e.chargeTeam()
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -18,11 +18,14 @@
 	context context.Context
 	cancel  context.CancelFunc
 
-	// view is the state of the deployment at the arrival of the request; chooseEndpoint uses the current one.
-	view    *deployment.View
-	route   *deployment.Route
-	service *deployment.Service
-	// team is nil on public routes and if the configuration has no teams.
+	// view is the state of the deployment at the arrival of the request, nil once admit has read it; chooseEndpoint uses the
+	// current one.
+	view *deployment.View
+	// configVersion is the version of the configuration in view, 0 if there was none.
+	configVersion int64
+	route         *deployment.Route
+	service       *deployment.Service
+	// team is nil on public routes and if the configuration is open to all.
 	team    *deployment.Team
 	request Request
 	// header and body are copies that outlive the handler.
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -127,8 +127,8 @@
 // logOutcome logs the final answer of a request with the configuration, route, team and endpoint that led to it.
 func (e *exchange) logOutcome(message string, status int, err error, extra ...any) {
 	attributes := []any{"id", e.request.ID, "status", status, "ms", time.Since(e.arrived).Milliseconds(), "sends", e.sends}
-	if e.view.Config != nil {
-		attributes = append(attributes, "config", e.view.Config.Version,
+	if e.configVersion != 0 {
+		attributes = append(attributes, "config", e.configVersion,
 			"config_age_ms", e.server.deps.State.ConfigAge(e.server.deps.Now()).Milliseconds())
 	}
 	if e.route != nil {
