--- a/forward/admit.go
+++ b/forward/admit.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/deployment"
 )
 
 // refusal is the answer to a request that is not sent to any endpoint.
@@ -32,6 +34,7 @@
 	if e.view.Config == nil || !e.view.EndpointsRead {
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: retryAfterNotReady}
 	}
+	e.configVersion = e.view.Config.Version
 	if refusal := e.findRoute(); refusal != nil {
 		return refusal
 	}
@@ -41,6 +44,8 @@
 	if maxBytes := e.view.Config.Limits.MaxBodyBytes; maxBytes > 0 && len(e.ctx.Request.Body()) > maxBytes {
 		return &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: "body larger than the configuration allows"}
 	}
+	// A stream may last for many versions of the configuration, which would all stay in memory.
+	e.view = nil
 	e.setDeadline()
 	e.copyRequest()
 	return e.chargeTeam()
@@ -73,7 +78,7 @@
 }
 
 func (e *exchange) findTeam() *refusal {
-	if e.route.Public || !e.view.Config.HasTeams() {
+	if e.route.Public || e.view.Config.Access == deployment.OpenToAll {
 		return nil
 	}
 	e.team = e.view.Config.Team(e.request.Key)
