Repeat the interruption of idle connections that the HTTP server took back

A connection that was to be closed at the bound could stay open: the HTTP server sets its deadline for the next request right after it has reported the connection as idle, and replaced the interruption.

--- a/forward/connections.go
+++ b/forward/connections.go
@@ -89,15 +89,17 @@
 	return len(c.open)
 }
 
-// closeIdleSince lets the connections be closed that have waited for a request since before.
+// closeIdleSince lets the connections be closed that have waited for a request since before. It repeats this for those that
+// were to be closed earlier, since the HTTP server may have taken the interruption back by a deadline of its own.
 func (c *connections) closeIdleSince(before time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for element := c.idle.Front(); element != nil; element = element.Next() {
-		if !element.Value.(*callerConn).since.Before(before) {
-			return
+		known := element.Value.(*callerConn)
+		client, ok := known.conn.(*clientConn)
+		if known.since.Before(before) || ok && client.ending.Load() {
+			closeIdle(element)
 		}
-		closeIdle(element)
 	}
 }
 
--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -151,16 +151,27 @@
 
 	// Guards against a process whose descriptors idle callers use up (review case 1).
 	It("closes the connection that has waited longest when there are too many", func() {
-		_, dial := connect(2)
+		server, dial := connect(2)
+		idle := func() int {
+			server.conns.mu.Lock()
+			defer server.conns.mu.Unlock()
+			return server.conns.idle.Len()
+		}
 		first := dial()
 		Expect(exchangeOnce(first)).To(Equal(http.StatusServiceUnavailable))
 		second := dial()
 		Expect(exchangeOnce(second)).To(Equal(http.StatusServiceUnavailable))
+		Eventually(idle, 20*time.Second).Should(Equal(2)) // the answer arrives before the server counts the connection as idle
 		Expect(exchangeOnce(first)).To(Equal(http.StatusServiceUnavailable))
+		Eventually(idle, 20*time.Second).Should(Equal(2))
 		third := dial()
+		Expect(exchangeOnce(third)).To(Equal(http.StatusServiceUnavailable))
+		Eventually(func() int {
+			server.Sweep(time.Now())
+			return server.conns.count()
+		}, 20*time.Second).Should(Equal(2))
 		_, err := second.Read(make([]byte, 1))
 		Expect(err).To(MatchError(io.EOF))
-		Expect(exchangeOnce(third)).To(Equal(http.StatusServiceUnavailable))
 		Expect(exchangeOnce(first)).To(Equal(http.StatusServiceUnavailable))
 	})
 
