forward: end a held request whose caller has left

A request that waits for the evidence of a crash was sent at once when its caller closed the connection.

Cause: the end of the wait by the caller was treated like its normal end, and on a kept connection the request was written before the cancellation took effect.

Change: the request ends as abandoned.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -32,7 +32,9 @@
 // answers or the request must not be sent again. The error is a *failure.
 func (e *exchange) sendWithRetries() (*endpointAnswer, error) {
 	e.server.deps.Budget.RecordRequest(e.server.deps.Now(), e.service.Name)
-	e.awaitEvidence()
+	if !e.awaitEvidence() {
+		return nil, &failure{cause: causeCallerClosed, err: errCallerClosed}
+	}
 	for {
 		answer, err := e.attempt()
 		if err == nil {
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -82,18 +82,19 @@
 }
 
 // awaitEvidence holds a request that was in progress at a crash a moment ago until it is known whether it is the cause. A random part
-// keeps its repeats at several instances from going on together. A request that would lose over half of its time goes on at once.
-func (e *exchange) awaitEvidence() {
+// keeps its repeats at several instances from going on together. A request that would lose over half of its time goes on at once. It returns
+// false if the caller left meanwhile.
+func (e *exchange) awaitEvidence() bool {
 	for {
 		hold := e.server.deps.Quarantine.EvidenceWait(e.server.deps.Now(), e.keys)
 		if hold <= 0 || hold > e.remaining()/2 {
-			return
+			return true
 		}
 		hold += time.Duration(e.server.deps.Random() * float64(maxExtraWait))
 		e.server.deps.Metrics.Held.Inc(1)
 		e.server.deps.Log.Info("request held", "id", e.request.ID, "fingerprint", e.keys.Key.String(), "for_ms", hold.Milliseconds())
 		if !wait.For(e.context, hold) {
-			return
+			return false
 		}
 	}
 }
