entry: take missing entries for expired only if no instance reached the store

What callers saw: requests at an endpoint whose entry was deleted, up to 3.8 s after the ack; 502 for requests without an idempotency key that run there when it exits.

Cause: each failed watch of this instance counted as an outage of the store, and the 2 s in which endpoints may register again started at its own next answer.

Change: storeAbsence follows the age of the newest confirmed configuration, which the reports of all instances confirm. If it never exceeds the wait of a watch and 0.4 s, missing entries are removed at once. Otherwise, or after a pause of the process, they are kept for 2 s from the return that any instance saw first, as Unconfirmed: they get a request only if no other endpoint of the service has a free slot. Log: store_away, kept_ms.

--- a/deployment/endpoint.go
+++ b/deployment/endpoint.go
@@ -14,6 +14,9 @@
 	Slots int
 	// Leaving reports that the endpoint gets no new requests.
 	Leaving bool
+	// Unconfirmed reports that the endpoint's entry was missing after an outage of the store. It gets new requests only when
+	// no other endpoint of the service can serve them.
+	Unconfirmed bool
 	// Reclaimable reports that the cloud can reclaim the endpoint on short notice.
 	Reclaimable bool
 	// LeavesIn is the time from the report of a reclaim to the end of the endpoint, 0 when unknown.
--- a/dispatch/avoidance.go
+++ b/dispatch/avoidance.go
@@ -105,6 +105,9 @@
 	if endpoint.Service != c.query.Service.Name || c.query.Tried[endpoint.ID] {
 		return false
 	}
+	if endpoint.Unconfirmed && c.confirmedOnly {
+		return false
+	}
 	state := c.balancer.current(endpoint)
 	if reason, _ := avoidance(c.now, endpoint, state); reason != NotAvoided {
 		return false
--- a/entry/control.go
+++ b/entry/control.go
@@ -52,7 +52,7 @@
 	i.updateOthers(now)
 	i.updateQuarantine(now)
 	i.sendMessages(now)
-	i.endpointSink.expire()
+	i.endpointSink.tick()
 }
 
 // sweep closes idle connections and deletes the outdated state of endpoints.
--- a/entry/endpoint_sink.go
+++ b/entry/endpoint_sink.go
@@ -11,40 +11,56 @@
 )
 
 // reregistrationTimeout is how long an endpoint is kept whose entry expired during an outage of the store. The endpoint
-// has to register again within that time after the store answers again.
+// has to register again within that time after the store is reachable again, for whichever instance is first.
 const reregistrationTimeout = 2 * time.Second
 
+// endpointSinkConfig configures an endpointSink.
+type endpointSinkConfig struct {
+	// now returns the time of a clock that also advances while the machine is suspended.
+	now func() time.Time
+	// configAge returns the age of the newest confirmed configuration. The reports of other instances confirm it as well.
+	configAge func() time.Duration
+	// absenceLimit is the configAge above which the store counts as away.
+	absenceLimit time.Duration
+	// onRestart is called with the ID of an endpoint whose process has restarted under the same ID.
+	onRestart func(id string)
+}
+
 // endpointSink publishes the endpoints of the store. The goroutine of the watch adds and removes them; the control
 // goroutine removes those that did not register again in time after an outage of the store.
 type endpointSink struct {
 	lg      *slog.Logger
 	adapter Adapter
 	state   *deployment.State
-	now     func() time.Time
-	// onRestart is called with the ID of an endpoint whose process has restarted under the same ID.
-	onRestart func(id string)
+	cfg     endpointSinkConfig
 
 	mu sync.Mutex
+	// absence is the evidence of outages of the store.
+	absence storeAbsence
+	// completeAt is the latest time at which the copy is known to have been complete.
+	completeAt time.Time
 	// published holds the endpoints that were last published, by ID. The map is immutable.
 	published map[string]*deployment.Endpoint
 	// keptUntil holds the endpoints whose entries were missing after an outage, by ID. The value is the time at which the
 	// endpoint is removed unless it has registered again.
 	keptUntil map[string]time.Time
-	// storeLost is set from the first failed call to the first answer. Entries that are missing in that answer may have
-	// expired in the outage; entries that are deleted later were deleted on purpose.
-	storeLost bool
+	// watchLost is set from the first failed call to the first answer. Entries that are missing in that answer may have
+	// expired if the store was away; entries that are deleted later were deleted on purpose.
+	watchLost bool
 }
 
-func newEndpointSink(
-	lg *slog.Logger, adapter Adapter, state *deployment.State, now func() time.Time, onRestart func(string),
-) *endpointSink {
-	return &endpointSink{lg: lg, adapter: adapter, state: state, now: now, onRestart: onRestart, keptUntil: make(map[string]time.Time)}
+func newEndpointSink(lg *slog.Logger, adapter Adapter, state *deployment.State, cfg endpointSinkConfig) *endpointSink {
+	return &endpointSink{
+		lg: lg, adapter: adapter, state: state, cfg: cfg, absence: storeAbsence{limit: cfg.absenceLimit},
+		keptUntil: make(map[string]time.Time),
+	}
 }
 
 // Replace implements objectwatch.Sink.
 func (s *endpointSink) Replace(objects []objectapi.Object, _ objectapi.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.observeStore()
 	next := make(map[string]*deployment.Endpoint, len(objects))
 	for _, object := range objects {
 		s.upsert(next, object)
@@ -61,6 +77,7 @@
 func (s *endpointSink) Apply(events []objectapi.WatchEvent, _ objectapi.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.observeStore()
 	next := maps.Clone(s.published)
 	if next == nil {
 		next = make(map[string]*deployment.Endpoint)
@@ -87,36 +104,42 @@
 		return
 	}
 	previous := s.published[object.Name]
-	if previous == nil || previous.Leaving != endpoint.Leaving || previous.Address != endpoint.Address {
+	if previous == nil || previous.Leaving != endpoint.Leaving || previous.Address != endpoint.Address ||
+		previous.Unconfirmed {
 		s.lg.Info("endpoint changed", "endpoint", endpoint.ID, "service", endpoint.Service,
 			"address", endpoint.Address, "leaving", endpoint.Leaving, "version", uint64(object.Version))
 	}
 	if previous != nil && previous.StartedAtMs != endpoint.StartedAtMs {
-		s.onRestart(endpoint.ID)
+		s.cfg.onRestart(endpoint.ID)
 	}
 	next[object.Name] = endpoint
 }
 
 // removeOrKeep logs the removal of an endpoint whose entry no longer exists. If the entry may have expired in an outage
-// of the store and the endpoint was not leaving, it keeps the endpoint in next until reregistrationTimeout has passed.
-// The caller holds s.mu.
+// of the store and the endpoint was not leaving, it keeps the endpoint in next as Unconfirmed until reregistrationTimeout
+// has passed since the return of the store. The caller holds s.mu.
 func (s *endpointSink) removeOrKeep(next map[string]*deployment.Endpoint, id string) {
 	endpoint := s.published[id]
 	if endpoint == nil {
 		return
 	}
-	if until, ok := s.keptUntil[id]; ok && s.now().Before(until) {
-		next[id] = endpoint
-		return
+	now := s.cfg.now()
+	until, kept := s.keptUntil[id]
+	if !kept && s.watchLost && !endpoint.Leaving && s.absence.awaySince(s.completeAt) {
+		until = s.absence.returnTime(now).Add(reregistrationTimeout)
 	}
-	if !s.storeLost || endpoint.Leaving {
+	if !now.Before(until) {
 		s.lg.Info("endpoint gone", "endpoint", id)
 		delete(s.keptUntil, id)
 		return
 	}
-	s.keptUntil[id] = s.now().Add(reregistrationTimeout)
-	s.lg.Info("endpoint entry missing after an outage of the store", "endpoint", id)
-	next[id] = endpoint
+	if !kept {
+		s.keptUntil[id] = until
+		s.lg.Info("endpoint entry missing after an outage of the store", "endpoint", id, "kept_ms", until.Sub(now).Milliseconds())
+	}
+	unconfirmed := *endpoint
+	unconfirmed.Unconfirmed = true
+	next[id] = &unconfirmed
 }
 
 // publish replaces the endpoints of the state with next. The caller holds s.mu.
@@ -126,13 +149,22 @@
 }
 
 // Confirm implements objectwatch.Sink.
-func (s *endpointSink) Confirm(time.Duration) {}
+func (s *endpointSink) Confirm(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.completeAt = s.cfg.now().Add(-age)
+}
+
+// observeStore records whether any instance reaches the store. The caller holds s.mu.
+func (s *endpointSink) observeStore() { s.absence.observe(s.cfg.now(), s.cfg.configAge()) }
 
-// expire removes the endpoints that did not register again in time after an outage.
-func (s *endpointSink) expire() {
+// tick records the evidence of outages of the store and removes the endpoints that did not register again in time after one.
+// It is called at least every controlInterval.
+func (s *endpointSink) tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
+	s.observeStore()
+	now := s.cfg.now()
 	var next map[string]*deployment.Endpoint
 	for id, until := range s.keptUntil {
 		if now.Before(until) {
@@ -152,18 +184,21 @@
 
 // WatchLost implements objectwatch.Sink.
 func (s *endpointSink) WatchLost(err error) {
-	s.setStoreLost(true)
+	s.setWatchLost(true)
 	s.lg.Warn("endpoint watch lost", "error", err.Error())
 }
 
-// WatchRegained implements objectwatch.Sink.
+// WatchRegained implements objectwatch.Sink. store_away states whether the store itself may have been away, or only the
+// connection of this instance.
 func (s *endpointSink) WatchRegained() {
-	s.setStoreLost(false)
-	s.lg.Info("endpoint watch regained")
+	away := s.setWatchLost(false)
+	s.lg.Info("endpoint watch regained", "store_away", away)
 }
 
-func (s *endpointSink) setStoreLost(lost bool) {
+// setWatchLost returns whether the store may have been away since the copy was last complete.
+func (s *endpointSink) setWatchLost(lost bool) (away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.storeLost = lost
+	s.watchLost = lost
+	return s.absence.awaySince(s.completeAt)
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -124,7 +124,10 @@
 	i.configSink = &configSink{lg: i.lg, adapter: adapter, state: i.state, onApplied: func(c *deployment.Config) {
 		i.limiter.SetTeams(clock.Now(), c.Teams)
 	}}
-	i.endpointSink = newEndpointSink(i.lg, adapter, i.state, time.Now, i.balancer.Forget)
+	i.endpointSink = newEndpointSink(i.lg, adapter, i.state, endpointSinkConfig{
+		now: clock.Now, configAge: func() time.Duration { return i.state.ConfigAge(clock.Now()) },
+		absenceLimit: settings.absenceLimit(), onRestart: i.balancer.Forget,
+	})
 	i.quarantineStore = newQuarantineStore(i.lg, adapter.Store, i.quarantine)
 	i.copies = i.newCopies()
 	i.server = forward.NewServer(forward.Config{
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -109,6 +109,8 @@
 	// watchShare is the share of the shorter bound (Settings.ApplyMS or LeaveMS) that one watch of the store waits. A
 	// connection that no longer delivers is then detected at about the bound.
 	watchShare = 0.75
+	// confirmDelay is the longest time between the end of another instance's watch and the report that states its age.
+	confirmDelay = 400 * time.Millisecond
 	// sharedGapShare is the share of the shorter bound that passes between the starts of two watches of the store whose
 	// copy others read.
 	sharedGapShare = 0.1
@@ -129,6 +131,10 @@
 	return s.shareOfBounds(watchShare)
 }
 
+// absenceLimit is the age of the configuration above which the store counts as away: a watch that does not fail confirms the
+// configuration at the end of each wait.
+func (s Settings) absenceLimit() time.Duration { return s.watchWait() + confirmDelay }
+
 // sharedWatchWait is how long one watch of the store waits for a change while others read the copy. The copy may be as
 // old as two watches, since a watch that returns a change confirms that the copy was complete only at the start of the
 // watch; the reader adds relayWait and relayMargin.
