Read the copy of another instance while this one alone has lost the store

What callers saw: an instance that is cut off from the store serves with the endpoints that it knew before, for as long as the cut lasts, although the others know of those that left.

Cause: reads went to the relays and to the store only; deployments with up to two instances in a data centre have no relays.

Change: freshPeers keeps, from the ages in the reports, which instances reached the store within absenceLimit. When the store does not answer, Source reads one of them (Route.Substitutes), and asks the store again after 3 s. A copy whose own watch is lost, or that is too old, refuses as before, so that an outage of the store still shows as one. An entry that is missing counts as expired if the store was away since the copy was last complete, whether the watch was reported lost or not. The longest back-off of a watch is 0.7 s instead of 0.8 s, so that the sum with a read that fails stays within 3 s.

--- a/entry/control.go
+++ b/entry/control.go
@@ -225,6 +225,7 @@
 // handleReportedConfig keeps the configuration current while the store does not answer this instance: a message with the
 // same version confirms it, and a newer version is fetched from the sender.
 func (i *Instance) handleReportedConfig(sender fleetstate.Sender) {
+	i.freshPeers.observe(clock.Now(), sender)
 	config := i.state.View().Config
 	switch {
 	case config != nil && sender.ConfigVersion == config.Version:
--- a/entry/copies.go
+++ b/entry/copies.go
@@ -37,8 +37,12 @@
 	return copies
 }
 
-// readRoute returns where this instance reads the objects of the store: from relays, or from the store.
+// readRoute returns where this instance reads the objects of the store: from relays, or from the store, or from other
+// instances while neither answers.
 func (i *Instance) readRoute() objectrelay.Route {
-	addresses, isRelay := i.fleet.Relays(clock.Now())
-	return objectrelay.Route{Relays: addresses, IsRelay: isRelay}
+	now := clock.Now()
+	addresses, isRelay := i.fleet.Relays(now)
+	return objectrelay.Route{
+		Relays: addresses, IsRelay: isRelay, Substitutes: i.freshPeers.addresses(now, i.settings.absenceLimit()),
+	}
 }
--- a/entry/endpoint_sink.go
+++ b/entry/endpoint_sink.go
@@ -37,16 +37,16 @@
 	mu sync.Mutex
 	// absence is the evidence of outages of the store.
 	absence storeAbsence
-	// completeAt is the latest time at which the copy is known to have been complete.
+	// completeAt is the latest time at which the copy is known to have been complete. Entries that are missing in the first
+	// answer after it may have expired if the store was away since; entries that are deleted later were deleted on purpose.
 	completeAt time.Time
 	// published holds the endpoints that were last published, by ID. The map is immutable.
 	published map[string]*deployment.Endpoint
 	// keptUntil holds the endpoints whose entries were missing after an outage, by ID. The value is the time at which the
 	// endpoint is removed unless it has registered again.
 	keptUntil map[string]time.Time
-	// watchLost is set from the first failed call to the first answer. Entries that are missing in that answer may have
-	// expired if the store was away; entries that are deleted later were deleted on purpose.
-	watchLost bool
+	// lostAt is completeAt at the last loss of the watch.
+	lostAt time.Time
 }
 
 func newEndpointSink(lg *slog.Logger, adapter Adapter, state *deployment.State, cfg endpointSinkConfig) *endpointSink {
@@ -70,6 +70,7 @@
 			s.removeOrKeep(next, id)
 		}
 	}
+	s.completeAt = s.cfg.now()
 	s.publish(next)
 }
 
@@ -90,6 +91,7 @@
 			s.upsert(next, event.Object)
 		}
 	}
+	s.completeAt = s.cfg.now()
 	s.publish(next)
 }
 
@@ -125,7 +127,7 @@
 	}
 	now := s.cfg.now()
 	until, kept := s.keptUntil[id]
-	if !kept && s.watchLost && !endpoint.Leaving && s.absence.awaySince(s.completeAt) {
+	if !kept && !endpoint.Leaving && s.absence.awaySince(s.completeAt) {
 		until = s.absence.returnTime(now).Add(reregistrationTimeout)
 	}
 	if !now.Before(until) {
@@ -184,21 +186,16 @@
 
 // WatchLost implements objectwatch.Sink.
 func (s *endpointSink) WatchLost(err error) {
-	s.setWatchLost(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostAt = s.completeAt
 	s.lg.Warn("endpoint watch lost", "error", err.Error())
 }
 
 // WatchRegained implements objectwatch.Sink. store_away states whether the store itself may have been away, or only the
 // connection of this instance.
 func (s *endpointSink) WatchRegained() {
-	away := s.setWatchLost(false)
-	s.lg.Info("endpoint watch regained", "store_away", away)
-}
-
-// setWatchLost returns whether the store may have been away since the copy was last complete.
-func (s *endpointSink) setWatchLost(lost bool) (away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watchLost = lost
-	return s.absence.awaySince(s.completeAt)
+	s.lg.Info("endpoint watch regained", "store_away", s.absence.awaySince(s.lostAt))
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -64,10 +64,12 @@
 	configSink                 *configSink
 	endpointSink               *endpointSink
 	// copies holds the objects read from the store, for this instance and others of its data centre.
-	copies   map[objectapi.Kind]*objectrelay.Copy
-	server   *forward.Server
-	duties   *duty.Runner
-	registry metrics.Registry
+	copies map[objectapi.Kind]*objectrelay.Copy
+	// freshPeers are read while the store does not answer this instance.
+	freshPeers *freshPeers
+	server     *forward.Server
+	duties     *duty.Runner
+	registry   metrics.Registry
 
 	socket *gossip.Socket
 	// sequence is the number of the last message. It and the paces belong to the control loop.
@@ -129,7 +131,7 @@
 		absenceLimit: settings.absenceLimit(), onRestart: i.balancer.Forget,
 	})
 	i.quarantineStore = newQuarantineStore(i.lg, adapter.Store, i.quarantine)
-	i.copies = i.newCopies()
+	i.copies, i.freshPeers = i.newCopies(), newFreshPeers()
 	i.server = forward.NewServer(forward.Config{
 		MaxConfigAge: settings.maxConfigAge(), MaxAnswerMemory: settings.maxAnswerMemory(),
 		MaxConnections: settings.maxCallerConnections(),
--- a/objectrelay/source.go
+++ b/objectrelay/source.go
@@ -18,6 +18,9 @@
 	Relays []string
 	// IsRelay is set when others read this instance's copy.
 	IsRelay bool
+	// Substitutes holds the addresses of instances that reached the store a moment ago, the preferred one first. One of them is
+	// read while the store does not answer this instance.
+	Substitutes []string
 }
 
 // SourceConfig configures a Source.
@@ -40,7 +43,7 @@
 type ReadFunc func(ctx context.Context, address string, request objectapi.Request) (objectapi.Reply, error)
 
 // Source is an objectapi.Store for lists and watches that reads from a relay or from the store. When a relay fails, the
-// same read goes to the store. It is safe for concurrent use.
+// same read goes to the store, and if that fails too, to another instance that reached the store a moment ago. It is safe for concurrent use.
 type Source struct {
 	lg    *slog.Logger
 	cfg   SourceConfig
@@ -53,6 +56,8 @@
 	backoffUntil map[string]time.Time
 	// lastRelay is the relay that sent the last answer, "" for the store.
 	lastRelay string
+	// storeBackoffUntil is the time until which a substitute is read instead of the store, by kind.
+	storeBackoffUntil map[objectapi.Kind]time.Time
 	// lastWatchAt is the start of the last watch of the store by kind.
 	lastWatchAt map[objectapi.Kind]time.Time
 }
@@ -62,19 +67,20 @@
 	return &Source{
 		lg: lg, cfg: cfg, store: store, read: read, route: route,
 		backoffUntil: make(map[string]time.Time), lastWatchAt: make(map[objectapi.Kind]time.Time),
+		storeBackoffUntil: make(map[objectapi.Kind]time.Time),
 	}
 }
 
 // Do implements objectapi.Store.
 func (s *Source) Do(ctx context.Context, request objectapi.Request) (objectapi.Reply, error) {
 	route := s.route()
-	if relay := s.pickRelay(route); relay != "" {
-		reply, err := s.readRelay(ctx, relay, request)
-		if err == nil || errors.Is(err, objectapi.ErrCompacted) {
-			s.recordAnswer(relay)
+	if reply, answered, err := s.readAny(ctx, route.Relays, request); answered {
+		return reply, err
+	}
+	if s.backsOffStore(request.Kind) {
+		if reply, answered, err := s.readAny(ctx, route.Substitutes, request); answered {
 			return reply, err
 		}
-		s.backOff(relay, request, err)
 	}
 	if route.IsRelay {
 		request.Wait = min(request.Wait, s.cfg.SharedWait)
@@ -83,12 +89,51 @@
 		s.awaitGap(ctx, request)
 	}
 	reply, err := s.store.Do(ctx, request)
-	if err == nil {
+	switch {
+	case err == nil:
 		s.recordAnswer("")
+		return reply, nil
+	case errors.Is(err, objectapi.ErrCompacted) || ctx.Err() != nil:
+		return reply, err
+	}
+	if reply, answered, substituteErr := s.readAny(ctx, s.route().Substitutes, request); answered {
+		s.backOffStore(request.Kind)
+		return reply, substituteErr
 	}
 	return reply, err
 }
 
+// readAny reads from the first of the instances that is not backed off. answered is false if there is none or it fails.
+func (s *Source) readAny(
+	ctx context.Context, addresses []string, request objectapi.Request,
+) (reply objectapi.Reply, answered bool, err error) {
+	address := s.pick(addresses)
+	if address == "" {
+		return objectapi.Reply{}, false, nil
+	}
+	reply, err = s.readRelay(ctx, address, request)
+	if err == nil || errors.Is(err, objectapi.ErrCompacted) {
+		s.recordAnswer(address)
+		return reply, true, err
+	}
+	s.backOff(address, request, err)
+	return objectapi.Reply{}, false, nil
+}
+
+// backsOffStore reports whether a substitute is read instead of the store.
+func (s *Source) backsOffStore(kind objectapi.Kind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cfg.Now().Before(s.storeBackoffUntil[kind])
+}
+
+// backOffStore stops reads of the store for the configured time, while a substitute answers.
+func (s *Source) backOffStore(kind objectapi.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeBackoffUntil[kind] = s.cfg.Now().Add(s.cfg.Backoff)
+}
+
 // awaitGap waits until a watch of the store may start.
 func (s *Source) awaitGap(ctx context.Context, request objectapi.Request) {
 	if request.Op != objectapi.OpWatch {
@@ -110,12 +155,12 @@
 	return s.read(ctx, relay, request)
 }
 
-// pickRelay returns the first relay that is not backed off, or "".
-func (s *Source) pickRelay(route Route) string {
+// pick returns the first of the addresses that is not backed off, or "".
+func (s *Source) pick(addresses []string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
-	for _, relay := range route.Relays {
+	for _, relay := range addresses {
 		if now.After(s.backoffUntil[relay]) {
 			delete(s.backoffUntil, relay)
 			return relay
--- a/objectrelay/source_test.go
+++ b/objectrelay/source_test.go
@@ -63,6 +63,29 @@
 		Expect(asked).To(Equal([]string{"r1", "store", "r2", "store", "store"}))
 	})
 
+	// Guards against an instance that reads nothing while it alone has lost the store, and one that waits for the store's
+	// timeout at each read.
+	It("reads a substitute while the store does not answer, and asks the store again after the backoff", func() {
+		route = Route{Substitutes: []string{"s1", "s2"}}
+		failed["store"], failed["s1"] = objectapi.ErrUnavailable, errors.New("reset")
+		Expect(read()).To(MatchError(objectapi.ErrUnavailable))
+		Expect(read()).To(Succeed())
+		Expect(read()).To(Succeed())
+		Expect(asked).To(Equal([]string{"store", "s1", "store", "s2", "s2"}))
+		now = now.Add(3 * time.Second)
+		asked, failed["store"] = nil, nil
+		Expect(read()).To(Succeed())
+		Expect(asked).To(Equal([]string{"store"}))
+	})
+
+	// Guards against an answer of the store, such as a compacted version, that is hidden by a substitute's.
+	It("returns what the store answers without asking a substitute", func() {
+		route = Route{Substitutes: []string{"s1"}}
+		failed["store"] = objectapi.ErrCompacted
+		Expect(read()).To(MatchError(objectapi.ErrCompacted))
+		Expect(asked).To(Equal([]string{"store"}))
+	})
+
 	// Guards against a call to the store for each change of an endpoint: 18 relays made 430 calls a second at 295 instances.
 	It("spaces the watches of the store while others read the copy", func() {
 		route = Route{IsRelay: true}
--- a/objectwatch/watcher.go
+++ b/objectwatch/watcher.go
@@ -29,7 +29,7 @@
 const (
 	DefaultWait       = 1500 * time.Millisecond
 	DefaultBackoff    = 100 * time.Millisecond
-	DefaultMaxBackoff = 800 * time.Millisecond
+	DefaultMaxBackoff = 700 * time.Millisecond
 )
 
 // Sink receives the objects of a Watcher. All calls come from one goroutine.
