--- a/objectrelay/source.go
+++ b/objectrelay/source.go
@@ -44,7 +44,8 @@
 type ReadFunc func(ctx context.Context, address string, request objectapi.Request) (objectapi.Reply, error)
 
 // Source is an objectapi.Store for lists and watches that reads from a relay or from the store. When a relay fails, the
-// same read goes to the store, and if that fails too, to another instance that reached the store a moment ago. It is safe for concurrent use.
+// same read goes to the store, and if that fails too, to another instance that reached the store a moment ago. It is safe for
+// concurrent use.
 type Source struct {
 	lg    *slog.Logger
 	cfg   SourceConfig
