Do not let the timer of a failed takeover abort the silent endpoint

A takeover that failed just as its 300 ms were over could still abort the endpoint that the stream should have stayed at: the timer did not know that the attempt had ended. The caller's stream then ended although its endpoint was sound. Found by reading.

Change: a failed attempt is marked under the same lock.

--- a/forward/pause_test.go
+++ b/forward/pause_test.go
@@ -27,3 +27,13 @@
 		Expect(after(route, "3")).To(Equal(900 * time.Millisecond))
 	})
 })
+
+var _ = Describe("takeover", func() {
+	// Guards against a silent stream that is aborted by the timer of an attempt that has just failed.
+	It("does not win after its attempt has failed", func() {
+		s, t := &eventStream{}, &takeover{}
+		s.giveUp(t)
+		Expect(s.win(t)).To(BeFalse())
+		Expect(t.won).To(BeFalse())
+	})
+})
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -31,8 +31,9 @@
 	// exchange is a copy of the stream's exchange, which only the takeover uses until done is closed.
 	exchange *exchange
 	done     chan struct{}
-	// cancelled and won are guarded by eventStream.mu. At most one of them is set.
-	cancelled, won bool
+	// won is set once the other endpoint goes on, cancelled if the silent one did first, over if the attempt failed before
+	// either. At most one of them is set. They are guarded by eventStream.mu until done is closed.
+	won, cancelled, over bool
 	// answer is the other endpoint's stream, failed the reason why there is none.
 	answer *endpointAnswer
 	failed *failure
@@ -144,6 +145,7 @@
 	}
 	switch {
 	case t.failed != nil:
+		s.giveUp(t)
 		s.logStay(t)
 	case !s.win(t):
 		t.answer.stream.answer.Abort()
@@ -159,7 +161,7 @@
 func (s *eventStream) win(t *takeover) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t.cancelled {
+	if t.cancelled || t.over {
 		return false
 	}
 	if !t.won {
@@ -169,6 +171,13 @@
 	return true
 }
 
+// giveUp keeps the timer of a failed attempt from aborting the silent endpoint.
+func (s *eventStream) giveUp(t *takeover) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.over = !t.won && !t.cancelled
+}
+
 // logStay logs why a silent stream stays at its endpoint.
 func (s *eventStream) logStay(t *takeover) {
 	s.mu.Lock()
