Keep turns taken across a change of the share and of the fleet's time

After an estimate of the time of day that stepped back by up to a minute every limited endpoint was blocked for that long, and callers were refused with such times. After each change of the number of instances the turns of the last second and more were free again: with 75 instances, 10 requests a second and a change each second 68 requests came within 4 s, 65 are allowed.

Change: what was taken moves with a correction of the time, and turns of a new part that began before it are not used.

--- a/endpointlimit/limits.go
+++ b/endpointlimit/limits.go
@@ -43,11 +43,32 @@
 // New returns Limits without any limit, for a deployment of one instance.
 func New() *Limits { return &Limits{limits: make(map[uint64]*limit), share: Share{Instances: 1}} }
 
-// SetShare replaces the part of the limits that belongs to this instance.
+// SetShare replaces the part of the limits that belongs to this instance. What was taken moves with a correction of the
+// fleet's time, so that a step neither blocks an endpoint nor frees its turns again. Turns of the new part that began before
+// are not used, since those of the former part have been.
 func (l *Limits) SetShare(now time.Time, share Share) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	before, known := l.fleetSeconds(now), !l.sharedAt.IsZero()
+	changed := share.Instances != l.share.Instances || share.Rank != l.share.Rank
 	l.share, l.sharedAt = share, now
+	after := l.fleetSeconds(now)
+	for _, limit := range l.limits {
+		if known {
+			limit.takenUntil += after - before
+		}
+		if changed {
+			limit.takenUntil = max(limit.takenUntil, after)
+		}
+	}
+}
+
+// ChangedSince reports whether this instance has learned of a change to the limit of a process after a time.
+func (l *Limits) ChangedSince(at time.Time, process uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.limits[process]
+	return known != nil && known.changedAt.After(at)
 }
 
 // fleetSeconds returns the fleet's time of day in seconds. The caller holds mu.
--- a/endpointlimit/limits_test.go
+++ b/endpointlimit/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -89,5 +90,40 @@
 		taken(l, start, 2*time.Second)
 		l.SetShare(at(2*time.Second), Share{Instances: 2, Rank: 1, FleetTime: at(2*time.Second + correction)})
 		Expect(taken(l, at(2*time.Second), 10*time.Second)).To(BeNumerically("~", 10*4.75, 6))
-	}, Entry("forward", time.Hour), Entry("back", -time.Hour))
+	}, Entry("forward", time.Hour), Entry("back", -time.Hour), Entry("forward by seconds", 10*time.Second), Entry("back by a second", -time.Second),
+		Entry("back by seconds", -10*time.Second), Entry("back by less than a minute", -59*time.Second))
+
+	// Guards against turns that are used twice because the number of instances changes again and again.
+	It("keep the sum within the bound while the number of instances changes", func() {
+		const (
+			instances, perSecond = 75, 10
+			most                 = 1.5*perSecond*4 + 5
+			changesFrom          = 8 * time.Second
+		)
+		for offset := range 10 {
+			begin := at(time.Duration(offset) * 137 * time.Second)
+			var all []*Limits
+			for rank := range instances {
+				l := New()
+				l.SetShare(begin, Share{Instances: instances, Rank: rank, FleetTime: begin})
+				l.Observe(begin, process, named(perSecond))
+				all = append(all, l)
+			}
+			var sent []time.Duration
+			for d := time.Duration(0); d < 16*time.Second; d += 10 * time.Millisecond {
+				now, gone := begin.Add(d), int(max(d-changesFrom, 0)/time.Second)%2
+				for rank, l := range all[gone:] {
+					l.SetShare(now, Share{Instances: instances - gone, Rank: rank, FleetTime: now})
+					if l.Wait(now, process) == 0 {
+						l.Take(now, process)
+						sent = append(sent, d)
+					}
+				}
+			}
+			for i := range sent {
+				n, _ := slices.BinarySearch(sent[i:], sent[i]+4*time.Second)
+				Expect(float64(n)).To(BeNumerically("<=", most), "offset %d, from %v", offset, sent[i])
+			}
+		}
+	})
 })
