Admit the trial of a quarantined key again after its wait

A trial that had to wait for an endpoint's rate limit was refused by its own second check, and the next one came a trial period later, so that the quarantine lasted longer.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -99,6 +99,19 @@
 	return nil
 }
 
+// AdmitAgain returns a RefusedError if a key of the request was quarantined after it was admitted.
+func (g *Guard) AdmitAgain(now, admittedAt time.Time, request Request) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, key := range request.keys() {
+		if r := g.records[key]; r != nil && !r.lifted && r.at.After(admittedAt) {
+			r.refusedAt = now
+			return &RefusedError{Key: key, RetryAfter: max(g.nextTrial(r).Sub(now), minRetryAfter)}
+		}
+	}
+	return nil
+}
+
 // EvidenceWait returns the time until it is known what speaks for and against a request that was in progress at a crash, 0 if there
 // is nothing to wait for or the request was answered of late. Until then it should not be sent to a further endpoint.
 func (g *Guard) EvidenceWait(now time.Time, request Request) time.Duration {
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -89,6 +89,18 @@
 		Expect(g.Update(now)).To(HaveLen(3))
 	})
 
+	// Guards against a trial that is refused because its endpoint let it wait, and against a request that waits past the start of
+	// a quarantine.
+	ginkgo.It("admits a waiting trial again, and no request that was admitted before the quarantine", func() {
+		g.SetMayTry(true)
+		now := crashes(g, start, 3, with(crashing)).Add(delay)
+		Expect(g.Update(now)).To(HaveLen(1))
+		Expect(g.AdmitAgain(now.Add(time.Second), start, with(crashing))).To(HaveOccurred())
+		trial := now.Add(time.Minute)
+		Expect(g.Admit(trial, with(crashing))).To(Succeed())
+		Expect(g.AdmitAgain(trial.Add(time.Second), trial, with(crashing))).To(Succeed())
+	})
+
 	// Guards against trials at each instance.
 	ginkgo.It("tries a part at one instance only, and states the time until then", func() {
 		now := crashes(g, start, 3, with(crashing)).Add(delay)
