Take a new turn when the rate limit changes during a wait

Requests that waited for their turns went on at the old pace after the limit had fallen: from 10 to 1 a second 37 were still due within 4 s, 11 are allowed. A wait was not bounded by the request's deadline, and a request whose caller left at the end of its wait could still be sent.

Change: a turn that was taken before a change counts no more, and the request takes a new one; a turn that comes too late for the request refuses it with the time.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -124,7 +124,7 @@
 	wait := b.limits.Take(c.now, processKey(endpoint))
 	flight := &InFlight{
 		Endpoint: endpoint, Cost: cost + wait, Wait: wait, balancer: b, state: state, service: service.Name,
-		plain: service.Engine == nil, startedAt: c.now.Add(wait),
+		plain: service.Engine == nil, startedAt: c.now.Add(wait), turnTakenAt: c.now,
 	}
 	if service.Engine != nil {
 		work := c.work(state, endpoint)
--- a/dispatch/in_flight.go
+++ b/dispatch/in_flight.go
@@ -22,6 +22,8 @@
 	state     *endpointState
 	service   string
 	startedAt time.Time
+	// turnTakenAt is when the request took its turn at the endpoint's rate limit.
+	turnTakenAt time.Time
 	// plain is set for a service without engines.
 	plain bool
 	work  work
--- a/dispatch/rate_limit.go
+++ b/dispatch/rate_limit.go
@@ -90,6 +90,17 @@
 	return endpoint, nil
 }
 
+// RetakeTurn returns the time until the request may be sent if the endpoint's rate limit has changed since the request took
+// its turn, which then counts no more; otherwise 0.
+func (f *InFlight) RetakeTurn(now time.Time) time.Duration {
+	limits, process := f.balancer.limits, processKey(f.Endpoint)
+	if !limits.ChangedSince(f.turnTakenAt, process) {
+		return 0
+	}
+	f.turnTakenAt = now
+	return limits.Take(now, process)
+}
+
 // Usable reports whether the chosen endpoint can still get the request after a wait: it is listed, and no reason to avoid it is
 // known.
 func (f *InFlight) Usable(now time.Time, endpoints map[string]*deployment.Endpoint) bool {
--- a/dispatch/rate_limit_test.go
+++ b/dispatch/rate_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -49,6 +50,35 @@
 		Expect(len(sent)).To(BeNumerically(">=", 16*2*7/10))
 	})
 
+	// Guards against requests above a limit that fell while they waited for their turns.
+	It("gets waiting requests at the new pace after its limit has fallen", func() {
+		b, query := NewBalancer(Config{}, enginemodel.NewLearner()), newQuery("limited")
+		query.Objective, query.Remaining = 5*time.Second, 10*time.Second
+		state(b, query, "limited", 10)
+		var waiting []*InFlight
+		for {
+			flight, err := b.Choose(start, query)
+			if err != nil {
+				break
+			}
+			waiting = append(waiting, flight)
+		}
+		Expect(len(waiting)).To(BeNumerically(">", 40))
+		fall := start.Add(10 * time.Millisecond)
+		(&InFlight{Endpoint: query.Endpoints["limited"], balancer: b}).RecordRateLimit(
+			fall, endpointlimit.Statement{Kind: endpointlimit.Named, PerSecond: 1})
+		var sent []time.Time
+		for _, flight := range waiting {
+			due := start.Add(flight.Wait)
+			if due.After(fall) {
+				due = due.Add(flight.RetakeTurn(due))
+			}
+			sent = append(sent, due)
+		}
+		slices.SortFunc(sent, time.Time.Compare)
+		Expect(mostWithin(sent, 4*time.Second)).To(BeNumerically("<=", 4*1*3/2+5))
+	})
+
 	// Guards against requests that wait although they will be late, and against a refusal that names no time or a wrong one.
 	It("gets a request after a wait within its objective if no other is left; a later one is refused with the time", func() {
 		b, query := NewBalancer(Config{}, enginemodel.NewLearner()), newQuery("limited")
--- a/forward/rate_limit.go
+++ b/forward/rate_limit.go
@@ -6,6 +6,7 @@
 
 	"knapweedhoist/dispatch"
 	"knapweedhoist/endpointlimit"
+	"knapweedhoist/internal/wait"
 )
 
 // errNotUsable is the error of an attempt whose endpoint began to be avoided, or was removed, before its rate limit allowed
@@ -19,30 +20,50 @@
 		return nil
 	}
 	e.server.deps.Metrics.RateLimitWaits.Inc(1)
-	defer e.watchWait()()
-	timer := time.NewTimer(e.inFlight.Wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-e.context.Done():
+	admittedAt := e.server.deps.Now()
+	failed := e.awaitTurn()
+	if failed == nil && e.context.Err() != nil {
+		failed = e.waitEnded()
+	}
+	if failed != nil {
 		e.inFlight.Done(time.Now(), dispatch.Withdrawn)
-		if e.server.cutting.Load() {
-			return &failure{cause: causeStopping, err: e.context.Err()}
-		}
-		return &failure{cause: causeCallerClosed, err: errCallerClosed}
+		return failed
 	}
 	now := time.Now()
 	if !e.inFlight.Usable(now, e.server.deps.State.View().Endpoints) {
 		e.inFlight.Done(now, dispatch.Withdrawn)
 		return &failure{cause: causeNotSent, err: errNotUsable}
 	}
-	if err := e.server.deps.Quarantine.Admit(e.server.deps.Now(), e.keys); err != nil {
+	if err := e.server.deps.Quarantine.AdmitAgain(e.server.deps.Now(), admittedAt, e.keys); err != nil {
 		e.inFlight.Done(now, dispatch.Withdrawn)
 		return &failure{cause: causeQuarantined, err: err}
 	}
 	return nil
 }
 
+// awaitTurn waits for the turn of the request, and for a new one if the limit changes meanwhile. A turn that comes too late for
+// the request is not awaited.
+func (e *exchange) awaitTurn() *failure {
+	defer e.watchWait()()
+	for turn := e.inFlight.Wait; turn > 0; turn = e.inFlight.RetakeTurn(time.Now()) {
+		if turn > e.remaining()-minAttemptTime {
+			return &failure{cause: causeNoEndpoint, err: &dispatch.RateLimitedError{Wait: turn}}
+		}
+		if !wait.For(e.context, turn) {
+			return e.waitEnded()
+		}
+	}
+	return nil
+}
+
+// waitEnded returns why the exchange was cancelled during a wait.
+func (e *exchange) waitEnded() *failure {
+	if e.server.cutting.Load() {
+		return &failure{cause: causeStopping, err: e.context.Err()}
+	}
+	return &failure{cause: causeCallerClosed, err: errCallerClosed}
+}
+
 // watchWait cancels the exchange if the caller closes its connection, until stop is called. Requests that must not be repeated
 // are not watched otherwise, but one that was not sent yet must not be sent for a caller that has left.
 func (e *exchange) watchWait() (stop func()) {
