Read the list of instances again while it is outdated

Two instances could take the same turns at a limited endpoint for good, so that requests bunched: an instance that is no aggregator read the list once at its start, ranked itself by it, and never learned the names of those that joined later. With 75 instances of which 37 were there at first 17 to 19 requests came within 4 s, 17 are allowed.

Change: while the number of instances in the list differs from the number that the reports give, the list is read again, at most every 10 s as at aggregators. For those 10 s ranks can still collide.

--- a/entry/join.go
+++ b/entry/join.go
@@ -97,7 +97,8 @@
 }
 
 // listDue reports whether the instances' objects have to be read: once at the start, again if the first list may have been
-// stale and no other instance answers or the data centre is small, and at an aggregator every listInterval.
+// stale and no other instance answers or the data centre is small, and every listInterval at an aggregator, or while the last
+// list is outdated.
 func (i *Instance) listDue(now time.Time, m *membership) bool {
 	switch {
 	case m.listedAt.IsZero():
@@ -105,7 +106,7 @@
 	case !m.fresh && !i.joined.Load():
 		return i.fleet.IsSmallCentre() || now.Sub(m.listedAt) >= relayWaitAtStart
 	default:
-		return i.fleet.IsAggregator(now) && now.Sub(m.listedAt) >= listInterval
+		return now.Sub(m.listedAt) >= listInterval && (i.fleet.IsAggregator(now) || i.fleet.ListOutdated(now))
 	}
 }
 
--- a/fleetstate/fleet_test.go
+++ b/fleetstate/fleet_test.go
@@ -45,6 +45,33 @@
 		}
 	}
 
+	// Guards against two instances that take the same part of a limit for good, since one of them read the list before the other
+	// had joined.
+	ginkgo.It("finds that a list is outdated, and ranks all differently after it was read again", func() {
+		a, b := nodesOf("a", 4), nodesOf("b", 4)
+		all := append(append([]*node{}, b...), a...) // the instances of b have started first
+		for i, n := range all {
+			n.list(all[:i+1]...)
+			n.Advance(start, slot)
+		}
+		a[0].list(all...)
+		b[0].list(all...)
+		for round := range 3 {
+			exchange(start.Add(time.Duration(round)*100*time.Millisecond), a, b)
+		}
+		now := start.Add(300 * time.Millisecond)
+		Expect(b[3].ListOutdated(now)).To(BeTrue())
+		ranks := make(map[int]bool)
+		for _, n := range all {
+			if n.ListOutdated(now) {
+				n.list(all...)
+			}
+			Expect(n.ListOutdated(now)).To(BeFalse(), n.name)
+			ranks[n.Rank()] = true
+		}
+		Expect(ranks).To(HaveLen(len(all)))
+	})
+
 	// Guards against an instance that does not learn of a limit, or of its end, which others were told, and against two instances
 	// that take the same part of it.
 	ginkgo.It("passes the newest statement about a rate limit on to all and ranks all differently", func() {
--- a/fleetstate/listing.go
+++ b/fleetstate/listing.go
@@ -124,6 +124,23 @@
 	return rank
 }
 
+// ListOutdated reports whether the number of instances that Rank counts among differs from Total. Two instances can then have
+// the same rank.
+func (f *Fleet) ListOutdated(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := len(f.listed)
+	if _, listed := f.listed[f.cfg.Self.Instance]; !listed {
+		known++
+	}
+	for name := range f.members {
+		if _, listed := f.listed[name]; !listed {
+			known++
+		}
+	}
+	return known != f.total(now)
+}
+
 // total counts, for each data centre, the listed instances or the live ones, whichever are more: a new instance reports
 // before the list contains it.
 func (f *Fleet) total(now time.Time) int {
