Set up the test servers of connections in one place

Four tests of forward built the same server; they call newTestServer now. What they check is unchanged.

--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -65,10 +65,7 @@
 	// and before the HTTP server counted the connection as active.
 	DescribeTable("keeps a connection whose request has just been read",
 		func(earlierRequests int) {
-			server := NewServer(Config{}, Deps{
-				Log: slog.New(slog.DiscardHandler), Codec: &panickingCodec{panicked: true}, State: deployment.NewState(),
-				Metrics: NewMetrics(metrics.NewRegistry()),
-			})
+			server := newTestServer(Config{})
 			ln, err := net.Listen("tcp4", "127.0.0.1:0")
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(ln.Close)
@@ -93,10 +90,7 @@
 	// Guards against a 400 for a request of which only a part had been read when the stop interrupted its connection.
 	DescribeTable("keeps a connection whose request is half read",
 		func(earlierRequests int) {
-			server := NewServer(Config{}, Deps{
-				Log: slog.New(slog.DiscardHandler), Codec: &panickingCodec{panicked: true}, State: deployment.NewState(),
-				Metrics: NewMetrics(metrics.NewRegistry()),
-			})
+			server := newTestServer(Config{})
 			ln, err := net.Listen("tcp4", "127.0.0.1:0")
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(ln.Close)
@@ -132,10 +126,7 @@
 
 	// connect serves connections with the limit and returns a dialer that waits until each connection is known.
 	connect := func(limit int) (*Server, func() net.Conn) {
-		server := NewServer(Config{MaxConnections: limit}, Deps{
-			Log: slog.New(slog.DiscardHandler), Codec: &panickingCodec{panicked: true}, State: deployment.NewState(),
-			Metrics: NewMetrics(metrics.NewRegistry()), Now: time.Now,
-		})
+		server := newTestServer(Config{MaxConnections: limit})
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(ln.Close)
@@ -213,10 +204,7 @@
 
 	// Guards against a planned stop that never ends, or that accepts new connections.
 	It("ends Shutdown once the idle connections are closed", func() {
-		server := NewServer(Config{}, Deps{
-			Log: slog.New(slog.DiscardHandler), Codec: &panickingCodec{panicked: true}, State: deployment.NewState(),
-			Metrics: NewMetrics(metrics.NewRegistry()),
-		})
+		server := newTestServer(Config{})
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		go func() { _ = server.Serve(ln) }()
@@ -261,3 +249,11 @@
 	}
 	return n, err
 }
+
+// newTestServer returns a Server that refuses all requests, since it has no configuration.
+func newTestServer(cfg Config) *Server {
+	return NewServer(cfg, Deps{
+		Log: slog.New(slog.DiscardHandler), Codec: &panickingCodec{panicked: true}, State: deployment.NewState(),
+		Metrics: NewMetrics(metrics.NewRegistry()), Now: time.Now,
+	})
+}
