backend: read the claim's results after the run has ended in the test of repeated keys

Callers saw nothing: an answer is passed on before the claim's end is reported, and a caller who comes in between is attached to the holder's answer. The test read the results right after the answer.

It now waits for the end of the run, as the other tests of this file do, and expects the same.

--- a/backend/claim_test.go
+++ b/backend/claim_test.go
@@ -90,6 +90,7 @@
 		}
 		_, later := awaitAnswer(f.start(f.keyedSpec()))
 		Expect(string(later.Body)).To(Equal("paid"))
+		f.runner.Wait() // the claim's end is reported after the answer
 		Expect(caller.calls).To(Equal(1))
 		Expect(f.claimer.results).To(HaveLen(1))
 
