forward: return a stream to the silent endpoint when the next one rejects or fails it late

Callers saw a stream end early although its endpoint had only been silent: after three pause objectives another endpoint is asked, and 300 ms later the silent one is given up. If the other one, for example on a busy machine, rejected the request after that, or failed it, the route's attempts were used up and the stream broke off.

Cause: the decision for the other endpoint was final, although only an answer shows that it goes on. A route's attempts bound the number of endpoints to which a request may be sent, and the silent one is among them already.

The stream now goes back to the silent endpoint once, after its last event, if it may be sent nowhere else. It takes a retry from the budget like any other.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -72,10 +72,15 @@
 	return e.readAnswer(answer, answerHeader)
 }
 
-// chooseEndpoint chooses an endpoint that was not tried yet and sets e.inFlight.
+// chooseEndpoint chooses an endpoint that was not tried yet, or returnTo, and sets e.inFlight.
 func (e *exchange) chooseEndpoint(now time.Time) error {
+	endpoints := e.server.deps.State.View().Endpoints
+	if e.returnTo != "" {
+		endpoints = onlyEndpoint(endpoints, e.returnTo)
+		e.returnTo = ""
+	}
 	inFlight, err := e.server.deps.Balancer.Choose(now, dispatch.Query{
-		Service: e.service, Endpoints: e.server.deps.State.View().Endpoints,
+		Service: e.service, Endpoints: endpoints,
 		Prompt: e.request.Prompt, Tokens: e.request.PromptTokens, Tried: e.tried,
 		Objective: e.route.Objective, Remaining: e.deadline.Sub(now), Rank: e.route.Priority,
 		Seed: dispatch.SeedOf(e.request.ID, len(e.tried)),
@@ -88,6 +93,15 @@
 	return nil
 }
 
+// onlyEndpoint returns the endpoint with the ID, or none if it is not listed any more.
+func onlyEndpoint(endpoints map[string]*deployment.Endpoint, id string) map[string]*deployment.Endpoint {
+	endpoint := endpoints[id]
+	if endpoint == nil {
+		return nil
+	}
+	return map[string]*deployment.Endpoint{id: endpoint}
+}
+
 // send sends the request to the chosen endpoint and reads the header of its answer.
 func (e *exchange) send(now time.Time) (*upstream.Response, AnswerHeader, error) {
 	header := &fasthttp.RequestHeader{}
@@ -298,16 +312,45 @@
 // unless the request did not reach the endpoint.
 func (e *exchange) allowRetry(failed *failure) bool {
 	switch {
-	case e.remaining() <= minAttemptTime, e.server.cutting.Load():
+	case !e.canSend() || !e.repeatable(failed):
 		return false
 	case failed.cause == causeNotSent:
 		return len(e.tried) < maxEndpointsTried
-	case failed.cause == causeNotRun:
-	case failed.cause == causeBroken && e.route.Repeatable() && e.server.deps.Quarantine.EvidenceWait(e.server.deps.Now(), e.keys) == 0:
+	default:
+		return e.sends < e.route.MaxAttempts && e.takeRetry()
+	}
+}
+
+// allowReturn reports whether a stream that may be sent to no other endpoint goes back to the one that was given up because it
+// was silent, and takes the retry from the budget. That endpoint has not failed, and the route's attempts bound the number of
+// endpoints.
+func (e *exchange) allowReturn(failed *failure) bool {
+	if e.silentEndpoint == "" || !e.canSend() || failed.cause != causeNoEndpoint && !e.repeatable(failed) || !e.takeRetry() {
+		return false
+	}
+	delete(e.tried, e.silentEndpoint)
+	e.returnTo, e.silentEndpoint = e.silentEndpoint, ""
+	return true
+}
+
+// canSend reports whether there is time for another attempt.
+func (e *exchange) canSend() bool { return e.remaining() > minAttemptTime && !e.server.cutting.Load() }
+
+// repeatable reports whether the request may be sent again after the failure.
+func (e *exchange) repeatable(failed *failure) bool {
+	switch failed.cause {
+	case causeNotSent, causeNotRun:
+		return true
+	case causeBroken:
+		return e.route.Repeatable() && e.server.deps.Quarantine.EvidenceWait(e.server.deps.Now(), e.keys) == 0
 	default:
 		return false
 	}
-	return e.sends < e.route.MaxAttempts && e.server.deps.Budget.Take(e.server.deps.Now(), e.service.Name)
+}
+
+// takeRetry takes a retry from the budget of the service.
+func (e *exchange) takeRetry() bool {
+	return e.server.deps.Budget.Take(e.server.deps.Now(), e.service.Name)
 }
 
 // minAttemptTime is the least time before the deadline at which another attempt is made.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -44,6 +44,9 @@
 	// tried holds the IDs of the chosen endpoints; sends counts the sends that may have reached one.
 	tried map[string]bool
 	sends int
+	// silentEndpoint is the ID of the endpoint that was given up because it was silent, "" for none. returnTo is that ID while
+	// the next attempt is made there.
+	silentEndpoint, returnTo string
 	// mayHaveRun is set after a failed send that the endpoint may have run.
 	mayHaveRun bool
 	// started is set by the first call of recordStart.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -114,7 +114,7 @@
 // continueAfter continues the stream at another endpoint after a failed send, or sets s.err.
 func (s *eventStream) continueAfter(failed *failure) {
 	e := s.exchange
-	for e.route.Resumable && e.lastEventID != "" && e.allowRetry(failed) {
+	for e.route.Resumable && e.lastEventID != "" && (e.allowRetry(failed) || e.allowReturn(failed)) {
 		next, err := e.attempt()
 		if err == nil && next.stream != nil {
 			e.server.deps.Metrics.Resumed.Inc(1)
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -199,6 +199,7 @@
 	e, other := s.exchange, t.exchange
 	s.answer.Abort()
 	e.inFlight.Done(time.Now(), dispatch.TimedOut)
+	e.silentEndpoint = e.inFlight.Endpoint.ID
 	e.mayHaveRun = true
 	if t.failed != nil {
 		e.inFlight = other.inFlight
