forward: bound the memory of request bodies

Callers lost their streams when others sent bodies as large as the configuration allows: with 40 of 4 MiB the process used more than its 284 MB and was killed, with 12 streams on kept connections.

Cause: every body was read into memory, and copied once more, before the route, the team or the load were known, without a bound on the sum. Buffered answers have had such a bound; request bodies had none.

The HTTP server now streams bodies, and the handler reads them once into buffers that share an eighth of memory_mb, taken from the accounting that answers use. A request waits up to a second for memory; then it is refused with 503 as not run. A connection that is closed with unread bytes discards up to the largest body, so that the caller gets the refusal. A body that is larger than the process allows is answered with 413 instead of 400, one whose last chunk is missing with 400 instead of a closed connection.

--- a/entry/instance.go
+++ b/entry/instance.go
@@ -135,6 +135,7 @@
 	i.copies, i.freshPeers = i.newCopies(), newFreshPeers()
 	i.server = forward.NewServer(forward.Config{
 		MaxConfigAge: settings.maxConfigAge(), MaxAnswerMemory: settings.maxAnswerMemory(),
+		MaxBodyMemory:  settings.maxBodyMemory(),
 		MaxConnections: settings.maxCallerConnections(),
 	}, forward.Deps{
 		Log: i.lg, Codec: adapter.Codec, State: i.state, Balancer: i.balancer, Limiter: i.limiter, Budget: i.budget,
@@ -143,7 +144,9 @@
 		Started:     i.started,
 		RecordStart: func(team string) { i.ledger.RecordStart(i.wallNow(), team) },
 	})
-	_ = i.registry.Register("forward_answer_memory_bytes", metrics.NewFunctionalGauge(i.server.AnswerMemory)) // the only one of this name
+	// Neither name is registered elsewhere.
+	_ = i.registry.Register("forward_answer_memory_bytes", metrics.NewFunctionalGauge(i.server.AnswerMemory))
+	_ = i.registry.Register("forward_body_memory_bytes", metrics.NewFunctionalGauge(i.server.BodyMemory))
 	return i
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -180,6 +180,14 @@
 	return int(answerMemoryShare * float64(s.MemoryMB) * (1 << 20))
 }
 
+// bodyMemoryShare is the share of MemoryMB that the bodies of requests may take.
+const bodyMemoryShare = 0.125
+
+// maxBodyMemory is that share in bytes, 0 for the default.
+func (s Settings) maxBodyMemory() int {
+	return int(bodyMemoryShare * float64(s.MemoryMB) * (1 << 20))
+}
+
 // historyShare is the share of MemoryMB that the changes kept for other instances may take, for each kind of object. On
 // the smallest machines (184 MiB) it holds one object of the largest size that the store allows, 1 MiB.
 const historyShare = 0.01
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -41,13 +41,13 @@
 	if refusal := e.findTeam(); refusal != nil {
 		return refusal
 	}
-	if maxBytes := e.view.Config.Limits.MaxBodyBytes; maxBytes > 0 && len(e.ctx.Request.Body()) > maxBytes {
+	if maxBytes := e.view.Config.Limits.MaxBodyBytes; maxBytes > 0 && len(e.body) > maxBytes {
 		return &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: "body larger than the configuration allows"}
 	}
 	// A stream may last for many versions of the configuration, which would all stay in memory.
 	e.view = nil
 	e.setDeadline()
-	e.copyRequest()
+	e.copyHeader()
 	return e.chargeTeam()
 }
 
@@ -116,10 +116,9 @@
 // defaultTimeout applies when neither the route nor the caller sets a timeout.
 const defaultTimeout = 30 * time.Second
 
-func (e *exchange) copyRequest() {
+func (e *exchange) copyHeader() {
 	e.header = &fasthttp.RequestHeader{}
 	e.ctx.Request.Header.CopyTo(e.header)
-	e.body = append([]byte(nil), e.ctx.Request.Body()...)
 	e.setKeys()
 }
 
--- a/forward/client_conn.go
+++ b/forward/client_conn.go
@@ -94,8 +94,8 @@
 const (
 	// lingerTimeout is how long a closed connection with unread bytes is kept for the caller to read the rest of its answer.
 	lingerTimeout = 2 * time.Second
-	// maxLingerBytes is the number of unread bytes that are discarded meanwhile.
-	maxLingerBytes = 1 << 20
+	// maxLingerBytes is the number of unread bytes that are discarded meanwhile: the rest of a body of the largest size.
+	maxLingerBytes = 16 << 20
 )
 
 // Close implements net.Conn. The kernel resets a connection that is closed with unread bytes, and drops the part of the
--- a/forward/config.go
+++ b/forward/config.go
@@ -25,6 +25,10 @@
 	// MaxAnswerMemory bounds the memory in bytes of all buffered answers and incomplete events of streams together, except
 	// those of up to 16 KiB. Buffers above 2 MiB leave a quarter of it to smaller ones. Default 64 MiB.
 	MaxAnswerMemory int
+	// MaxBodyMemory bounds the memory in bytes of the bodies of all requests together, until their answers were passed on, except
+	// bodies of up to 16 KiB. Large bodies leave a quarter of it to smaller ones. A request waits up to a second for the memory of
+	// its body and is then refused. Default 64 MiB.
+	MaxBodyMemory int
 	// ReadTimeout bounds the time to read one request. Default 10 s.
 	ReadTimeout time.Duration
 	// StartWait is how long after NewServer requests wait until Deps.Started is closed. Later ones are refused at once while
@@ -44,6 +48,7 @@
 	defaults.Set(&c.IdleTimeout, 2*time.Minute)
 	defaults.Set(&c.MaxBodyBytes, 16<<20)
 	defaults.Set(&c.MaxAnswerMemory, 64<<20)
+	defaults.Set(&c.MaxBodyMemory, 64<<20)
 	return c
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -30,9 +30,10 @@
 	// team is nil on public routes and if the configuration is open to all.
 	team    *deployment.Team
 	request Request
-	// header and body are copies that outlive the handler.
-	header *fasthttp.RequestHeader
-	body   []byte
+	// header is a copy that outlives the handler. body is that of bodyBuffer, which is nil without one.
+	header     *fasthttp.RequestHeader
+	body       []byte
+	bodyBuffer *boundedbuffer.Buffer
 
 	arrived time.Time
 	// accepted is set when the request is counted in Metrics.InProgress, until release.
@@ -86,6 +87,7 @@
 	}
 	e.cancel()
 	e.releaseBuffer()
+	e.releaseBody()
 	e.server.progress.remove(e)
 	e.server.deps.Metrics.InProgress.Dec(1)
 }
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -40,6 +40,8 @@
 	Crashes metrics.Counter
 	// Oversized counts the answers that were given up because of their size or of the memory of all answers, see isOversized.
 	Oversized metrics.Counter
+	// BodiesRefused counts the requests that were refused because there was no memory for their bodies.
+	BodiesRefused metrics.Counter
 	// FirstByte is the time from the arrival of a request to its answer or first event, in microseconds.
 	FirstByte metrics.Histogram
 	// InProgress is the number of requests that were accepted and have not ended; a stream counts until its end.
@@ -66,7 +68,7 @@
 		RateLimitWaits: counter("forward_rate_limit_waits"), RateLimited: counter("forward_rate_limited"),
 		Crashes:     counter("forward_endpoint_crashes"),
 		Quarantined: counter("forward_quarantined"), Held: counter("forward_held"),
-		Oversized:   counter("forward_oversized"),
+		Oversized: counter("forward_oversized"), BodiesRefused: counter("forward_bodies_refused"),
 		InProgress:  counter("forward_in_progress"),
 		Connections: metrics.NewRegisteredGauge("forward_connections", registry),
 		FirstByte: metrics.NewRegisteredHistogram("forward_first_byte_us", registry,
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -56,6 +56,7 @@
 	e.respondLocal(r.status, r.reason, r.retryAfter)
 	e.logOutcome("request refused", r.status, errors.New(r.reason), "retry_after_ms", r.retryAfter.Milliseconds())
 	e.cancel()
+	e.releaseBody()
 }
 
 // fail answers a request that got no usable answer from an endpoint. The caller
--- a/forward/server.go
+++ b/forward/server.go
@@ -23,6 +23,7 @@
 	conns    connections
 	listener atomic.Pointer[listener] // set by Serve
 	answers  *boundedbuffer.Memory
+	bodies   *boundedbuffer.Memory
 	// progress holds the accepted requests until their end.
 	progress inProgress
 	// startBy is the time until which requests wait for the start of the instance.
@@ -37,6 +38,7 @@
 	s := &Server{cfg: cfg.withDefaults(), deps: deps}
 	s.startBy = time.Now().Add(s.cfg.StartWait)
 	s.answers = boundedbuffer.NewMemory(s.cfg.MaxAnswerMemory)
+	s.bodies = boundedbuffer.NewMemory(s.cfg.MaxBodyMemory)
 	s.conns.limit = s.cfg.MaxConnections
 	s.http = &fasthttp.Server{
 		Handler:                       s.handle,
@@ -44,6 +46,7 @@
 		NoDefaultDate:                 true,
 		NoDefaultContentType:          true,
 		MaxRequestBodySize:            s.cfg.MaxBodyBytes,
+		StreamRequestBody:             true, // readBody bounds the memory
 		ReadBufferSize:                readBufferBytes,
 		ReadTimeout:                   s.cfg.ReadTimeout,
 		IdleTimeout:                   maxIdleTimeout,
@@ -136,6 +139,9 @@
 // AnswerMemory returns the memory of incomplete events and buffered answers in bytes, see Config.MaxAnswerMemory.
 func (s *Server) AnswerMemory() int64 { return s.answers.Used() }
 
+// BodyMemory returns the memory of request bodies in bytes, see Config.MaxBodyMemory.
+func (s *Server) BodyMemory() int64 { return s.bodies.Used() }
+
 // handle serves a request. A panic ends that request only.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	var e *exchange
@@ -166,6 +172,7 @@
 	}
 	e.logOutcome("request failed", ctx.Response.StatusCode(), err)
 	e.cancel()
+	e.releaseBody()
 	if e.accepted {
 		e.release()
 	}
@@ -175,6 +182,10 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	if refusal := e.readBody(); refusal != nil {
+		e.refuse(refusal)
+		return
+	}
 	if s.refusing.Load() {
 		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "instance is stopping", retryAfter: minRetryAfter})
 		return
--- a/internal/boundedbuffer/buffer.go
+++ b/internal/boundedbuffer/buffer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 )
 
 // ErrTooLarge is returned for a body beyond the bound of ReadAll.
@@ -14,6 +15,8 @@
 	memory *Memory
 	// bytes has the length of the whole buffer.
 	bytes []byte
+	// patience is how long Resize may still wait for memory.
+	patience time.Duration
 }
 
 // New returns a Buffer of size bytes, at most FreeBytes.
@@ -21,6 +24,9 @@
 	return &Buffer{memory: memory, bytes: make([]byte, min(size, FreeBytes))}
 }
 
+// WaitUpTo lets Resize and ReadAll wait until other buffers are released, for limit altogether. Without it they do not wait.
+func (b *Buffer) WaitUpTo(limit time.Duration) { b.patience = limit }
+
 // Bytes returns the whole buffer. It is valid until Resize, ReadAll or Release.
 func (b *Buffer) Bytes() []byte { return b.bytes }
 
@@ -30,7 +36,7 @@
 // Resize replaces the buffer by one of another size that begins with content. On an error, which wraps ErrNoMemory, the
 // buffer is unchanged.
 func (b *Buffer) Resize(size int, content []byte) error {
-	if err := b.memory.take(size); err != nil {
+	if err := b.take(size); err != nil {
 		return err
 	}
 	resized := make([]byte, size)
@@ -40,6 +46,21 @@
 	return nil
 }
 
+// waitInterval is the time between two attempts to take memory.
+const waitInterval = 10 * time.Millisecond
+
+// take reserves memory for size bytes, and waits for it as long as WaitUpTo allows.
+func (b *Buffer) take(size int) error {
+	for {
+		err := b.memory.take(size)
+		if err == nil || b.patience <= 0 {
+			return err
+		}
+		time.Sleep(waitInterval)
+		b.patience -= waitInterval
+	}
+}
+
 // Release empties the buffer and returns its memory.
 func (b *Buffer) Release() {
 	b.memory.release(len(b.bytes))
--- a/internal/boundedbuffer/memory.go
+++ b/internal/boundedbuffer/memory.go
@@ -19,7 +19,7 @@
 func (m *Memory) Used() int64 { return m.used.Load() }
 
 // ErrNoMemory is returned for a buffer that does not fit beside the others.
-var ErrNoMemory = errors.New("no memory left for the answer")
+var ErrNoMemory = errors.New("no memory left for the body")
 
 // FreeBytes is the size up to which a buffer does not count, so that messages of the usual size are never refused.
 const FreeBytes = 16 << 10
