endpointlimit: date the end of a limit by the time at which its request was sent

Callers saw nothing yet; found by review. An answer whose header an endpoint wrote before it began to name a limit, and that an instance read later (long prefill, slow link, pause), ended the limit for all instances: statements were dated by their reading, and the end was the newest one. Each instance then sent as it liked until it read the next answer.

An answer was written at some time between the sending of its request and its reading. One that lifts or raises a limit now counts from the sending and is ignored if the limit was stated since; one that states or lowers a limit counts from the reading. The limit still ends: with the first answer without it to a request sent after the last answer that named it.

Both tests failed before: the earlier answer ended the limit.

--- a/dispatch/rate_limit.go
+++ b/dispatch/rate_limit.go
@@ -33,9 +33,9 @@
 // Limits returns the rate limits of the endpoints, which Choose obeys.
 func (b *Balancer) Limits() *endpointlimit.Limits { return b.limits }
 
-// RecordRateLimit records what the endpoint has stated about its rate limit. It returns the change, if there is one.
+// RecordRateLimit records what the endpoint has stated about its rate limit in the answer, read now. It returns the change, if there is one.
 func (f *InFlight) RecordRateLimit(now time.Time, statement endpointlimit.Statement) (endpointlimit.Change, bool) {
-	return f.balancer.limits.Observe(now, processKey(f.Endpoint), statement)
+	return f.balancer.limits.Observe(now, f.startedAt, processKey(f.Endpoint), statement)
 }
 
 // rateLimitWait returns the time until the rate limit of the endpoint allows a request of this instance.
--- a/dispatch/rate_limit_test.go
+++ b/dispatch/rate_limit_test.go
@@ -122,6 +122,20 @@
 		}
 	})
 
+	// Guards against a limit that ends with an answer to a request which was sent before the limit was stated.
+	It("keeps its limit after the answer to an earlier request", func() {
+		b, query := NewBalancer(Config{}, enginemodel.NewLearner()), newQuery("limited")
+		earlier, err := b.Choose(start.Add(-time.Second), query)
+		Expect(err).NotTo(HaveOccurred())
+		state(b, query, "limited", 2)
+		earlier.RecordRateLimit(start.Add(time.Second), endpointlimit.Statement{Kind: endpointlimit.Absent})
+		Expect(b.Limits().InForce()).To(Equal(1))
+		later, err := b.Choose(start.Add(10*time.Second), query)
+		Expect(err).NotTo(HaveOccurred())
+		later.RecordRateLimit(start.Add(11*time.Second), endpointlimit.Statement{Kind: endpointlimit.Absent})
+		Expect(b.Limits().InForce()).To(BeZero())
+	})
+
 	// Guards against a limit that is applied to the next process of the endpoint.
 	It("has no limit after a restart", func() {
 		b, query := NewBalancer(Config{}, enginemodel.NewLearner()), newQuery("limited")
--- a/endpointlimit/limits.go
+++ b/endpointlimit/limits.go
@@ -34,7 +34,7 @@
 	perSecond float32
 	// ended is set if the process stated a limit before and has none any more.
 	ended bool
-	// statedAt is the time of the last statement, changedAt that at which this instance learned of the change to it.
+	// statedAt is the time of the last statement, see Record.Age, changedAt that at which this instance learned of the change to it.
 	statedAt, changedAt time.Time
 	// takenUntil is a time after the start of the last turn that was taken, in seconds of the fleet's time.
 	takenUntil float64
@@ -79,14 +79,24 @@
 	return float64(l.share.FleetTime.Add(now.Sub(l.sharedAt)).UnixNano()) / float64(time.Second)
 }
 
-// Observe takes over a statement of a process, which is newer than all earlier ones. It returns the change, if there is one.
-func (l *Limits) Observe(now time.Time, process uint64, statement Statement) (change Change, changed bool) {
+// Observe takes over a statement of a process in an answer that has been read now, to a request that was sent at sentAt. The
+// process wrote it at any time between them: one that lifts or raises a limit counts as old as it can be, any other one as
+// young as it can be. It returns the change, if there is one.
+func (l *Limits) Observe(now, sentAt time.Time, process uint64, statement Statement) (change Change, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if statement.Kind == Invalid || statement.Kind == Absent && l.limits[process] == nil {
+	known := l.limits[process]
+	if statement.Kind == Invalid || statement.Kind == Absent && known == nil {
 		return Change{}, false
 	}
-	return l.set(now, process, limit{perSecond: statement.PerSecond, ended: statement.Kind == Absent, statedAt: now})
+	next := limit{perSecond: statement.PerSecond, ended: statement.Kind == Absent, statedAt: now}
+	if next.ended || known != nil && !known.ended && next.perSecond > known.perSecond {
+		if !sentAt.After(known.statedAt) {
+			return Change{}, false
+		}
+		next.statedAt = sentAt
+	}
+	return l.set(now, process, next)
 }
 
 // Merge takes over what other instances have been told and returns the changes.
--- a/endpointlimit/limits_test.go
+++ b/endpointlimit/limits_test.go
@@ -27,10 +27,10 @@
 	// Guards against an old limit that supersedes a newer one or its end, and against values of a faulty server that end one.
 	It("keep the newest valid statement, whoever was told", func() {
 		l := New()
-		l.Observe(start, process, named(2))
-		_, changed := l.Observe(at(time.Second), process, Statement{Kind: Invalid})
+		l.Observe(start, start, process, named(2))
+		_, changed := l.Observe(at(time.Second), at(time.Second), process, Statement{Kind: Invalid})
 		Expect(changed).To(BeFalse())
-		l.Observe(at(2*time.Second), process, Statement{Kind: Absent})
+		l.Observe(at(2*time.Second), at(2*time.Second), process, Statement{Kind: Absent})
 		Expect(l.Merge(at(3*time.Second), Records{{Process: process, PerSecond: 2, Age: 2 * time.Second}})).To(BeEmpty())
 		Expect(l.InForce()).To(BeZero())
 		Expect(l.Merge(at(3*time.Second), Records{{Process: process, PerSecond: 3, Age: time.Millisecond}})).To(Equal(
@@ -42,11 +42,30 @@
 			Records{{Process: 1, PerSecond: 2}, {Process: 2, PerSecond: 9}}))
 	})
 
+	// Guards against an answer that was written before a limit began, or at a former rate, and lifts it because it is read later.
+	It("are not lifted by an answer to a request that was sent before they were stated last", func() {
+		l := New()
+		l.Observe(start, start, process, named(2))
+		for _, earlier := range []Statement{{Kind: Absent}, named(9)} {
+			_, changed := l.Observe(at(time.Second), at(-time.Second), process, earlier)
+			Expect(changed).To(BeFalse())
+			Expect(l.Records(at(time.Second), 9)).To(Equal(Records{{Process: process, PerSecond: 2, Age: time.Second}}))
+		}
+		l.Observe(at(3*time.Second), at(2*time.Second), process, Statement{Kind: Absent})
+		Expect(l.InForce()).To(BeZero())
+		Expect(l.Records(at(3*time.Second), 9)).To(Equal(Records{{Process: process, Ended: true, Age: time.Second}}))
+
+		other := New()
+		other.Observe(at(2500*time.Millisecond), at(2400*time.Millisecond), process, named(2))
+		Expect(other.Merge(at(3*time.Second), l.Records(at(3*time.Second), 9))).To(BeEmpty())
+		Expect(other.InForce()).To(Equal(1))
+	})
+
 	// Guards against a report that grows without bound, and against limits that are kept for ever.
 	It("are bounded and forgotten", func() {
 		l := New()
 		for i := range uint64(maxProcesses + 1) {
-			l.Observe(at(time.Duration(i)), i, named(1))
+			l.Observe(at(time.Duration(i)), at(time.Duration(i)), i, named(1))
 		}
 		Expect(l.InForce()).To(Equal(maxProcesses))
 		records := l.Records(start, MaxRecords)
@@ -67,18 +86,18 @@
 	// Guards against turns of a former, higher limit that are used after it has fallen, and against a limit of 0 that never ends.
 	It("apply a lower limit at once and try a limit of 0 rarely", func() {
 		l := New()
-		l.Observe(start, process, named(50))
+		l.Observe(start, start, process, named(50))
 		Expect(taken(l, start, 10*time.Second)).To(BeNumerically("~", 475, 3))
-		l.Observe(at(20*time.Second), process, named(1)) // unused turns of 10 s
+		l.Observe(at(20*time.Second), at(20*time.Second), process, named(1)) // unused turns of 10 s
 		Expect(taken(l, at(20*time.Second), 4*time.Second)).To(BeNumerically("<=", 5))
-		l.Observe(at(24*time.Second), process, named(0))
+		l.Observe(at(24*time.Second), at(24*time.Second), process, named(0))
 		Expect(taken(l, at(24*time.Second), 100*time.Second)).To(BeNumerically("~", 9, 2))
 	})
 
 	// Guards against a burst of unused turns.
 	It("let unused turns lapse", func() {
 		l := New()
-		l.Observe(start, process, named(2))
+		l.Observe(start, start, process, named(2))
 		Expect(taken(l, at(time.Minute), time.Millisecond)).To(BeNumerically("<=", 4))
 	})
 
@@ -86,7 +105,7 @@
 	DescribeTable("divide the limit after a correction of the time of day", func(correction time.Duration) {
 		l := New()
 		l.SetShare(start, Share{Instances: 2, Rank: 1, FleetTime: start})
-		l.Observe(start, process, named(10))
+		l.Observe(start, start, process, named(10))
 		taken(l, start, 2*time.Second)
 		l.SetShare(at(2*time.Second), Share{Instances: 2, Rank: 1, FleetTime: at(2*time.Second + correction)})
 		Expect(taken(l, at(2*time.Second), 10*time.Second)).To(BeNumerically("~", 10*4.75, 6))
@@ -106,7 +125,7 @@
 			for rank := range instances {
 				l := New()
 				l.SetShare(begin, Share{Instances: instances, Rank: rank, FleetTime: begin})
-				l.Observe(begin, process, named(perSecond))
+				l.Observe(begin, begin, process, named(perSecond))
 				all = append(all, l)
 			}
 			var sent []time.Duration
--- a/endpointlimit/record.go
+++ b/endpointlimit/record.go
@@ -17,7 +17,8 @@
 	PerSecond float32
 	// Ended is set if the process has no limit any more.
 	Ended bool
-	// Age is the time since the statement.
+	// Age is the time since the statement: since the answer was read, or since its request was sent if it lifted or raised a
+	// limit.
 	Age time.Duration
 }
 
--- a/endpointlimit/simulation_test.go
+++ b/endpointlimit/simulation_test.go
@@ -61,7 +61,7 @@
 			if s.random.Float64() < s.demand*step.Seconds() && limits.Wait(s.now, process) == 0 {
 				limits.Take(s.now, process)
 				s.arrivals = append(s.arrivals, s.now)
-				limits.Observe(s.now, process, s.statement)
+				limits.Observe(s.now, s.now, process, s.statement)
 			}
 			if report {
 				s.report(i)
