entry: age the ends of rate limits by the time for which their message was unread

Found by review. A message holds the ages of statements at its sending; the receiver counted them from the reading. An aggregator that was frozen, or behind a slow link, took the end of a former limit for newer than a limit that was stated since, and its digests lifted the limit at all instances of the data centre.

The ends of limits in a message get older by the time since its sending, from the sender's time of day and the estimate of the receiver. A sender whose clock is behind makes its ends too old, which delays them until another instance tells of them or the receiver reads an answer itself. Limits keep their ages: one that counts as too young ends with the next answer without it. An age that does not fit its field is the largest that does, and that of an end is rounded up.

--- a/endpointlimit/record.go
+++ b/endpointlimit/record.go
@@ -46,6 +46,18 @@
 	return aged
 }
 
+// Delayed returns the records of a message that was on its way or unread for the given time. Only the ends of limits get
+// older: a limit that counts as too young ends with the next answer without it, but one that ends too early is exceeded.
+func (r Records) Delayed(by time.Duration) Records {
+	delayed := slices.Clone(r)
+	for i := range delayed {
+		if delayed[i].Ended {
+			delayed[i].Age += max(by, 0)
+		}
+	}
+	return delayed
+}
+
 // Merge returns the records of all lists, which are of the same time, with one for each process. Merging the same records again
 // changes nothing. Of more than MaxRecords, the newest are kept.
 func Merge(lists ...Records) Records {
--- a/entry/control.go
+++ b/entry/control.go
@@ -195,6 +195,7 @@
 
 func (i *Instance) handleReport(report fleetstate.Report) {
 	now := clock.Now()
+	report.State.Limits = i.delayedLimits(report.State.Limits, report.Wall)
 	if !i.fleet.ObserveReport(now, report) {
 		return
 	}
@@ -204,6 +205,7 @@
 
 func (i *Instance) handleSummary(summary fleetstate.Summary) {
 	now := clock.Now()
+	summary.State.Limits = i.delayedLimits(summary.State.Limits, summary.Wall)
 	if !i.fleet.ObserveSummary(now, summary) {
 		return
 	}
@@ -215,6 +217,7 @@
 
 func (i *Instance) handleDigest(digest fleetstate.Digest) {
 	now := clock.Now()
+	digest.State.Limits = i.delayedLimits(digest.State.Limits, digest.Wall)
 	if !i.fleet.ObserveDigest(now, digest) {
 		return
 	}
--- a/gossip/evidence.go
+++ b/gossip/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"knapweedhoist/quarantine"
@@ -40,8 +41,10 @@
 	return converted
 }
 
-// encodeAge returns an age in milliseconds.
-func encodeAge(age time.Duration) uint32 { return uint32(max(age, 0).Milliseconds()) }
+// encodeAge returns an age in milliseconds, at most the largest that can be encoded.
+func encodeAge(age time.Duration) uint32 {
+	return uint32(min(max(age, 0).Milliseconds(), math.MaxUint32))
+}
 
 func decodeAge(ms uint32) time.Duration { return milliseconds(int64(ms)) }
 
--- a/gossip/limits.go
+++ b/gossip/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"knapweedhoist/endpointlimit"
 	"knapweedhoist/wire"
@@ -17,13 +18,13 @@
 	}
 	columns := &wire.EndpointLimits{}
 	for _, record := range records {
-		perSecond := record.PerSecond
+		perSecond, age := record.PerSecond, record.Age
 		if record.Ended {
-			perSecond = endedLimit
+			perSecond, age = endedLimit, age+time.Millisecond-1 // an end must not count as younger than it is
 		}
 		columns.Processes = append(columns.Processes, record.Process)
 		columns.PerSecond = append(columns.PerSecond, perSecond)
-		columns.AgeMs = append(columns.AgeMs, encodeAge(record.Age))
+		columns.AgeMs = append(columns.AgeMs, encodeAge(age))
 	}
 	return columns
 }
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -48,6 +48,15 @@
 }
 
 var _ = ginkgo.Describe("Messages", func() {
+	// Guards against an end of a limit that counts as younger than it is because its age is rounded or does not fit.
+	ginkgo.It("do not make the end of a limit younger", func() {
+		for _, age := range []time.Duration{100 * time.Microsecond, 60 * 24 * time.Hour} {
+			decoded, err := decodeLimits(encodeLimits(endpointlimit.Records{{Process: 1, Ended: true, Age: age}}))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(decoded[0].Age).To(BeNumerically(">=", min(age, 49*24*time.Hour)))
+		}
+	})
+
 	// Guards against a field that is lost or changed on the way.
 	ginkgo.It("decode to what was encoded", func() {
 		report := fleetstate.Report{Sender: exampleSender(), Weight: 400, Leaving: true, WantsDigest: true, State: exampleState()}
