endpointlimit: ignore limits stated so long ago that their end may be forgotten

Found by review. The end of a limit is kept for a minute after its last statement. An instance that was cut off for longer still reports the limit, and all others took it over as one they had never heard of, until the next answer without it.

A limit that an instance does not know is not taken over if it was stated a minute ago or earlier: the end of a limit that was forgotten was stated after it. An instance that starts later than that hears of the limit with its first answer.

The test failed before: Merge returned the limit as a change.

--- a/endpointlimit/limits.go
+++ b/endpointlimit/limits.go
@@ -99,13 +99,14 @@
 	return l.set(now, process, next)
 }
 
-// Merge takes over what other instances have been told and returns the changes.
+// Merge takes over what other instances have been told and returns the changes. A limit that is not known here and was stated
+// more than retention ago is not taken over, since its end may have been forgotten.
 func (l *Limits) Merge(now time.Time, records Records) (changes []Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, record := range records {
 		known := l.limits[record.Process]
-		if known == nil && record.Ended || known != nil && !record.supersedes(known.record(now, record.Process)) {
+		if known == nil && (record.Ended || record.Age >= retention) || known != nil && !record.supersedes(known.record(now, record.Process)) {
 			continue
 		}
 		next := limit{perSecond: record.PerSecond, ended: record.Ended, statedAt: now.Add(-record.Age)}
--- a/endpointlimit/limits_test.go
+++ b/endpointlimit/limits_test.go
@@ -61,6 +61,20 @@
 		Expect(other.InForce()).To(Equal(1))
 	})
 
+	// Guards against a limit that returns with an instance which was cut off until its end had been forgotten.
+	It("do not take over a limit that was stated so long ago that its end may be forgotten", func() {
+		l, cutOff := New(), New()
+		for _, known := range []*Limits{l, cutOff} {
+			known.Observe(start, start, process, named(2))
+		}
+		l.Observe(at(2*time.Second), at(time.Second), process, Statement{Kind: Absent})
+		forgotten := at(2*time.Second + retention)
+		l.Sweep(forgotten, func(uint64) bool { return true })
+		Expect(l.Records(forgotten, 9)).To(BeEmpty())
+		Expect(l.Merge(forgotten, cutOff.Records(forgotten, 9))).To(BeEmpty())
+		Expect(l.InForce()).To(BeZero())
+	})
+
 	// Guards against a report that grows without bound, and against limits that are kept for ever.
 	It("are bounded and forgotten", func() {
 		l := New()
