endpointlimit: spread the positions of consecutive ranks

Found by review and shown by a simulation of instances that join, leave and restart. For up to 10 s after instances have joined, the others place themselves by an older list or number of instances. Instances with neighbouring names had neighbouring turns, so that a group that places itself otherwise, such as a data centre, used the times of another group: both sent within the same seconds.

The position of an instance's turns is now its rank times a stride near the golden section of the number of instances, without a common factor with it. Each range of ranks is spread evenly over all positions, so that two groups that differ add up to the rate of both, in any part of the sequence. The turns of a settled deployment are as before, in another order.

--- a/endpointlimit/limits.go
+++ b/endpointlimit/limits.go
@@ -25,6 +25,8 @@
 	// share is that of the last SetShare, which was called at sharedAt.
 	share    Share
 	sharedAt time.Time
+	// instances and position are those of share.position.
+	instances, position uint64
 	// reported is the position of the last call of Records in the limits that take turns.
 	reported int
 }
@@ -41,7 +43,9 @@
 }
 
 // New returns Limits without any limit, for a deployment of one instance.
-func New() *Limits { return &Limits{limits: make(map[uint64]*limit), share: Share{Instances: 1}} }
+func New() *Limits {
+	return &Limits{limits: make(map[uint64]*limit), share: Share{Instances: 1}, instances: 1}
+}
 
 // SetShare replaces the part of the limits that belongs to this instance. What was taken moves with a correction of the
 // fleet's time, so that a step neither blocks an endpoint nor frees its turns again. Turns of the new part that began before
@@ -52,6 +56,9 @@
 	before, known := l.fleetSeconds(now), !l.sharedAt.IsZero()
 	changed := share.Instances != l.share.Instances || share.Rank != l.share.Rank
 	l.share, l.sharedAt = share, now
+	if changed {
+		l.instances, l.position = share.position()
+	}
 	after := l.fleetSeconds(now)
 	for _, limit := range l.limits {
 		if known {
@@ -210,7 +217,7 @@
 		return nil, 0, 0
 	}
 	seconds := l.fleetSeconds(now)
-	turns := turnsOf(l.share, process, known.perSecond)
+	turns := turnsOf(l.instances, l.position, process, known.perSecond)
 	if known.takenUntil > seconds+maxAhead.Seconds()+turns.interval {
 		known.takenUntil = seconds // the estimated time of day was corrected
 	}
--- a/endpointlimit/turns.go
+++ b/endpointlimit/turns.go
@@ -29,13 +29,12 @@
 	first, interval, lapse float64
 }
 
-// turnsOf returns the turns of an instance at a process with a limit. The processes begin at different instances.
-func turnsOf(share Share, process uint64, perSecond float32) turns {
+// turnsOf returns the turns, at a process with a limit, of the instance at a position among n, see Share.position. The processes
+// begin at different instances.
+func turnsOf(n, position, process uint64, perSecond float32) turns {
 	rate := usablePart * min(max(float64(perSecond), minPerSecond), maxPerSecond)
-	n := uint64(max(share.Instances, 1))
-	position := (uint64(max(share.Rank, 0)) + process) % n
 	return turns{
-		first: float64(position) / rate, interval: float64(n) / rate,
+		first: float64((position+process)%n) / rate, interval: float64(n) / rate,
 		lapse: lapseTime.Seconds() + lapseTurns*usablePart/rate,
 	}
 }
