forward: give back the retry of an attempt that sent nothing

Found by review. A repeat is taken from the retry budget before its endpoint is chosen. If the endpoints that were left were at their rate limits, or none was left, the request was refused and the retry stayed counted: the budget of the service, which an endpoint with 503 beside limited ones uses up within a window of 10 s, was spent on sends that were not made, and others were refused.

The exchange holds what it took until a send may have reached an endpoint, keeps it for the next endpoint if the send failed before that, and gives it back to the slot in which it was taken when no further attempt is made.

The test failed before: the budget had no retry left after the refused one.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -112,6 +112,9 @@
 		Sent:      e.onSent,
 		IdleLimit: e.idleLimit(),
 	})
+	if !errors.Is(err, upstream.ErrNotSent) {
+		e.retryTakenAt = time.Time{}
+	}
 	if err != nil {
 		return nil, AnswerHeader{}, err
 	}
@@ -295,8 +298,16 @@
 }
 
 // allowRetry reports whether the request is sent again after a failed attempt, and takes the retry from the budget
-// unless the request did not reach the endpoint.
+// unless the request did not reach the endpoint. What was taken for an attempt that sent nothing is given back.
 func (e *exchange) allowRetry(failed *failure) bool {
+	if e.mayRetry(failed) {
+		return true
+	}
+	e.returnRetry()
+	return false
+}
+
+func (e *exchange) mayRetry(failed *failure) bool {
 	switch {
 	case e.remaining() <= minAttemptTime, e.server.cutting.Load():
 		return false
@@ -307,7 +318,26 @@
 	default:
 		return false
 	}
-	return e.sends < e.route.MaxAttempts && e.server.deps.Budget.Take(e.server.deps.Now(), e.service.Name)
+	return e.sends < e.route.MaxAttempts && e.takeRetry()
+}
+
+// takeRetry takes the next send from the retry budget.
+func (e *exchange) takeRetry() bool {
+	now := e.server.deps.Now()
+	if !e.server.deps.Budget.Take(now, e.service.Name) {
+		return false
+	}
+	e.retryTakenAt = now
+	return true
+}
+
+// returnRetry gives back to the retry budget what was taken for a send that was not made.
+func (e *exchange) returnRetry() {
+	if e.retryTakenAt.IsZero() {
+		return
+	}
+	e.server.deps.Budget.Return(e.server.deps.Now(), e.retryTakenAt, e.service.Name)
+	e.retryTakenAt = time.Time{}
 }
 
 // minAttemptTime is the least time before the deadline at which another attempt is made.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -44,6 +44,8 @@
 	// tried holds the IDs of the chosen endpoints; sends counts the sends that may have reached one.
 	tried map[string]bool
 	sends int
+	// retryTakenAt is when the next send was taken from the retry budget, zero if none is.
+	retryTakenAt time.Time
 	// mayHaveRun is set after a failed send that the endpoint may have run.
 	mayHaveRun bool
 	// started is set by the first call of recordStart.
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -136,6 +136,7 @@
 	var limit *time.Timer
 	e.onSent = func() { limit = time.AfterFunc(takeoverLimit, func() { s.win(t) }) }
 	t.answer, t.failed = e.attempt()
+	e.returnRetry()
 	if limit != nil {
 		limit.Stop()
 	}
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -89,6 +89,13 @@
 	return true
 }
 
+// Return gives back an extra send that Take counted at takenAt and that was not made.
+func (b *Budget) Return(now, takenAt time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts(service).extras.remove(b.slot(takenAt), b.slot(now))
+}
+
 // slot returns the number of the slot at the given time.
 func (b *Budget) slot(now time.Time) int64 {
 	return int64(now.Sub(b.start) / (b.cfg.Window / windowSlots))
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -44,6 +44,17 @@
 		Expect(b.Take(start, "b")).To(BeTrue())
 	})
 
+	It("guards against a budget that is used up by extra sends that were not made, and against one that grows by them", func() {
+		b := NewBudget(start, Config{Ratio: 0, Slack: 2, Window: time.Second})
+		Expect(b.Take(start, "a")).To(BeTrue())
+		later := start.Add(500 * time.Millisecond)
+		b.Return(later, start, "a")
+		Expect(b.Take(later, "a")).To(BeTrue())
+		b.Return(start.Add(1200*time.Millisecond), start, "a")
+		Expect(b.Take(start.Add(1200*time.Millisecond), "a")).To(BeFalse())
+		Expect(b.Take(start.Add(1700*time.Millisecond), "a")).To(BeTrue())
+	})
+
 	It("guards against an extra send that stops counting before the window has passed, or still counts long after it", func() {
 		b := NewBudget(start, Config{Ratio: 0, Slack: 2, Window: time.Second})
 		Expect(b.Take(start, "a")).To(BeTrue())
--- a/retrybudget/sliding_counter.go
+++ b/retrybudget/sliding_counter.go
@@ -26,6 +26,14 @@
 	c.counts[slot%(windowSlots+1)]++
 }
 
+// remove takes back an event in a slot, if the window that ends in now still contains it.
+func (c *slidingCounter) remove(slot, now int64) {
+	c.advance(now)
+	if n := &c.counts[slot%(windowSlots+1)]; now-slot <= windowSlots && *n > 0 {
+		*n--
+	}
+}
+
 // total returns the number of events in the window that ends in slot. The oldest slot counts in full.
 func (c *slidingCounter) total(slot int64) int {
 	c.advance(slot)
