quarantine: age answers by the time for which their message was unread

Same class as the ends of rate limits: found by looking for statements that are dated by their reading. An answer to a key in a message that an instance read late, after a freeze or over a slow link, counted as given at the reading. If the key was quarantined since, the answer lifted the quarantine at all instances, and requests with the key reached endpoints again.

Answers in a message get older by the time since its sending, as the ends of limits do. Crashes keep their ages, since the earliest time that any instance tells counts.

The test failed before: the answer was 50 ms old instead of 10 s.

--- a/entry/control.go
+++ b/entry/control.go
@@ -193,9 +193,15 @@
 	return gossip.Handler{Report: i.handleReport, Summary: i.handleSummary, Digest: i.handleDigest}
 }
 
+// ageDelayed ages the knowledge in a message by the time for which it was on its way or unread.
+func (i *Instance) ageDelayed(state *fleetstate.State, sentAt time.Time) {
+	delay := i.wallNow().Sub(sentAt)
+	state.Limits, state.Evidence = state.Limits.Delayed(delay), state.Evidence.Delayed(delay)
+}
+
 func (i *Instance) handleReport(report fleetstate.Report) {
 	now := clock.Now()
-	report.State.Limits = i.delayedLimits(report.State.Limits, report.Wall)
+	i.ageDelayed(&report.State, report.Wall)
 	if !i.fleet.ObserveReport(now, report) {
 		return
 	}
@@ -205,7 +211,7 @@
 
 func (i *Instance) handleSummary(summary fleetstate.Summary) {
 	now := clock.Now()
-	summary.State.Limits = i.delayedLimits(summary.State.Limits, summary.Wall)
+	i.ageDelayed(&summary.State, summary.Wall)
 	if !i.fleet.ObserveSummary(now, summary) {
 		return
 	}
@@ -217,7 +223,7 @@
 
 func (i *Instance) handleDigest(digest fleetstate.Digest) {
 	now := clock.Now()
-	digest.State.Limits = i.delayedLimits(digest.State.Limits, digest.Wall)
+	i.ageDelayed(&digest.State, digest.Wall)
 	if !i.fleet.ObserveDigest(now, digest) {
 		return
 	}
--- a/entry/rate_limits_test.go
+++ b/entry/late_messages_test.go
@@ -10,14 +10,16 @@
 	"knapweedhoist/deployment"
 	"knapweedhoist/endpointlimit"
 	"knapweedhoist/fleetstate"
+	"knapweedhoist/quarantine"
 	"knapweedhoist/walltime"
 )
 
-var _ = Describe("The rate limits in a message", func() {
-	const process = 7
+var _ = Describe("What a message tells", func() {
+	const process, key = 7, quarantine.Key(8)
 
-	// Guards against the end of a former limit that lifts a limit stated since, because its message was read late.
-	DescribeTable("are as old as they are when the message was read late", func(handle func(i *Instance, sender fleetstate.Sender, state fleetstate.State)) {
+	// Guards against the end of a former limit that lifts a limit stated since, and against an answer that lifts a quarantine which
+	// began after it, because their message was read late.
+	DescribeTable("is as old as it is when the message was read late", func(handle func(i *Instance, sender fleetstate.Sender, state fleetstate.State)) {
 		i := &Instance{
 			state: deployment.NewState(), wall: walltime.NewEstimator("a"), freshPeers: newFreshPeers(),
 			fleet: fleetstate.NewFleet(fleetstate.Config{Self: fleetstate.Source{Instance: "a", Boot: 1}, DataCentre: "near"}),
@@ -29,8 +31,14 @@
 			Source: fleetstate.Source{Instance: "b", Boot: 1}, DataCentre: "near", Sequence: 1, Interval: time.Second,
 			Wall: i.wallNow().Add(-10 * time.Second),
 		}
-		handle(i, sender, fleetstate.State{Limits: endpointlimit.Records{{Process: process, Ended: true, Age: 50 * time.Millisecond}}})
-		known := i.fleet.Advance(clock.Now(), 1).Limits
+		handle(i, sender, fleetstate.State{
+			Limits:   endpointlimit.Records{{Process: process, Ended: true, Age: 50 * time.Millisecond}},
+			Evidence: quarantine.Evidence{Answers: []quarantine.Answer{{Key: key, Age: 50 * time.Millisecond}}},
+		})
+		others := i.fleet.Advance(clock.Now(), 1)
+		Expect(others.Evidence.Answers).To(HaveLen(1))
+		Expect(others.Evidence.Answers[0].Age).To(BeNumerically(">=", 10*time.Second))
+		known := others.Limits
 		Expect(known).To(HaveLen(1))
 		Expect(known[0].Age).To(BeNumerically(">=", 10*time.Second))
 		Expect(limits.Merge(time.Now(), known)).To(BeEmpty())
--- a/entry/rate_limits.go
+++ b/entry/rate_limits.go
@@ -32,11 +32,6 @@
 	i.balancer.Limits().SetShare(time.Now(), share)
 }
 
-// delayedLimits returns the rate limits in a message with the time for which it was on its way or unread.
-func (i *Instance) delayedLimits(limits endpointlimit.Records, sentAt time.Time) endpointlimit.Records {
-	return limits.Delayed(i.wallNow().Sub(sentAt))
-}
-
 // updateRateLimits takes over what the other instances know, and the part of the limits that belongs to this instance.
 func (i *Instance) updateRateLimits(known endpointlimit.Records) {
 	limits := i.balancer.Limits()
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -80,6 +80,17 @@
 	return aged
 }
 
+// Delayed returns the evidence of a message that was on its way or unread for the given time. Only answers get older: a crash
+// counts from the earliest time that is known, but an answer that counts as too young lifts a quarantine which began after it.
+func (e Evidence) Delayed(by time.Duration) Evidence {
+	delayed := e
+	delayed.Answers = slices.Clone(e.Answers)
+	for i := range delayed.Answers {
+		delayed.Answers[i].Age += max(by, 0)
+	}
+	return delayed
+}
+
 // Merge adds the evidence of other, which is of the same time. Merging the same evidence again changes nothing. Of more
 // entries than the bounds allow, the newest are kept.
 func (e *Evidence) Merge(other Evidence) {
