endpointlimit: simulate a limit that begins and ends while answers are under way

Answers are written up to 4 s after their request and read up to 4 s after that, while the endpoint begins and ends its limit. Counted are the requests of instances that have read the limit, as in the rule.

--- a/endpointlimit/simulation_test.go
+++ b/endpointlimit/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -21,8 +22,22 @@
 	demand float64
 	// statement is what the endpoint states in its answers.
 	statement Statement
-	reports   []delivery
-	arrivals  []time.Time
+	// answerTime bounds the time until the endpoint writes an answer and that until it is read, each. limitedSince is when the
+	// statement became a limit; bounded holds the arrivals from instances that had read a limit stated since.
+	answerTime   time.Duration
+	limitedSince time.Time
+	answers      []*answer
+	reports      []delivery
+	arrivals     []time.Time
+	bounded      []time.Time
+	toldAt       map[int]time.Time
+}
+
+// answer is the answer to a request of an instance.
+type answer struct {
+	from                      int
+	sentAt, writtenAt, readAt time.Time
+	statement                 *Statement
 }
 
 // delivery is a report on its way.
@@ -40,7 +55,7 @@
 
 func newSimulation(seed uint64, instances int, demand float64) *simulation {
 	s := &simulation{
-		now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), demand: demand, cut: make(map[int]bool),
+		now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), demand: demand, cut: make(map[int]bool), toldAt: make(map[int]time.Time),
 		instances: make([]*Limits, instances), skew: make([]time.Duration, instances),
 	}
 	for i := range instances {
@@ -60,17 +75,51 @@
 			limits.SetShare(s.now, Share{Instances: len(s.instances), Rank: i, FleetTime: s.now.Add(s.skew[i])})
 			if s.random.Float64() < s.demand*step.Seconds() && limits.Wait(s.now, process) == 0 {
 				limits.Take(s.now, process)
-				s.arrivals = append(s.arrivals, s.now)
-				limits.Observe(s.now, s.now, process, s.statement)
+				s.request(i)
 			}
 			if report {
 				s.report(i)
 			}
 		}
+		s.answer()
 		s.deliver()
 	}
 }
 
+// request records the arrival of a request of an instance.
+func (s *simulation) request(from int) {
+	s.arrivals = append(s.arrivals, s.now)
+	if told, ok := s.toldAt[from]; ok && s.now.Sub(told) >= 500*time.Millisecond {
+		s.bounded = append(s.bounded, s.now)
+	}
+	writtenAt := s.now.Add(time.Duration(s.random.Int64N(int64(s.answerTime) + 1)))
+	readAt := writtenAt.Add(time.Duration(s.random.Int64N(int64(s.answerTime) + 1)))
+	s.answers = append(s.answers, &answer{from: from, sentAt: s.now, writtenAt: writtenAt, readAt: readAt})
+}
+
+// answer writes and delivers the answers that are due.
+func (s *simulation) answer() {
+	s.answers = slices.DeleteFunc(s.answers, func(a *answer) bool {
+		if a.statement == nil && !a.writtenAt.After(s.now) {
+			statement := s.statement
+			a.statement = &statement
+		}
+		if a.readAt.After(s.now) {
+			return false
+		}
+		s.instances[a.from].Observe(s.now, a.sentAt, process, *a.statement)
+		if _, told := s.toldAt[a.from]; !told && a.statement.Kind == Named && !a.writtenAt.Before(s.limitedSince) {
+			s.toldAt[a.from] = s.now
+		}
+		return true
+	})
+}
+
+// state makes the endpoint state another limit, or none.
+func (s *simulation) state(statement Statement) {
+	s.statement, s.limitedSince, s.bounded, s.toldAt = statement, s.now, nil, make(map[int]time.Time)
+}
+
 // report sends what an instance knows to a few others.
 func (s *simulation) report(from int) {
 	for range 3 {
@@ -94,10 +143,12 @@
 }
 
 // mostSince returns the largest number of arrivals within 4 s since a time, countSince the number of all.
-func (s *simulation) mostSince(since time.Time) int {
+func (s *simulation) mostSince(since time.Time) int { return mostWithin(s.arrivals, since) }
+
+func mostWithin(arrivals []time.Time, since time.Time) int {
 	most, first := 0, 0
-	for i, at := range s.arrivals {
-		for s.arrivals[first].Before(since) || at.Sub(s.arrivals[first]) >= 4*time.Second {
+	for i, at := range arrivals {
+		for arrivals[first].Before(since) || at.Sub(arrivals[first]) >= 4*time.Second {
 			if first++; first > i {
 				break
 			}
@@ -153,3 +204,24 @@
 	Entry("75 instances, 30/s", 75, float32(30), 2.0, 0.7, uint64(2)),
 	Entry("295 instances, 3/s", 295, float32(3), 1.0, 0.7, uint64(1)),
 )
+
+// Guards against a limit that ends with an answer which was written before it began, and against one that does not end.
+var _ = DescribeTable("The requests at an endpoint whose limit begins and ends while answers are under way", func(instances int, perSecond float32, demand float64, seeds uint64) {
+	for seed := range seeds {
+		s := newSimulation(seed, instances, demand)
+		s.answerTime = 4 * time.Second
+		for range 2 {
+			s.state(Statement{Kind: Named, PerSecond: perSecond})
+			s.run(16 * time.Second)
+			Expect(float64(mostWithin(s.bounded, s.limitedSince.Add(3*time.Second)))).To(BeNumerically("<=", bound(perSecond)), "seed %d", seed)
+			s.state(Statement{Kind: Absent})
+			s.run(20 * time.Second)
+			for _, limits := range s.instances {
+				Expect(limits.InForce()).To(BeZero(), "seed %d", seed)
+			}
+		}
+	}
+},
+	Entry("8 instances, 2/s", 8, float32(2), 5.0, uint64(8)),
+	Entry("75 instances, 4/s", 75, float32(4), 1.0, uint64(2)),
+)
