--- a/endpointlimit/limits.go
+++ b/endpointlimit/limits.go
@@ -25,6 +25,8 @@
 	// share is that of the last SetShare, which was called at sharedAt.
 	share    Share
 	sharedAt time.Time
+	// instances and position are those of share.position.
+	instances, position uint64
 	// reported is the position of the last call of Records in the limits that take turns.
 	reported int
 }
@@ -34,14 +36,16 @@
 	perSecond float32
 	// ended is set if the process stated a limit before and has none any more.
 	ended bool
-	// statedAt is the time of the last statement, changedAt that at which this instance learned of the change to it.
+	// statedAt is the time of the last statement, see Record.Age, changedAt that at which this instance learned of the change to it.
 	statedAt, changedAt time.Time
 	// takenUntil is a time after the start of the last turn that was taken, in seconds of the fleet's time.
 	takenUntil float64
 }
 
 // New returns Limits without any limit, for a deployment of one instance.
-func New() *Limits { return &Limits{limits: make(map[uint64]*limit), share: Share{Instances: 1}} }
+func New() *Limits {
+	return &Limits{limits: make(map[uint64]*limit), share: Share{Instances: 1}, instances: 1}
+}
 
 // SetShare replaces the part of the limits that belongs to this instance. What was taken moves with a correction of the
 // fleet's time, so that a step neither blocks an endpoint nor frees its turns again. Turns of the new part that began before
@@ -52,6 +56,9 @@
 	before, known := l.fleetSeconds(now), !l.sharedAt.IsZero()
 	changed := share.Instances != l.share.Instances || share.Rank != l.share.Rank
 	l.share, l.sharedAt = share, now
+	if changed {
+		l.instances, l.position = share.position()
+	}
 	after := l.fleetSeconds(now)
 	for _, limit := range l.limits {
 		if known {
@@ -79,23 +86,34 @@
 	return float64(l.share.FleetTime.Add(now.Sub(l.sharedAt)).UnixNano()) / float64(time.Second)
 }
 
-// Observe takes over a statement of a process, which is newer than all earlier ones. It returns the change, if there is one.
-func (l *Limits) Observe(now time.Time, process uint64, statement Statement) (change Change, changed bool) {
+// Observe takes over a statement of a process in an answer that has been read now, to a request that was sent at sentAt. The
+// process wrote it at any time between them: one that lifts or raises a limit counts as old as it can be, any other one as
+// young as it can be. It returns the change, if there is one.
+func (l *Limits) Observe(now, sentAt time.Time, process uint64, statement Statement) (change Change, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if statement.Kind == Invalid || statement.Kind == Absent && l.limits[process] == nil {
+	known := l.limits[process]
+	if statement.Kind == Invalid || statement.Kind == Absent && known == nil {
 		return Change{}, false
 	}
-	return l.set(now, process, limit{perSecond: statement.PerSecond, ended: statement.Kind == Absent, statedAt: now})
+	next := limit{perSecond: statement.PerSecond, ended: statement.Kind == Absent, statedAt: now}
+	if next.ended || known != nil && !known.ended && next.perSecond > known.perSecond {
+		if !sentAt.After(known.statedAt) {
+			return Change{}, false
+		}
+		next.statedAt = sentAt
+	}
+	return l.set(now, process, next)
 }
 
-// Merge takes over what other instances have been told and returns the changes.
+// Merge takes over what other instances have been told and returns the changes. A limit that is not known here and was stated
+// more than retention ago is not taken over, since its end may have been forgotten.
 func (l *Limits) Merge(now time.Time, records Records) (changes []Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, record := range records {
 		known := l.limits[record.Process]
-		if known == nil && record.Ended || known != nil && !record.supersedes(known.record(now, record.Process)) {
+		if known == nil && (record.Ended || record.Age >= retention) || known != nil && !record.supersedes(known.record(now, record.Process)) {
 			continue
 		}
 		next := limit{perSecond: record.PerSecond, ended: record.Ended, statedAt: now.Add(-record.Age)}
@@ -199,7 +217,7 @@
 		return nil, 0, 0
 	}
 	seconds := l.fleetSeconds(now)
-	turns := turnsOf(l.share, process, known.perSecond)
+	turns := turnsOf(l.instances, l.position, process, known.perSecond)
 	if known.takenUntil > seconds+maxAhead.Seconds()+turns.interval {
 		known.takenUntil = seconds // the estimated time of day was corrected
 	}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -48,6 +48,8 @@
 	// silentEndpoint is the ID of the endpoint that was given up because it was silent, "" for none. returnTo is that ID while
 	// the next attempt is made there.
 	silentEndpoint, returnTo string
+	// retryTakenAt is when the next send was taken from the retry budget, zero if none is.
+	retryTakenAt time.Time
 	// mayHaveRun is set after a failed send that the endpoint may have run.
 	mayHaveRun bool
 	// started is set by the first call of recordStart.
