forward: close the connection with the answer to a request that began before the stop

Callers: after SIGTERM the answer to a request that was in progress did not say that its connection closes. The caller sent its next request on it, which crossed the close at 3.5 s and got no answer. Cause: the server decided at the beginning of a request whether its connection closes, not when the header of the answer is written. Change: the decision is made with the answer. Streams whose header is out already still end without the statement.

--- a/forward/respond.go
+++ b/forward/respond.go
@@ -18,8 +18,16 @@
 	return fmt.Errorf("%w: status %d", errUnexpectedAnswer, status)
 }
 
+// closeIfDraining makes the connection close after the answer, which then says so.
+func (e *exchange) closeIfDraining() {
+	if e.server.draining.Load() {
+		e.ctx.SetConnectionClose()
+	}
+}
+
 // respondBuffered passes an endpoint's buffered answer on to the caller.
 func (e *exchange) respondBuffered(answer *endpointAnswer) {
+	e.closeIfDraining()
 	e.server.deps.Codec.EncodeAnswer(&e.ctx.Response.Header, answer.header)
 	e.ctx.SetStatusCode(answer.header.StatusCode())
 	e.setBody(answer.body)
@@ -40,6 +48,7 @@
 
 // respondStream passes an endpoint's events on to the caller as they arrive.
 func (e *exchange) respondStream(answer *endpointAnswer) {
+	e.closeIfDraining()
 	e.server.deps.Codec.EncodeAnswer(&e.ctx.Response.Header, answer.header)
 	e.ctx.SetStatusCode(answer.header.StatusCode())
 	e.server.deps.Metrics.recordFirstByte(time.Since(e.arrived))
@@ -137,9 +146,7 @@
 // respondLocal writes an answer that this instance generates, with reason as its body.
 func (e *exchange) respondLocal(status int, reason string, retryAfter time.Duration) {
 	e.ctx.Response.Reset()
-	if e.server.draining.Load() {
-		e.ctx.SetConnectionClose()
-	}
+	e.closeIfDraining()
 	e.server.deps.Codec.EncodeLocalAnswer(&e.ctx.Response.Header, e.request.ID)
 	e.ctx.SetStatusCode(status)
 	e.ctx.Response.Header.SetContentType("text/plain; charset=utf-8")
--- a/forward/server.go
+++ b/forward/server.go
@@ -172,9 +172,6 @@
 }
 
 func (s *Server) serve(ctx *fasthttp.RequestCtx, e *exchange) {
-	if s.draining.Load() {
-		ctx.SetConnectionClose()
-	}
 	if s.refusing.Load() {
 		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "instance is stopping", retryAfter: minRetryAfter})
 		return
