daemon: install the signal handlers before the settings are read

Callers: an instance that got SIGHUP while it started ended by itself; one that got SIGTERM ended with a signal instead of status 0. Cause: SIGHUP was handled once the instance was built, SIGTERM once a goroutine ran that started at the same time as the listeners. Until then the default action of both ends the process. Change: both handlers are installed first.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -25,6 +25,10 @@
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
+	// The default action of these signals would end a process that is still starting.
+	hangups, terminations := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Notify(terminations, syscall.SIGTERM, os.Interrupt)
 	path := c.Config
 	if path == "" {
 		path = platform.SettingsPath()
@@ -40,10 +44,8 @@
 	instance := entry.New(log.Logger, settings, platform.NewAdapter(settings.Store, settings.Cloud))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go newSettingsWatcher(log.Logger, path, content, instance.Reload).watch(ctx, hangups)
-	go stopOnSignal(instance)
+	go stopOnSignal(terminations, instance)
 	return instance.Run(ctx)
 }
 
@@ -77,10 +79,8 @@
 // ignoreBrokenOutput makes writes to a closed standard output or standard error fail, instead of ending the process.
 func ignoreBrokenOutput() { signal.Ignore(syscall.SIGPIPE) }
 
-// stopOnSignal starts a planned stop on SIGTERM or SIGINT.
-func stopOnSignal(instance *entry.Instance) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+// stopOnSignal starts a planned stop on the first signal.
+func stopOnSignal(signals <-chan os.Signal, instance *entry.Instance) {
 	<-signals
 	instance.Stop()
 }
