daemon: read the settings at SIGTERM, before the planned stop

Callers: a grace period that was shortened less than a second before SIGTERM, without SIGHUP or just after it, was not in force at the stop: the platform killed the process before the requests in progress were answered. Cause: the file is compared once a second, and the handlers of SIGHUP and SIGTERM do not wait for each other. Change: the file is read once more before the stop begins, which waits for that at most 200 ms. Evidence: TestSettingsAtAPlannedStop; before, the stop began without the read.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -44,8 +45,9 @@
 	instance := entry.New(log.Logger, settings, platform.NewAdapter(settings.Store, settings.Cloud))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go newSettingsWatcher(log.Logger, path, content, instance.Reload).watch(ctx, hangups)
-	go stopOnSignal(terminations, instance)
+	watcher := newSettingsWatcher(log.Logger, path, content, instance.Reload)
+	go watcher.watch(ctx, hangups)
+	go stopOnSignal(terminations, watcher.reloadIfChanged, instance.Stop)
 	return instance.Run(ctx)
 }
 
@@ -79,8 +81,21 @@
 // ignoreBrokenOutput makes writes to a closed standard output or standard error fail, instead of ending the process.
 func ignoreBrokenOutput() { signal.Ignore(syscall.SIGPIPE) }
 
-// stopOnSignal starts a planned stop on the first signal.
-func stopOnSignal(signals <-chan os.Signal, instance *entry.Instance) {
+// maxReloadTime bounds how long a planned stop waits for the settings file: less than the time that it leaves of the grace period.
+const maxReloadTime = 200 * time.Millisecond
+
+// stopOnSignal starts a planned stop on the first signal. It reloads the settings before, since the grace period may have been
+// changed less than settingsPollInterval ago.
+func stopOnSignal(signals <-chan os.Signal, reload, stop func()) {
 	<-signals
-	instance.Stop()
+	reloaded := make(chan struct{})
+	go func() {
+		defer close(reloaded)
+		reload()
+	}()
+	select {
+	case <-reloaded:
+	case <-time.After(maxReloadTime):
+	}
+	stop()
 }
--- a/internal/daemon/settings_watcher.go
+++ b/internal/daemon/settings_watcher.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"sync"
 	"time"
 
 	"knapweedhoist/entry"
@@ -15,11 +16,13 @@
 const settingsPollInterval = time.Second
 
 // settingsWatcher reloads the settings of an entry instance when their file
-// changes. It is not safe for concurrent use.
+// changes.
 type settingsWatcher struct {
 	lg     *slog.Logger
 	path   string
 	reload func(entry.Settings)
+
+	mu sync.Mutex // guards the fields below and serialises reload
 	// lastContent is the last content read, valid or not; a failed read does not change it.
 	lastContent []byte
 	// unreadable is true if the last read failed. Only the first of consecutive failures is logged.
@@ -49,6 +52,8 @@
 
 // reloadIfChanged applies the settings if the file differs from the last content read and is valid.
 func (w *settingsWatcher) reloadIfChanged() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	content, err := os.ReadFile(w.path)
 	if err != nil {
 		w.logReadError(err)
--- a/internal/daemon/settings_watcher_test.go
+++ b/internal/daemon/settings_watcher_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -51,3 +52,24 @@
 	g.Expect(reloaded).To(HaveLen(1))
 	g.Expect(strings.Count(log.String(), "settings not reloaded")).To(Equal(2))
 }
+
+// Guards against a planned stop that goes by a grace period that was replaced just before it, and is killed before it has
+// answered its requests; and against one that waits for a file that cannot be read.
+func TestSettingsAtAPlannedStop(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	grace := 0.0
+	watcher := newSettingsWatcher(slog.New(slog.DiscardHandler), path, []byte(sampleSettings), func(s entry.Settings) { grace = s.StopGrace })
+	g.Expect(os.WriteFile(path, []byte(sampleSettings+"stop_grace_s: 3\n"), 0o600)).To(Succeed())
+	signals := make(chan os.Signal, 1)
+	signals <- syscall.SIGTERM
+	graceAtStop := 0.0
+	stopOnSignal(signals, watcher.reloadIfChanged, func() { graceAtStop = grace })
+	g.Expect(graceAtStop).To(Equal(3.0))
+
+	signals <- syscall.SIGTERM
+	stopped, release := false, make(chan struct{})
+	defer close(release)
+	stopOnSignal(signals, func() { <-release }, func() { stopped = true })
+	g.Expect(stopped).To(BeTrue())
+}
