knapweedhoist: pass the failures of a handover's target on as its answers

Cause: a target answers that it lacks a copy, or owns the request already, with a failure in its answer. The client of a peer session returns such an answer as an error, and the source takes an error for a peer that did not answer. It gave the peer up, chose it again 500 ms later, and got the same answer for the requests that the peer had taken over as finished, without end. It begins when the copies of the first epoch are removed by the announcement of no successor that arrives after them. Change: the transport turns a failure of the target's step back into an answer. Other failures stay errors, since the call may have been processed: a call that must not be repeated is granted to one peer only.

--- a/departure.go
+++ b/departure.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
 	"knapweedhoist/control"
+	"knapweedhoist/handover"
 	"knapweedhoist/internal/wait"
 	"knapweedhoist/membership"
 	"knapweedhoist/objectapi"
+	"knapweedhoist/peer"
 	"knapweedhoist/timeline"
 	"knapweedhoist/wire"
 )
@@ -40,13 +43,23 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 		defer cancel()
-		answer, err := t.instance.callPeer(ctx, incarnation, call)
+		answer, err := handoverAnswer(t.instance.callPeer(ctx, incarnation, call))
 		if report != nil {
 			report(answer, err)
 		}
 	}()
 }
 
+// handoverAnswer returns a failure with which the peer's handover.Target answered as an answer. The client returns it as an
+// error, like failures that say nothing about the call.
+func handoverAnswer(answer *wire.Answer, err error) (*wire.Answer, error) {
+	var remote *peer.RemoteError
+	if errors.As(err, &remote) && remote.Step == handover.FailureStep {
+		return &wire.Answer{Failure: &wire.Failure{Code: remote.Code, Step: remote.Step, Message: remote.Message}}, nil
+	}
+	return answer, err
+}
+
 // Announce implements handover.Transport.
 func (t *handoverTransport) Announce(successor string) {
 	i := t.instance
--- a/handover/failure.go
+++ b/handover/failure.go
@@ -9,6 +9,10 @@
 	codeOwned   = "not_owner"
 )
 
+// FailureStep is the step in the failures with which a Target answers. A failure with another step says nothing about the
+// call, which the Target may have processed.
+const FailureStep = "handover"
+
 // copyAnswer encodes a result as the answer to a handover call.
 func copyAnswer(result CopyResult) *wire.Answer {
 	code := ""
@@ -22,7 +26,7 @@
 	default:
 		code = codeRefused
 	}
-	return &wire.Answer{Failure: &wire.Failure{Code: code, Step: "handover"}}
+	return &wire.Answer{Failure: &wire.Failure{Code: code, Step: FailureStep}}
 }
 
 // copyResult decodes the answer to a handover call. An error, or no answer, is
