forward: close a connection above the limit with its refusal

Callers: a connection that was accepted above the limit stayed open after its requests were refused, so that the limit did not hold and its further requests were refused as well. Cause: the refusal resets the response, and with it the statement that the connection closes. Change: the statement is made after the refusal. Evidence: the new test failed before (no end of the connection within 20 s) and passes now.

--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -179,6 +179,18 @@
 		Expect(c.isSurplus(busy)).To(BeFalse())
 	})
 
+	// Guards against connections above the limit that stay open after their requests were refused.
+	It("closes a connection above the limit with its first answer", func() {
+		server, dial := connect(1)
+		busy, _ := pair()
+		server.conns.observe(busy, fasthttp.StateNew)
+		server.conns.observe(busy, fasthttp.StateActive)
+		further := dial()
+		Expect(exchangeOnce(further)).To(Equal(http.StatusServiceUnavailable))
+		_, err := further.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+	})
+
 	// Guards against idle connections that are kept longer than the configuration allows, or closed earlier.
 	It("closes the connections that are idle for longer than the configuration allows", func() {
 		server, dial := connect(0)
--- a/forward/server.go
+++ b/forward/server.go
@@ -177,8 +177,8 @@
 		return
 	}
 	if s.conns.isSurplus(ctx.Conn()) {
-		ctx.SetConnectionClose()
 		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "too many connections", retryAfter: minRetryAfter})
+		ctx.SetConnectionClose() // after refuse, which resets the response
 		return
 	}
 	s.awaitStart(e)
