--- a/faultsoak/stop_outlasted_test.go
+++ b/faultsoak/stop_outlasted_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"knapweedhoist/platform/platformtest"
+	"knapweedhoist/standin"
 )
 
 const (
@@ -32,7 +33,8 @@
 )
 
 // TestRequestsThatOutlastAStop guards against requests without an answer, and streams that are cut before the last sixth of the
-// grace period, around a SIGTERM that many of the requests outlast. Requests arrive in parts, and further signals follow.
+// grace period, around a SIGTERM that many of the requests outlast. Requests arrive in parts, further signals follow, and in
+// half of the runs the store fails.
 func TestRequestsThatOutlastAStop(t *testing.T) {
 	binary, err := buildDaemon(t.TempDir())
 	if err != nil {
@@ -65,6 +67,9 @@
 		})
 	}
 	time.Sleep(time.Until(stop))
+	if seed%2 == 1 {
+		defer r.platform.Store.Faults.Add(standin.Fault{Kind: standin.FaultOutage})()
+	}
 	stop = time.Now()
 	exited := r.processes[0].signal(syscall.SIGTERM)
 	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
