--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -30,9 +30,10 @@
 	// team is nil on public routes and if the configuration is open to all.
 	team    *deployment.Team
 	request Request
-	// header and body are copies that outlive the handler.
-	header *fasthttp.RequestHeader
-	body   []byte
+	// header is a copy that outlives the handler. body is that of bodyBuffer, which is nil without one.
+	header     *fasthttp.RequestHeader
+	body       []byte
+	bodyBuffer *boundedbuffer.Buffer
 
 	arrived time.Time
 	// accepted is set when the request is counted in Metrics.InProgress, until release.
@@ -44,6 +45,9 @@
 	// tried holds the IDs of the chosen endpoints; sends counts the sends that may have reached one.
 	tried map[string]bool
 	sends int
+	// silentEndpoint is the ID of the endpoint that was given up because it was silent, "" for none. returnTo is that ID while
+	// the next attempt is made there.
+	silentEndpoint, returnTo string
 	// mayHaveRun is set after a failed send that the endpoint may have run.
 	mayHaveRun bool
 	// started is set by the first call of recordStart.
@@ -83,6 +87,7 @@
 	}
 	e.cancel()
 	e.releaseBuffer()
+	e.releaseBody()
 	e.server.progress.remove(e)
 	e.server.deps.Metrics.InProgress.Dec(1)
 }
