forward: count a request as arrived when its body is complete

Callers: a request whose body arrives late, in chunks or larger than 8 KiB, lost that time from the route's timeout, so that its answer or its stream ended early; and it was handled by a configuration that was replaced before the body was complete. Cause: since bodies are read in the handler, the time of arrival and the view of the configuration are those of the header. Before, the handler began with the whole request. Change: both are taken again once the body is read. Evidence: both new tests failed before (504 instead of 200 at a timeout of 2 s with a body of 1.5 s and an answer of 1 s; 404 instead of 200 for a route of the new configuration) and pass now.

--- a/forward/server.go
+++ b/forward/server.go
@@ -183,6 +183,8 @@
 		e.refuse(refusal)
 		return
 	}
+	// A request has arrived when its body is complete, which may be seconds after its header.
+	e.arrived, e.view = time.Now(), s.deps.State.View()
 	if s.refusing.Load() {
 		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "instance is stopping", retryAfter: minRetryAfter})
 		return
