forward: close the connection with the refusal of a body that was not read

Callers: the answer to a request whose body found no memory did not say that its connection closes; a further request on it crossed the close. Cause: the refusal resets the response, and with it the statement, as for connections above the limit. Change: the statement is made after the refusal. Evidence: the new test failed before ("Connection: close" missing) and passes now.

--- a/forward/request_body.go
+++ b/forward/request_body.go
@@ -52,10 +52,9 @@
 	return nil
 }
 
-// refuseBody returns the answer to a request whose body cannot be read. Its connection is closed, since the rest of the body may
-// follow.
+// refuseBody returns the answer to a request whose body cannot be read. Its connection must be closed, since the rest of the body
+// may follow.
 func (e *exchange) refuseBody(err error) *refusal {
-	e.ctx.SetConnectionClose()
 	switch {
 	case errors.Is(err, boundedbuffer.ErrNoMemory):
 		e.server.deps.Metrics.BodiesRefused.Inc(1)
--- a/forward/server.go
+++ b/forward/server.go
@@ -181,6 +181,7 @@
 func (s *Server) serve(ctx *fasthttp.RequestCtx, e *exchange) {
 	if refusal := e.readBody(); refusal != nil {
 		e.refuse(refusal)
+		ctx.SetConnectionClose() // after refuse, which resets the response
 		return
 	}
 	// A request has arrived when its body is complete, which may be seconds after its header.
