--- a/forward/server.go
+++ b/forward/server.go
@@ -179,20 +179,20 @@
 }
 
 func (s *Server) serve(ctx *fasthttp.RequestCtx, e *exchange) {
-	if s.draining.Load() {
-		ctx.SetConnectionClose()
-	}
 	if refusal := e.readBody(); refusal != nil {
 		e.refuse(refusal)
+		ctx.SetConnectionClose() // after refuse, which resets the response
 		return
 	}
+	// A request has arrived when its body is complete, which may be seconds after its header.
+	e.arrived, e.view = time.Now(), s.deps.State.View()
 	if s.refusing.Load() {
 		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "instance is stopping", retryAfter: minRetryAfter})
 		return
 	}
 	if s.conns.isSurplus(ctx.Conn()) {
-		ctx.SetConnectionClose()
 		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "too many connections", retryAfter: minRetryAfter})
+		ctx.SetConnectionClose() // after refuse, which resets the response
 		return
 	}
 	s.awaitStart(e)
