upstream, httpcall, backend: reject a response with a status below 100

Callers got a 200 with the body of an answer whose status line said 000, on both interfaces: fasthttp's ResponseHeader.StatusCode returns 200 for 0. An answer with the status 099 was passed on with a status line of two digits, which Go's client refuses to read. The HTTP client of the store, the cloud and the relays took 000 for 200 too.

Cause: fasthttp accepts any three digits as a status and cannot tell 000 from an unset one once it has parsed the header section.

Change: package httpconn checks the header section before fasthttp parses it: upstream peeks at it, the connections of the two fasthttp clients (httpcall, backend) check it as it is read, those of informational responses included. A status below 100 counts as a broken exchange. The bytes kept for the check have a bound.

--- a/backend/http_caller.go
+++ b/backend/http_caller.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"knapweedhoist/internal/boundedbuffer"
+	"knapweedhoist/internal/httpconn"
 	"knapweedhoist/request"
 )
 
@@ -52,7 +53,7 @@
 			if err != nil {
 				return nil, errors.Join(ErrUnsent, err)
 			}
-			return connection, nil
+			return httpconn.New(connection), nil
 		},
 		// Only the Runner retries calls.
 		MaxIdemponentCallAttempts:     1,
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"knapweedhoist/internal/boundedbuffer"
+	"knapweedhoist/internal/httpconn"
 )
 
 // idleConnDuration is short, since the client does not detect that an idle
@@ -174,7 +175,7 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	return conn, nil
+	return httpconn.New(conn), nil
 }
 
 // retryGet allows a retry only for GET: if the first attempt of a conditional
--- a/internal/httpcall/stream.go
+++ b/internal/httpcall/stream.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"knapweedhoist/internal/boundedbuffer"
+	"knapweedhoist/internal/httpconn"
 )
 
 // ErrTooLarge means that a response body exceeds the limit of ReadAll, which is MaxResponseBytes in Do and Fetch.
@@ -63,7 +64,7 @@
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	detachContext := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	stream, err := startStream(idleTimeoutConn{Conn: conn, idleTimeout: idleTimeout}, request, c.cfg)
+	stream, err := startStream(httpconn.New(idleTimeoutConn{Conn: conn, idleTimeout: idleTimeout}), request, c.cfg)
 	if err != nil {
 		detachContext()
 		_ = conn.Close()
--- /dev/null
+++ b/internal/httpconn/conn.go
@@ -0,0 +1,67 @@
+package httpconn
+
+import "net"
+
+// maxHeadBytes is the size from which on a header section is left to the client, whose own bound is smaller.
+const maxHeadBytes = 32 << 10
+
+// Conn is a connection of an HTTP client that reads the response to one request before it writes the next one. Reads fail with
+// an error that wraps ErrInvalid at the header section of an invalid response. It is not safe for concurrent use.
+type Conn struct {
+	net.Conn
+	// awaiting is set from the first write of a request until the header section of its response is complete. head then holds
+	// the part of it that was read.
+	awaiting bool
+	head     []byte
+}
+
+// New returns a Conn for a connection that was just opened.
+func New(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	if !c.awaiting {
+		c.awaiting, c.head = true, nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.awaiting {
+		return n, err
+	}
+	c.head = append(c.head, p[:n]...)
+	if invalid := c.checkHeads(); invalid != nil {
+		return 0, invalid
+	}
+	return n, err
+}
+
+// checkHeads checks the header sections that are complete. Those of informational responses precede that of the response.
+func (c *Conn) checkHeads() error {
+	for c.awaiting {
+		length := HeadLength(c.head)
+		if length == 0 && len(c.head) <= maxHeadBytes {
+			return nil
+		}
+		if length == 0 {
+			c.awaiting = false
+			break
+		}
+		if err := CheckHead(c.head[:length]); err != nil {
+			return err
+		}
+		c.awaiting = informational(c.head)
+		c.head = c.head[length:]
+	}
+	c.head = nil
+	return nil
+}
+
+// informational reports whether a header section is followed by that of another response.
+func informational(head []byte) bool {
+	status := statusCode(head)
+	return len(status) == 3 && status[0] == '1' && string(status) != "101"
+}
--- /dev/null
+++ b/internal/httpconn/head.go
@@ -0,0 +1,50 @@
+package httpconn
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// ErrInvalid means that a header section is not that of a valid response.
+var ErrInvalid = errors.New("invalid header section of a response")
+
+// HeadLength returns the length in bytes of the header section at the start of b, with its empty line and with empty lines
+// before it, or 0 if it is not complete.
+func HeadLength(b []byte) int {
+	for start := skipEmptyLines(b); start < len(b); {
+		end := bytes.IndexByte(b[start:], '\n')
+		if end < 0 {
+			return 0
+		}
+		if len(bytes.TrimRight(b[start:start+end], "\r")) == 0 {
+			return start + end + 1
+		}
+		start += end + 1
+	}
+	return 0
+}
+
+func skipEmptyLines(b []byte) int { return len(b) - len(bytes.TrimLeft(b, "\r\n")) }
+
+// CheckHead returns an error that wraps ErrInvalid if a complete header section has a status below 100, of which fasthttp takes
+// 000 for 200.
+func CheckHead(head []byte) error {
+	if status := statusCode(head); len(status) == 3 && status[0] == '0' {
+		return fmt.Errorf("%w: status %s", ErrInvalid, status)
+	}
+	return nil
+}
+
+// statusLine returns the first line of a header section.
+func statusLine(head []byte) []byte {
+	line, _, _ := bytes.Cut(head[skipEmptyLines(head):], []byte("\n"))
+	return line
+}
+
+// statusCode returns the digits of the status.
+func statusCode(head []byte) []byte {
+	_, rest, _ := bytes.Cut(statusLine(head), []byte(" "))
+	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	return bytes.TrimRight(status, "\r")
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,8 @@
 
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/internal/httpconn"
 )
 
 // Request is one HTTP request to an endpoint.
@@ -90,6 +93,9 @@
 // and responses to other requests. isHead means that the request method is HEAD.
 func (r *Response) readHeader(request Request, isHead bool) error {
 	for range maxSkippedResponses + 1 {
+		if err := checkHead(r.conn.reader); err != nil {
+			return err
+		}
 		if err := r.Header.Read(r.conn.reader); err != nil {
 			return headerError{err}
 		}
@@ -107,6 +113,19 @@
 	return fmt.Errorf("%w: more than %d informational responses or responses to other requests", ErrOversized, maxSkippedResponses)
 }
 
+// checkHead checks the next header section and leaves it unread. It leaves an error of reading to the next read.
+func checkHead(reader *bufio.Reader) error {
+	for {
+		buffered, _ := reader.Peek(reader.Buffered())
+		if length := httpconn.HeadLength(buffered); length > 0 {
+			return httpconn.CheckHead(buffered[:length])
+		}
+		if _, err := reader.Peek(len(buffered) + 1); err != nil {
+			return nil
+		}
+	}
+}
+
 // skipBody reads a body to its end.
 func skipBody(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBytes))
