httpconn: reject a transfer encoding in an answer that is not HTTP/1.1

Callers of both interfaces got the chunk sizes of an HTTP/1.0 answer in chunks as a part of its body, in a 200 that was framed as whole; with a Content-Length as well, the first bytes of the framing. fasthttp drops the field of an HTTP/1.0 response. This was the known gap of docs/decisions/answer-ends.md.

Change: CheckHead treats the framing as faulty (RFC 9112, section 6.1), so that the exchange counts as broken: 502, or another attempt where the kind allows it.

--- a/backend/malformed_answer_test.go
+++ b/backend/malformed_answer_test.go
@@ -11,14 +11,15 @@
 	"knapweedhoist/request"
 )
 
-// callRaw calls a server that sends raw and closes the connection.
-func callRaw(server *rawserver.Server, raw string, repeatable bool) (Answer, error) {
+// callRaw calls a server that sends raw and closes the connection, and returns the error of the call.
+func callRaw(server *rawserver.Server, raw string, repeatable bool) error {
 	server.Answer(raw, false)
 	call := outgoing(&request.Call{Method: "GET", Path: "/"})
 	call.Repeatable = repeatable
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	return NewHTTPCaller().Call(ctx, server.Address(), call)
+	_, err := NewHTTPCaller().Call(ctx, server.Address(), call)
+	return err
 }
 
 func newRawServer(t *testing.T) *rawserver.Server {
@@ -34,8 +35,20 @@
 	server := newRawServer(t)
 	for _, status := range []string{"000", "001", "099"} {
 		for _, repeatable := range []bool{false, true} {
-			_, err := callRaw(server, "HTTP/1.1 "+status+" OK\r\nContent-Length: 4\r\n\r\nbody", repeatable)
+			err := callRaw(server, "HTTP/1.1 "+status+" OK\r\nContent-Length: 4\r\n\r\nbody", repeatable)
 			Expect(err).To(MatchError(ErrBroken), status)
 		}
 	}
 }
+
+// Guards against the framing of an HTTP/1.0 answer that is taken for its body.
+func TestTransferEncodingInHTTP10IsNoAnswer(t *testing.T) {
+	RegisterTestingT(t)
+	server := newRawServer(t)
+	for _, fields := range []string{"Transfer-Encoding: chunked", "Content-Length: 4\r\nTransfer-Encoding: chunked"} {
+		for _, repeatable := range []bool{false, true} {
+			err := callRaw(server, "HTTP/1.0 200 OK\r\n"+fields+"\r\n\r\n4\r\nbody\r\n0\r\n\r\n", repeatable)
+			Expect(err).To(MatchError(ErrBroken), fields)
+		}
+	}
+}
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -27,15 +27,29 @@
 
 func skipEmptyLines(b []byte) int { return len(b) - len(bytes.TrimLeft(b, "\r\n")) }
 
-// CheckHead returns an error that wraps ErrInvalid if a complete header section has a status below 100, of which fasthttp takes
-// 000 for 200.
+// CheckHead returns an error that wraps ErrInvalid if a complete header section has
+//   - a status below 100, of which fasthttp takes 000 for 200, or
+//   - a transfer encoding without HTTP/1.1, which fasthttp drops: the framing is faulty then (RFC 9112, section 6.1).
 func CheckHead(head []byte) error {
 	if status := statusCode(head); len(status) == 3 && status[0] == '0' {
 		return fmt.Errorf("%w: status %s", ErrInvalid, status)
 	}
+	if line := statusLine(head); !bytes.HasPrefix(line, []byte("HTTP/1.1 ")) && hasTransferEncoding(head) {
+		return fmt.Errorf("%w: transfer encoding without HTTP/1.1", ErrInvalid)
+	}
 	return nil
 }
 
+func hasTransferEncoding(head []byte) bool {
+	for line := range bytes.Lines(head) {
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if found && bytes.EqualFold(bytes.TrimRight(name, " "), []byte("Transfer-Encoding")) {
+			return true
+		}
+	}
+	return false
+}
+
 // statusLine returns the first line of a header section.
 func statusLine(head []byte) []byte {
 	line, _, _ := bytes.Cut(head[skipEmptyLines(head):], []byte("\n"))
