httpconn: use no pooled connection that has unread bytes

A plain service on the own interface that sent an answer twice, the copy after the answer, had the copy taken for the answer to the next call on that connection, and so on for all later ones: callers got 200s with the answers of others. The client of the store, the cloud and the relays did the same.

Cause: fasthttp's client takes a connection out of its pool without looking at the socket. upstream.Pool, which does, serves only the platform's routes.

Change: httpconn.Conn peeks at the socket before the first write of a later request. Unread bytes, or the server's close, fail it with ErrStale before a byte is written, and the client takes another connection, up to 8 times; for any method, since nothing was sent. A call that gets none counts as not sent.

What remains: an answer there has no id, so that a copy that arrives after the peek is still taken for the answer.

--- a/backend/http_caller.go
+++ b/backend/http_caller.go
@@ -35,6 +35,8 @@
 	maxIdleTime = 30 * time.Second
 	// maxEndpointConns bounds the connections of each client to one endpoint.
 	maxEndpointConns = 1024
+	// maxStaleConns bounds the pooled connections that one call tries and finds unusable.
+	maxStaleConns = 8
 	// maxAnswerHeader bounds the header of an answer, in bytes.
 	maxAnswerHeader = 16 << 10
 	// maxAnswerMemory bounds the bodies of all answers that are being read, in bytes.
@@ -55,9 +57,11 @@
 			}
 			return httpconn.New(connection), nil
 		},
-		// Only the Runner retries calls.
-		MaxIdemponentCallAttempts:     1,
-		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		// Only the Runner retries calls that were sent.
+		MaxIdemponentCallAttempts: maxStaleConns + 1,
+		RetryIfErr: func(_ *fasthttp.Request, _ int, err error) (bool, bool) {
+			return false, errors.Is(err, httpconn.ErrStale)
+		},
 		MaxConnsPerHost:               maxEndpointConns,
 		MaxIdleConnDuration:           maxIdleTime,
 		StreamResponseBody:            true,
@@ -137,7 +141,8 @@
 // classifyError maps an error of the HTTP client to the error of this package that states whether the call was sent.
 func classifyError(err error) error {
 	switch {
-	case errors.Is(err, ErrUnsent), errors.Is(err, fasthttp.ErrNoFreeConns), errors.Is(err, fasthttp.ErrDialTimeout):
+	case errors.Is(err, ErrUnsent), errors.Is(err, httpconn.ErrStale), errors.Is(err, fasthttp.ErrNoFreeConns),
+		errors.Is(err, fasthttp.ErrDialTimeout):
 		return errors.Join(ErrUnsent, err)
 	case errors.Is(err, boundedbuffer.ErrTooLarge):
 		return ErrAnswerTooLarge
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -1,6 +1,6 @@
 // Package httpcall is the HTTP client that the clients of external systems
 // share. Calls have time limits and end with their context; complete responses
-// also have a size limit. Only a GET is ever retried.
+// also have a size limit. Of the requests that were sent, only a GET is ever retried.
 package httpcall
 
 import (
@@ -21,9 +21,13 @@
 // timeout.
 const idleConnDuration = 2 * time.Second
 
-// maxGetAttempts is 2, so that a GET on a pooled connection that the server has
-// closed is retried once on another connection.
-const maxGetAttempts = 2
+const (
+	// maxGetAttempts is 2, so that a GET on a pooled connection that the server has
+	// closed is retried once on another connection.
+	maxGetAttempts = 2
+	// maxAttempts bounds all attempts, including those at which a pooled connection was unusable.
+	maxAttempts = 8
+)
 
 // ErrNotSent means that the call failed before a request was sent, for example
 // because no connection could be opened: nothing reached the server.
@@ -50,7 +54,7 @@
 		MaxConns:                  c.cfg.MaxConns,
 		MaxConnWaitTimeout:        c.cfg.Timeout,
 		MaxIdleConnDuration:       idleConnDuration,
-		MaxIdemponentCallAttempts: maxGetAttempts,
+		MaxIdemponentCallAttempts: maxAttempts,
 		RetryIfErr:                retryGet,
 		DisablePathNormalizing:    true,
 		NoDefaultUserAgentHeader:  true,
@@ -110,6 +114,9 @@
 	request.fill(req, c.cfg)
 	if err := c.host.DoDeadline(req, resp, deadline); err != nil {
 		c.closeIdleOnTimeout(err)
+		if errors.Is(err, httpconn.ErrStale) {
+			err = errors.Join(ErrNotSent, err)
+		}
 		return result{err: err}
 	}
 	response, err := c.readResponse(resp)
@@ -178,8 +185,11 @@
 	return httpconn.New(conn), nil
 }
 
-// retryGet allows a retry only for GET: if the first attempt of a conditional
+// retryGet allows a retry of a request that was sent only for GET: if the first attempt of a conditional
 // PUT or DELETE took effect, a retry would fail the condition.
-func retryGet(request *fasthttp.Request, _ int, err error) (resetTimeout, retry bool) {
-	return false, request.Header.IsGet() && !errors.Is(err, fasthttp.ErrTimeout) && !errors.Is(err, ErrNotSent)
+func retryGet(request *fasthttp.Request, attempts int, err error) (resetTimeout, retry bool) {
+	if errors.Is(err, httpconn.ErrStale) {
+		return false, true
+	}
+	return false, attempts < maxGetAttempts && request.Header.IsGet() && !errors.Is(err, fasthttp.ErrTimeout) && !errors.Is(err, ErrNotSent)
 }
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -1,18 +1,30 @@
 package httpconn
 
-import "net"
+import (
+	"errors"
+	"net"
+
+	"knapweedhoist/internal/socket"
+)
+
+// ErrStale means that a request was not written, because the connection was closed by the server or has unread bytes, which
+// would be taken for the response.
+var ErrStale = errors.New("connection is closed or has unread bytes")
 
 // maxHeadBytes is the size from which on a header section is left to the client, whose own bound is smaller.
 const maxHeadBytes = 32 << 10
 
 // Conn is a connection of an HTTP client that reads the response to one request before it writes the next one. Reads fail with
-// an error that wraps ErrInvalid at the header section of an invalid response. It is not safe for concurrent use.
+// an error that wraps ErrInvalid at the header section of an invalid response, the first write of a later request may
+// fail with ErrStale. It is not safe for concurrent use.
 type Conn struct {
 	net.Conn
 	// awaiting is set from the first write of a request until the header section of its response is complete. head then holds
 	// the part of it that was read.
 	awaiting bool
 	head     []byte
+	// used is set from the first write on.
+	used bool
 }
 
 // New returns a Conn for a connection that was just opened.
@@ -21,7 +33,10 @@
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	if !c.awaiting {
-		c.awaiting, c.head = true, nil
+		if c.used && !socket.Quiet(c.Conn) {
+			return 0, ErrStale
+		}
+		c.used, c.awaiting, c.head = true, true, nil
 	}
 	return c.Conn.Write(p)
 }
