backend: treat 101 from a plain service as a broken answer

A caller on the own interface got a 101 that a service had sent, with an empty body: its connection counted as switched to another protocol, which neither the caller nor this system had asked for. fasthttp's client ends at a 101; other informational responses are skipped.

Failed before: TestSwitchingProtocolsIsNoAnswer.

--- a/backend/http_caller.go
+++ b/backend/http_caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -84,6 +85,9 @@
 	if err != nil {
 		return Answer{}, oops.With("step", "call", "peer", address).Wrap(classifyError(err))
 	}
+	if status := incoming.StatusCode(); status < http.StatusOK {
+		return Answer{}, oops.With("step", "call", "peer", address).Wrap(fmt.Errorf("%w: status %d", ErrBroken, status))
+	}
 	body, err := c.readBody(incoming, call.MaxAnswerBytes)
 	if err != nil {
 		return Answer{}, oops.With("step", "read answer", "peer", address).Wrap(classifyError(err))
--- a/backend/malformed_answer_test.go
+++ b/backend/malformed_answer_test.go
@@ -52,3 +52,13 @@
 		}
 	}
 }
+
+// Guards against a caller whose connection counts as switched to another protocol, which nobody asked for.
+func TestSwitchingProtocolsIsNoAnswer(t *testing.T) {
+	RegisterTestingT(t)
+	server := newRawServer(t)
+	for _, repeatable := range []bool{false, true} {
+		Expect(callRaw(server, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nbytes", repeatable)).
+			To(MatchError(ErrBroken))
+	}
+}
