request: bound the tokens of all requests in progress together

An engine that generates without end made each of its requests keep up to MaxRequestBytes (20 MiB) of tokens until its deadline; nothing bounded all of them together: the registry removes finished requests and refuses new ones over MaxBytes, but those in progress grew on. Neither max_tokens nor the engine's limit of a line (64 KiB) bounds the sum.

Change: the tokens of requests in progress have MaxBytes together. As in internal/boundedbuffer, a request leaves eight times its size free, or a quarter of all, and up to 16 KiB are always accepted: requests without end fail with ErrTooLarge before sound ones do. A request's tokens count until it finishes or moves.

--- a/request/config.go
+++ b/request/config.go
@@ -10,7 +10,8 @@
 	// MaxInProgress is the maximum number of requests in progress, and of finished ones that are kept. Default 4096, at
 	// least 1.
 	MaxInProgress int
-	// MaxBytes limits the bodies and answers of all requests together, in bytes. Default 128 MiB.
+	// MaxBytes limits the bodies and answers of all requests together, in bytes: over it, finished requests are removed and new
+	// ones refused. The tokens of all requests in progress have as much. Default 128 MiB.
 	MaxBytes int64
 	// MaxRequestBytes limits the body and the tokens of one request together, in bytes. It does not limit the answer of a
 	// plain service. Default 20 MiB.
--- a/request/entry.go
+++ b/request/entry.go
@@ -14,8 +14,10 @@
 	mu      sync.Mutex // guards the fields below
 	machine *Machine
 	// bytes is the size of the body and the answer, as counted against the limits of Config.
-	bytes   int
-	readers []*Subscription
+	bytes int
+	// generated is the size of the tokens until the request ends here, as counted against the limits of Config.
+	generated int
+	readers   []*Subscription
 	// held is set while readers get only the events that a peer has acknowledged; see Hold.
 	held bool
 	// visible is the number of events that readers may see.
@@ -92,17 +94,20 @@
 
 // AppendToken appends a generated token and signals the readers; see
 // Machine.AppendToken. It returns ErrTooLarge if the body and the tokens would
-// exceed Config.MaxRequestBytes.
+// exceed Config.MaxRequestBytes, or if the tokens do not fit beside those of the other requests in progress.
 func (e *Entry) AppendToken(number, index int, token string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.bytes+len(token) > e.registry.cfg.MaxRequestBytes {
+	size := len(token) + tokenOverhead
+	if e.bytes+len(token) > e.registry.cfg.MaxRequestBytes || !e.registry.fits(e.generated+size) {
 		return ErrTooLarge
 	}
 	if err := e.machine.AppendToken(number, index, token); err != nil {
 		return err
 	}
-	e.addBytes(len(token) + tokenOverhead)
+	e.generated += size
+	e.registry.generated.Add(int64(size))
+	e.addBytes(size)
 	e.publish()
 	return nil
 }
--- a/request/registry.go
+++ b/request/registry.go
@@ -18,6 +18,7 @@
 	checker     invariant.Checker
 	sequence    atomic.Uint64 // the sequence number of the last new id
 	bytes       atomic.Int64  // the sum of Entry.bytes over the entries
+	generated   atomic.Int64  // the sum of Entry.generated over the entries
 
 	mu         sync.Mutex // guards the fields below
 	entries    map[ID]*Entry
@@ -207,11 +208,32 @@
 	r.bytes.Add(-int64(entry.bytes))
 }
 
+// A request's tokens leave headroomFactor times their size free, or the limit divided by headroomFraction if that is less; up to
+// freeBytes are always accepted. So requests whose tokens have no end fail before the others.
+const (
+	freeBytes        = 16 << 10
+	headroomFactor   = 8
+	headroomFraction = 4
+)
+
+// fits reports whether a request in progress may have tokens of the given size in bytes.
+func (r *Registry) fits(size int) bool {
+	headroom := min(headroomFactor*int64(size), r.cfg.MaxBytes/headroomFraction)
+	return size <= freeBytes || r.generated.Load()+headroom <= r.cfg.MaxBytes
+}
+
+// endGenerated stops counting the tokens of an entry as those of a request in progress. The caller holds the entry's lock.
+func (r *Registry) endGenerated(entry *Entry) {
+	r.generated.Add(-int64(entry.generated))
+	entry.generated = 0
+}
+
 // markFinished keeps a finished entry readable for Config.Retention. The caller
 // holds the entry's lock.
 func (r *Registry) markFinished(entry *Entry, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.endGenerated(entry)
 	r.finishedEntries = append(r.finishedEntries, finishedEntry{entry: entry, finishedAt: now})
 	r.decrementInProgress()
 }
@@ -220,6 +242,7 @@
 func (r *Registry) markMoved(entry *Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.endGenerated(entry)
 	r.remove(entry)
 	r.decrementInProgress()
 }
