backend: complete a model answer whose engine does not end the stream

An engine that sent the finish of an answer and then comments without end, or kept the connection open with a byte now and then, held the request until its deadline. The caller, who had all tokens, then got the outcome unknown. In silence it took the client's idle timeout, 6 s.

Cause: an attempt ends with its stream; only a stream that broke counted as complete after its finish.

Change: the attempt's context ends 500 ms after the finish, so that the stream ends and the answer counts as complete.

Failed before: TestStreamWithoutEndIsCompleteAfterItsFinish (outcome unknown; fake clock).

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -26,6 +26,8 @@
 	tokens   int
 	interval time.Duration
 	err      error
+	// open leaves the stream open after the finish, until the attempt is cancelled.
+	open bool
 }
 
 // fakeEngine answers each attempt with the next script; the last script is repeated.
@@ -70,7 +72,12 @@
 	if s.err != nil {
 		return s.err
 	}
-	return yield(engine.Event{Index: s.tokens, FinishReason: "stop", Usage: &engine.Usage{}})
+	err := yield(engine.Event{Index: s.tokens, FinishReason: "stop", Usage: &engine.Usage{}})
+	if s.open && err == nil {
+		<-ctx.Done()
+		return fmt.Errorf("%w: %w", engine.ErrBroken, ctx.Err())
+	}
+	return err
 }
 
 func (e *fakeEngine) Cancel(_ context.Context, _ string, attempt int) error {
@@ -241,6 +248,22 @@
 	})
 }
 
+// Guards against a complete answer that is held, and then reported as failed at the deadline, because its engine does not end the
+// stream.
+func TestStreamWithoutEndIsCompleteAfterItsFinish(t *testing.T) {
+	open := engineOf("e1", script{tokens: 5, interval: second, open: true})
+	simulate(t, &fakePolicy{engines: []*fakeEngine{open}}, nil, func(f *fixture) {
+		begin := time.Now()
+		text, finish := awaitAnswer(f.start(f.spec(catalog.KindModel)))
+		Expect(text).To(Equal(wholeAnswer))
+		Expect(finish.Outcome).To(Equal(request.OutcomeRan))
+		Expect(finish.FinishReason).To(Equal("stop"))
+		Expect(time.Since(begin)).To(Equal(5*second + streamEndTime))
+		f.runner.Wait()
+		Expect(f.policy.results).To(Equal([]request.AttemptResult{request.ResultDone}))
+	})
+}
+
 // Guards against the loss of a reclaimed endpoint's work, and against a recomputation although there was time to export
 // the KV cache.
 func TestReclaimedEndpointHandsItsWorkOn(t *testing.T) {
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -53,6 +53,9 @@
 	return a.kv.ID
 }
 
+// streamEndTime is how long the end of a stream is awaited after its finish. An engine in trouble may never send it.
+const streamEndTime = 500 * time.Millisecond
+
 // handleEvent checks and stores one event of an attempt. An event after the finish is an error.
 func (r *run) handleEvent(a *attempt, event engine.Event) error {
 	if a.finishReason != "" {
@@ -65,6 +68,9 @@
 	}
 	a.finishReason = event.FinishReason
 	a.usage = event.Usage
+	if a.finishReason != "" {
+		time.AfterFunc(streamEndTime, a.cancel)
+	}
 	return nil
 }
 
