httpconn: reject status 101 everywhere

On the own interface, an engine's 101 to an order or a cancellation counted as success, since it is below 300.

Cause: 101 is a final response, but not a success. No request of this system asks for another protocol (Upgrade is not forwarded), so that it is never valid.

Change: CheckHead rejects it, for all HTTP clients; the check that only the caller of plain services had is gone.

--- a/backend/http_caller.go
+++ b/backend/http_caller.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -85,9 +84,6 @@
 	if err != nil {
 		return Answer{}, oops.With("step", "call", "peer", address).Wrap(classifyError(err))
 	}
-	if status := incoming.StatusCode(); status < http.StatusOK {
-		return Answer{}, oops.With("step", "call", "peer", address).Wrap(fmt.Errorf("%w: status %d", ErrBroken, status))
-	}
 	body, err := c.readBody(incoming, call.MaxAnswerBytes)
 	if err != nil {
 		return Answer{}, oops.With("step", "read answer", "peer", address).Wrap(classifyError(err))
--- a/engine/suite_test.go
+++ b/engine/suite_test.go
@@ -146,3 +146,17 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// Guards against an order that counts as done because of a response to a request that was never made.
+func TestSwitchingProtocolsIsNoSuccess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		client := newPipedClient(func(server net.Conn) {
+			_, _ = io.WriteString(server, "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")
+		})
+		g.Expect(client.Order(t.Context(), engine.Order{})).To(MatchError(engine.ErrBroken))
+		g.Expect(client.Cancel(t.Context(), "r1", 1)).To(MatchError(engine.ErrBroken))
+		client.Close()
+		time.Sleep(10 * time.Second) // until the cleaner of idle connections has ended
+	})
+}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -78,5 +78,5 @@
 // informational reports whether a header section is followed by that of another response.
 func informational(head []byte) bool {
 	status := statusCode(head)
-	return len(status) == 3 && status[0] == '1' && string(status) != "101"
+	return len(status) == 3 && status[0] == '1'
 }
--- a/internal/httpconn/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -41,7 +41,6 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\nHTTP/1.1 000 no\r\n\r\nno head",
 		"\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 404 Not Found\r\n\r\n",
 		"HTTP/1.1 999\r\n\r\nHTTP/1.1 000\r\n\r\n",
-		"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 000\r\n\r\n",
 		"HTTP/1.0  200 OK\nA: b\n c\n\nHTTP/1.1 000\r\n\r\n",
 		"HTTP/1.0 200 OK\r\nX-Transfer-Encoding: chunked\r\n\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -69,6 +68,8 @@
 		"HTTP/1.1  099 OK\r\nA: b\r\n\r\n",
 		"\r\n\r\nHTTP/1.1 000 OK\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n\r\n",
+		"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101\r\n\r\n",
 		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"HTTP/1.0 200 OK\r\nContent-Length: 4\r\ntransfer-encoding :gzip\r\n\r\n",
 	} {
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -28,10 +28,11 @@
 func skipEmptyLines(b []byte) int { return len(b) - len(bytes.TrimLeft(b, "\r\n")) }
 
 // CheckHead returns an error that wraps ErrInvalid if a complete header section has
-//   - a status below 100, of which fasthttp takes 000 for 200, or
+//   - a status below 100, of which fasthttp takes 000 for 200,
+//   - status 101, since no request asks for another protocol, or
 //   - a transfer encoding without HTTP/1.1, which fasthttp drops: the framing is faulty then (RFC 9112, section 6.1).
 func CheckHead(head []byte) error {
-	if status := statusCode(head); len(status) == 3 && status[0] == '0' {
+	if status := statusCode(head); len(status) == 3 && (status[0] == '0' || string(status) == "101") {
 		return fmt.Errorf("%w: status %s", ErrInvalid, status)
 	}
 	if line := statusLine(head); !bytes.HasPrefix(line, []byte("HTTP/1.1 ")) && hasTransferEncoding(head) {
