entry: bound the bodies of requests to the internal servers

Each connection to the addresses for readiness checks, other instances and metrics could make the process keep a body of 4 MiB, fasthttp's default, and there was no bound on all together. No request there has a body.

Change: more than 4 KiB end the request with an error.

--- a/entry/internal_http.go
+++ b/entry/internal_http.go
@@ -39,7 +39,7 @@
 			ctx.Error("internal error", fasthttp.StatusInternalServerError)
 		}
 	}
-	server := &fasthttp.Server{Handler: contained, NoDefaultServerHeader: true, NoDefaultDate: true}
+	server := newInternalServer(contained)
 	go func() {
 		if err := server.Serve(ln); err != nil {
 			i.lg.Error("HTTP server stopped", "purpose", purpose, "error", err.Error())
@@ -48,6 +48,16 @@
 	return nil
 }
 
+// maxInternalBody bounds the body of a request to an internal server, in bytes. Those of the platform and of instances have none.
+const maxInternalBody = 4 << 10
+
+// newInternalServer returns an HTTP server for requests without a body.
+func newInternalServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, MaxRequestBodySize: maxInternalBody,
+	}
+}
+
 // handleReady answers 200 while the instance takes new connections, else 503.
 func (i *Instance) handleReady(ctx *fasthttp.RequestCtx) {
 	if !i.ready() {
