entry: close silent connections of the internal servers

The servers for readiness checks, other instances and metrics had no time limits: a caller that sent half a request, or did not read the answer, kept its connection, its goroutine and the answer, of up to the size of all endpoints, for as long as the kernel kept the connection.

Change: 10 s for a request to arrive, 10 s for an answer to be read, 60 s between two requests. The wait of a watch is not limited by them.

Failed before: TestInternalServerClosesSilentConnections (fake clock).

--- a/entry/internal_http.go
+++ b/entry/internal_http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
@@ -51,10 +52,19 @@
 // maxInternalBody bounds the body of a request to an internal server, in bytes. Those of the platform and of instances have none.
 const maxInternalBody = 4 << 10
 
+// Times after which an internal server closes a connection: on which a request is incomplete, which has no request, or whose
+// answer is not read.
+const (
+	internalReadTimeout  = 10 * time.Second
+	internalIdleTimeout  = time.Minute
+	internalWriteTimeout = 10 * time.Second
+)
+
 // newInternalServer returns an HTTP server for requests without a body.
 func newInternalServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, MaxRequestBodySize: maxInternalBody,
+		ReadTimeout: internalReadTimeout, IdleTimeout: internalIdleTimeout, WriteTimeout: internalWriteTimeout,
 	}
 }
 
--- a/entry/internal_http_test.go
+++ b/entry/internal_http_test.go
@@ -72,3 +72,17 @@
 		})
 	}
 }
+
+// Guards against connections, and the answers on them, that are kept for callers that have gone silent.
+func TestInternalServerClosesSilentConnections(t *testing.T) {
+	for _, sent := range []string{"", "GET /ready HTTP/1.1\r\nHo", "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n"} {
+		withInternalServer(t, func(conn net.Conn) {
+			_, err := io.WriteString(conn, sent)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(2 * time.Minute)
+			_ = conn.SetDeadline(time.Now().Add(time.Second))
+			_, err = io.Copy(io.Discard, conn)
+			Expect(err).NotTo(HaveOccurred(), "the connection must be closed: %q", sent)
+		})
+	}
+}
