httpcall: bound the text of errors about garbage

A program that sends 4 KiB of garbage instead of a response of the store, the cloud or a relay made each log line about the failed call up to 17.7 KB long: fasthttp quotes all bytes that it has read, escaped. Only the client of the platform's servers bounded the text.

Change: the bound of 200 bytes moves to httpconn.BoundText, and httpcall uses it.

Failed before: TestErrorsQuoteFewBytes (17,729 bytes, 300 allowed). The bound in the existing test of upstream is the same.

--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -117,7 +117,7 @@
 		if errors.Is(err, httpconn.ErrStale) {
 			err = errors.Join(ErrNotSent, err)
 		}
-		return result{err: err}
+		return result{err: httpconn.BoundText(err)}
 	}
 	response, err := c.readResponse(resp)
 	if err != nil {
--- a/internal/httpcall/malformed_response_test.go
+++ b/internal/httpcall/malformed_response_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,3 +37,29 @@
 		})
 	}
 }
+
+// Guards against log lines that hold all that a server in trouble has sent instead of a response.
+func TestErrorsQuoteFewBytes(t *testing.T) {
+	RegisterTestingT(t)
+	for _, garbage := range []string{
+		strings.Repeat("\x01", 4000) + "\r\n\r\n", "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("\x01", 4000) + "\r\n\r\n",
+	} {
+		synctest.Test(t, func(*testing.T) {
+			s := &server{script: func(conn net.Conn, _ int32) {
+				if readRequest(bufio.NewReader(conn)) == nil {
+					_, _ = io.WriteString(conn, garbage)
+				}
+			}}
+			client := s.client()
+			defer closeAndWait(client)
+			request := httpcall.Request{Method: "GET", Path: "/"}
+			_, doErr := client.Do(context.Background(), request)
+			_, fetchErr := client.Fetch(context.Background(), request, time.Second)
+			_, openErr := client.Open(context.Background(), request)
+			for _, err := range []error{doErr, fetchErr, openErr} {
+				Expect(err).To(HaveOccurred())
+				Expect(len(err.Error())).To(BeNumerically("<=", 300))
+			}
+		})
+	}
+}
--- a/internal/httpcall/stream.go
+++ b/internal/httpcall/stream.go
@@ -87,7 +87,7 @@
 	}
 	response := &fasthttp.Response{StreamBody: true}
 	if err := response.ReadLimitBody(bufio.NewReader(conn), cfg.MaxResponseBytes); err != nil {
-		return nil, fmt.Errorf("receive header: %w", err)
+		return nil, fmt.Errorf("receive header: %w", httpconn.BoundText(err))
 	}
 	stream := &Stream{Response: newResponse(response), Body: http.NoBody}
 	if body := response.BodyStream(); body != nil { // nil for a status that has no body
--- a/upstream/header_error.go
+++ b/upstream/header_error.go
@@ -4,18 +4,16 @@
 	"errors"
 
 	"github.com/valyala/fasthttp"
-)
 
-// maxErrorText bounds the text of a headerError in bytes.
-const maxErrorText = 200
+	"knapweedhoist/internal/httpconn"
+)
 
-// headerError is an error of reading a header section. Its text is bounded, since fasthttp quotes all bytes that it has read.
+// headerError is an error of reading a header section.
 type headerError struct{ err error }
 
 // Error implements error.
 func (e headerError) Error() string {
-	text := e.err.Error()
-	return text[:min(len(text), maxErrorText)]
+	return httpconn.BoundText(e.err).Error()
 }
 
 // Unwrap returns the error, and ErrOversized if the header section does not fit the buffer.
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -16,6 +16,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/internal/httpconn"
 )
 
 // testTimeout bounds the waits of a test. No result depends on its value.
@@ -191,7 +193,7 @@
 			written, err := endlessAnswer(prefix, text)
 			Expect(err).To(HaveOccurred())
 			Expect(errors.Is(err, ErrOversized)).To(Equal(oversized))
-			Expect(len(err.Error())).To(BeNumerically("<", 2*maxErrorText), "the log line holds the bytes")
+			Expect(len(err.Error())).To(BeNumerically("<", 2*httpconn.MaxErrorText), "the log line holds the bytes")
 			Expect(written).To(BeNumerically("<", 32<<20))
 		},
 		Entry("no head", true, "", "x"),
