objectrelay: reject an answer without a valid age

An answer from a relay's address with a negative age, or one that overflows a time.Duration, made the copy count as newer than now, so that it was used beyond the bound on its age.

Failed before: 'The answer of a relay is an error without a valid age'. Only a foreign program can send such an answer; relays send the age rounded up, at least 1 ms.

--- a/objectrelay/cut_answer_test.go
+++ b/objectrelay/cut_answer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +12,7 @@
 
 	"knapweedhoist/internal/rawserver"
 	"knapweedhoist/objectapi"
+	"knapweedhoist/wire"
 )
 
 var _ = Describe("The answer of a relay", func() {
@@ -53,4 +56,16 @@
 		_, err := client.Read(context.Background(), server.Address(), objectapi.Request{Op: objectapi.OpList})
 		Expect(err).To(MatchError(objectapi.ErrUnavailable))
 	})
+
+	// Guards against an answer of a foreign server whose age makes the copy count as newer than now: a negative one, or one that
+	// overflows a time.Duration.
+	It("is an error without a valid age", func() {
+		for _, ageMs := range []int64{-1, math.MinInt64, math.MaxInt64, math.MaxInt64 / 1_000_000 * 2} {
+			body, err := proto.Marshal(&wire.RelayedObjects{Version: 7, AgeMs: ageMs})
+			Expect(err).NotTo(HaveOccurred())
+			server.Answer(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body), false)
+			_, err = client.Read(context.Background(), server.Address(), objectapi.Request{Op: objectapi.OpList})
+			Expect(err).To(MatchError(objectapi.ErrUnavailable), fmt.Sprint(ageMs))
+		}
+	})
 })
--- a/objectrelay/http.go
+++ b/objectrelay/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/url"
 	"strconv"
 	"sync"
@@ -26,6 +27,9 @@
 	waitParam    = "wait_ms"
 )
 
+// maxAgeMs is the largest age that a time.Duration can hold, in milliseconds.
+const maxAgeMs = math.MaxInt64 / int64(time.Millisecond)
+
 // Client reads the copies of other instances over HTTP. It is safe for concurrent use.
 type Client struct {
 	timeout     time.Duration
@@ -86,8 +90,8 @@
 		return objectapi.Reply{}, fmt.Errorf("%w: %w", objectapi.ErrUnavailable, err)
 	}
 	// They are the last fields, so that a message that was cut lacks one of them.
-	if message.Version == 0 || message.AgeMs == 0 {
-		return objectapi.Reply{}, fmt.Errorf("%w: answer without a version or an age", objectapi.ErrUnavailable)
+	if message.Version == 0 || message.AgeMs <= 0 || message.AgeMs > maxAgeMs {
+		return objectapi.Reply{}, fmt.Errorf("%w: answer without a version or a valid age", objectapi.ErrUnavailable)
 	}
 	return decodeReply(&message, kind), nil
 }
