roster: reject a response without the time of the list

On the own interface, a response 200 of other JSON than a list, for example {} of another program at the address, counted as an empty list of endpoints and instances, as it did with the store.

Change: the time of the list, which every list has, must be present.

Failed before: TestResponseWithoutAListIsAnError at {}; its cuts at each byte passed.

--- a/roster/client.go
+++ b/roster/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 
@@ -29,6 +30,9 @@
 	c.http.Close()
 }
 
+// errNoTime means that a response lacks the time of the list: it is no list.
+var errNoTime = errors.New("response without the time of the list")
+
 // Read implements List. It wraps every failure in ErrUnavailable.
 func (c *Client) Read(ctx context.Context) (Snapshot, error) {
 	var snapshot Snapshot
@@ -36,6 +40,9 @@
 	if err == nil && !response.OK() {
 		err = fmt.Errorf("status %d", response.Status)
 	}
+	if err == nil && snapshot.AtMs <= 0 {
+		err = errNoTime
+	}
 	if err == nil {
 		return snapshot, nil
 	}
