--- /dev/null
+++ b/backend/malformed_answer_test.go
@@ -0,0 +1,64 @@
+package backend
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/internal/rawserver"
+	"knapweedhoist/request"
+)
+
+// callRaw calls a server that sends raw and closes the connection, and returns the error of the call.
+func callRaw(server *rawserver.Server, raw string, repeatable bool) error {
+	server.Answer(raw, false)
+	call := outgoing(&request.Call{Method: "GET", Path: "/"})
+	call.Repeatable = repeatable
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err := NewHTTPCaller().Call(ctx, server.Address(), call)
+	return err
+}
+
+func newRawServer(t *testing.T) *rawserver.Server {
+	server, err := rawserver.New()
+	Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(server.Close)
+	return server
+}
+
+// Guards against bytes that are no answer and become a success: 000 was taken for 200.
+func TestStatusBelow100IsNoAnswer(t *testing.T) {
+	RegisterTestingT(t)
+	server := newRawServer(t)
+	for _, status := range []string{"000", "001", "099"} {
+		for _, repeatable := range []bool{false, true} {
+			err := callRaw(server, "HTTP/1.1 "+status+" OK\r\nContent-Length: 4\r\n\r\nbody", repeatable)
+			Expect(err).To(MatchError(ErrBroken), status)
+		}
+	}
+}
+
+// Guards against the framing of an HTTP/1.0 answer that is taken for its body.
+func TestTransferEncodingInHTTP10IsNoAnswer(t *testing.T) {
+	RegisterTestingT(t)
+	server := newRawServer(t)
+	for _, fields := range []string{"Transfer-Encoding: chunked", "Content-Length: 4\r\nTransfer-Encoding: chunked"} {
+		for _, repeatable := range []bool{false, true} {
+			err := callRaw(server, "HTTP/1.0 200 OK\r\n"+fields+"\r\n\r\n4\r\nbody\r\n0\r\n\r\n", repeatable)
+			Expect(err).To(MatchError(ErrBroken), fields)
+		}
+	}
+}
+
+// Guards against a caller whose connection counts as switched to another protocol, which nobody asked for.
+func TestSwitchingProtocolsIsNoAnswer(t *testing.T) {
+	RegisterTestingT(t)
+	server := newRawServer(t)
+	for _, repeatable := range []bool{false, true} {
+		Expect(callRaw(server, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nbytes", repeatable)).
+			To(MatchError(ErrBroken))
+	}
+}
