forward: do not pass the fields of a trailer on in the header

An endpoint got a request whose header had fields that its caller had sent after the last chunk of the body, for example a second Model: the HTTP server adds them to the request's header, and the header was copied after the body.

The header is now copied before the body is read. Trailers are dropped, as proxies may do.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -47,7 +47,7 @@
 	// A stream may last for many versions of the configuration, which would all stay in memory.
 	e.view = nil
 	e.setDeadline()
-	e.copyHeader()
+	e.setKeys()
 	return e.chargeTeam()
 }
 
@@ -116,10 +116,10 @@
 // defaultTimeout applies when neither the route nor the caller sets a timeout.
 const defaultTimeout = 30 * time.Second
 
+// copyHeader must be called before readBody, which adds the fields of the trailer to the header.
 func (e *exchange) copyHeader() {
 	e.header = &fasthttp.RequestHeader{}
 	e.ctx.Request.Header.CopyTo(e.header)
-	e.setKeys()
 }
 
 // chargeTeam takes the request's cost from the team's limit.
--- a/forward/server.go
+++ b/forward/server.go
@@ -182,6 +182,7 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	e.copyHeader()
 	if refusal := e.readBody(); refusal != nil {
 		e.refuse(refusal)
 		return
