forward: bound the body of a request by the configuration before it is read

A caller with a body larger than the configuration allows, up to 16 MiB, took that much of the memory that all bodies share until the body was read. Meanwhile other callers got 503, and so did this one, instead of 413, if it found no memory itself.

readBody now applies the limit of the configuration as well.

--- a/forward/request_body.go
+++ b/forward/request_body.go
@@ -26,7 +26,7 @@
 	if stream == nil {
 		return nil
 	}
-	length, maxBytes := e.ctx.Request.Header.ContentLength(), e.server.cfg.MaxBodyBytes
+	length, maxBytes := e.ctx.Request.Header.ContentLength(), e.maxBodyBytes()
 	if length > maxBytes {
 		return e.refuseBody(boundedbuffer.ErrTooLarge)
 	}
@@ -52,6 +52,14 @@
 	return nil
 }
 
+// maxBodyBytes returns the size of the largest body that the process and the configuration allow.
+func (e *exchange) maxBodyBytes() int {
+	if config := e.view.Config; config != nil && config.Limits.MaxBodyBytes > 0 {
+		return min(config.Limits.MaxBodyBytes, e.server.cfg.MaxBodyBytes)
+	}
+	return e.server.cfg.MaxBodyBytes
+}
+
 // refuseBody returns the answer to a request whose body cannot be read. Its connection is closed, since the rest of the body may
 // follow.
 func (e *exchange) refuseBody(err error) *refusal {
