forward: do not send a request whose body is complete only after its deadline

Several such failures in a row make the endpoint avoided.

The request is now refused with 408, as not run.

--- a/forward/admit.go
+++ b/forward/admit.go
@@ -47,6 +47,9 @@
 	// A stream may last for many versions of the configuration, which would all stay in memory.
 	e.view = nil
 	e.setDeadline()
+	if e.remaining() <= 0 { // an endpoint would only be taken for silent
+		return &refusal{status: fasthttp.StatusRequestTimeout, reason: "request complete only after its deadline"}
+	}
 	e.setKeys()
 	return e.chargeTeam()
 }
