forward: wait for the memory of a body for at most half of the caller's time

A caller with little time waited up to a second for the memory of its body and was refused after its own deadline, too late to try elsewhere.

--- a/forward/request_body.go
+++ b/forward/request_body.go
@@ -35,7 +35,7 @@
 		size = length + 1 // the end is found by a read beyond the last byte
 	}
 	e.bodyBuffer = boundedbuffer.New(e.server.bodies, size)
-	e.bodyBuffer.WaitUpTo(bodyMemoryWait)
+	e.bodyBuffer.WaitUpTo(e.maxBodyWait())
 	if size > boundedbuffer.FreeBytes {
 		if err := e.bodyBuffer.Resize(size, nil); err != nil {
 			return e.refuseBody(err)
@@ -60,6 +60,14 @@
 	return e.server.cfg.MaxBodyBytes
 }
 
+// maxBodyWait returns how long the request waits for memory: at most half of the time that its caller allows.
+func (e *exchange) maxBodyWait() time.Duration {
+	if e.request.Timeout > 0 {
+		return min(bodyMemoryWait, e.request.Timeout/2)
+	}
+	return bodyMemoryWait
+}
+
 // refuseBody returns the answer to a request whose body cannot be read. Its connection is closed, since the rest of the body may
 // follow.
 func (e *exchange) refuseBody(err error) *refusal {
