forward: do not send a request whose caller left while its body waited for memory

An endpoint got a request that must not be repeated up to a second after its caller had closed the connection: such requests are not watched, and their bodies may wait for memory.

After such a wait, a request whose connection the caller has closed is refused and not sent.

--- a/forward/client_conn.go
+++ b/forward/client_conn.go
@@ -91,6 +91,10 @@
 	return len(c.peeked) > 0
 }
 
+// ended reports whether the caller has closed the connection, or its sending direction, after bytes that were all read. It must
+// not be called during watch.
+func (c *clientConn) ended() bool { return !c.hasPeeked() && socket.Ended(c.Conn) }
+
 const (
 	// lingerTimeout is how long a closed connection with unread bytes is kept for the caller to read the rest of its answer.
 	lingerTimeout = 2 * time.Second
--- a/forward/request_body.go
+++ b/forward/request_body.go
@@ -45,6 +45,9 @@
 	if err == nil && length >= 0 && len(body) < length {
 		err = errTruncatedBody
 	}
+	if conn, ok := e.ctx.Conn().(*clientConn); ok && err == nil && e.bodyBuffer.Waited() && conn.ended() {
+		err = errCallerClosed
+	}
 	if err != nil {
 		return e.refuseBody(err)
 	}
@@ -77,6 +80,8 @@
 		e.server.deps.Metrics.BodiesRefused.Inc(1)
 		wait := bodyMemoryWait/2 + time.Duration(e.server.deps.Random()*float64(bodyMemoryWait))
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: "no memory for the body", retryAfter: wait}
+	case errors.Is(err, errCallerClosed):
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: err.Error()}
 	case errors.Is(err, boundedbuffer.ErrTooLarge):
 		return &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: "body too large"}
 	case isTimeout(err):
--- a/internal/boundedbuffer/buffer.go
+++ b/internal/boundedbuffer/buffer.go
@@ -17,6 +17,7 @@
 	bytes []byte
 	// patience is how long Resize may still wait for memory.
 	patience time.Duration
+	waited   bool
 }
 
 // New returns a Buffer of size bytes, at most FreeBytes.
@@ -27,6 +28,9 @@
 // WaitUpTo lets Resize and ReadAll wait until other buffers are released, for limit altogether. Without it they do not wait.
 func (b *Buffer) WaitUpTo(limit time.Duration) { b.patience = limit }
 
+// Waited reports whether Resize or ReadAll had to wait for memory.
+func (b *Buffer) Waited() bool { return b.waited }
+
 // Bytes returns the whole buffer. It is valid until Resize, ReadAll or Release.
 func (b *Buffer) Bytes() []byte { return b.bytes }
 
@@ -56,6 +60,7 @@
 		if err == nil || b.patience <= 0 {
 			return err
 		}
+		b.waited = true
 		time.Sleep(waitInterval)
 		b.patience -= waitInterval
 	}
