forward: do not send a held request whose caller has left if it must not be repeated

A request that was in progress at a crash is held until it is known whether it is the cause. If it must not be repeated, its connection was not watched meanwhile: an endpoint got it up to a second after its caller had closed the connection.

The connection is now watched during the hold, as it is during the wait for a rate limit.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -94,7 +94,10 @@
 		hold += time.Duration(e.server.deps.Random() * float64(maxExtraWait))
 		e.server.deps.Metrics.Held.Inc(1)
 		e.server.deps.Log.Info("request held", "id", e.request.ID, "fingerprint", e.keys.Key.String(), "for_ms", hold.Milliseconds())
-		if !wait.For(e.context, hold) {
+		stopWatching := e.watchWait()
+		over := wait.For(e.context, hold)
+		stopWatching()
+		if !over {
 			return false
 		}
 	}
