forward: keep a returned stream within the endpoints that its route allows

A stream went back to the silent endpoint after the next one had rejected it. If the silent one could not be reached any more, or was avoided after the wait for its rate limit, the stream was sent to a third endpoint although its route allows two: failures to reach an endpoint were retried whatever the number of sends, which had been below the limit at every attempt before.

Measured: the new spec of platform/silent_stream_test.go fails without the change (3 endpoints of 2).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -312,12 +312,12 @@
 // unless the request did not reach the endpoint.
 func (e *exchange) allowRetry(failed *failure) bool {
 	switch {
-	case !e.canSend() || !e.repeatable(failed):
+	case !e.canSend() || !e.repeatable(failed) || e.sends >= e.route.MaxAttempts:
 		return false
 	case failed.cause == causeNotSent:
 		return len(e.tried) < maxEndpointsTried
 	default:
-		return e.sends < e.route.MaxAttempts && e.takeRetry()
+		return e.takeRetry()
 	}
 }
 
