--- a/forward/admit.go
+++ b/forward/admit.go
@@ -47,7 +47,10 @@
 	// A stream may last for many versions of the configuration, which would all stay in memory.
 	e.view = nil
 	e.setDeadline()
-	e.copyHeader()
+	if e.remaining() <= 0 { // an endpoint would only be taken for silent
+		return &refusal{status: fasthttp.StatusRequestTimeout, reason: "request complete only after its deadline"}
+	}
+	e.setKeys()
 	return e.chargeTeam()
 }
 
@@ -101,27 +104,21 @@
 	return &refusal{status: status, reason: reason}
 }
 
-// setDeadline applies the shorter of the route's timeout and the caller's, or defaultTimeout.
+// setDeadline applies the earlier end of the route's timeout and of the time that the caller allows, or defaultTimeout.
 func (e *exchange) setDeadline() {
-	timeout := e.route.Timeout
-	if e.request.Timeout > 0 && (timeout <= 0 || e.request.Timeout < timeout) {
-		timeout = e.request.Timeout
-	}
-	if timeout <= 0 {
+	timeout, allowed := e.route.Timeout, e.request.Timeout
+	if timeout <= 0 && allowed <= 0 {
 		timeout = defaultTimeout
 	}
 	e.deadline = e.arrived.Add(timeout)
+	if end := e.begunAt.Add(allowed); allowed > 0 && (timeout <= 0 || end.Before(e.deadline)) {
+		e.deadline = end
+	}
 }
 
 // defaultTimeout applies when neither the route nor the caller sets a timeout.
 const defaultTimeout = 30 * time.Second
 
-func (e *exchange) copyHeader() {
-	e.header = &fasthttp.RequestHeader{}
-	e.ctx.Request.Header.CopyTo(e.header)
-	e.setKeys()
-}
-
 // chargeTeam takes the request's cost from the team's limit.
 func (e *exchange) chargeTeam() *refusal {
 	if e.team == nil {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -323,12 +323,12 @@
 
 func (e *exchange) mayRetry(failed *failure) bool {
 	switch {
-	case !e.canSend() || !e.repeatable(failed):
+	case !e.canSend() || !e.repeatable(failed) || e.sends >= e.route.MaxAttempts:
 		return false
 	case failed.cause == causeNotSent:
 		return len(e.tried) < maxEndpointsTried
 	default:
-		return e.sends < e.route.MaxAttempts && e.takeRetry()
+		return e.takeRetry()
 	}
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -35,7 +35,8 @@
 	body       []byte
 	bodyBuffer *boundedbuffer.Buffer
 
-	arrived time.Time
+	// begunAt is when the header was read: the time that the caller allows counts from it, the route's timeout from arrived.
+	begunAt, arrived time.Time
 	// accepted is set when the request is counted in Metrics.InProgress, until release.
 	accepted bool
 	// deadline is when the complete answer is due; setDeadline sets it.
--- a/forward/request_body.go
+++ b/forward/request_body.go
@@ -26,7 +26,7 @@
 	if stream == nil {
 		return nil
 	}
-	length, maxBytes := e.ctx.Request.Header.ContentLength(), e.server.cfg.MaxBodyBytes
+	length, maxBytes := e.ctx.Request.Header.ContentLength(), e.maxBodyBytes()
 	if length > maxBytes {
 		return e.refuseBody(boundedbuffer.ErrTooLarge)
 	}
@@ -35,7 +35,7 @@
 		size = length + 1 // the end is found by a read beyond the last byte
 	}
 	e.bodyBuffer = boundedbuffer.New(e.server.bodies, size)
-	e.bodyBuffer.WaitUpTo(bodyMemoryWait)
+	e.bodyBuffer.WaitUpTo(e.maxBodyWait())
 	if size > boundedbuffer.FreeBytes {
 		if err := e.bodyBuffer.Resize(size, nil); err != nil {
 			return e.refuseBody(err)
@@ -45,6 +45,9 @@
 	if err == nil && length >= 0 && len(body) < length {
 		err = errTruncatedBody
 	}
+	if conn, ok := e.ctx.Conn().(*clientConn); ok && err == nil && e.bodyBuffer.Waited() && conn.ended() {
+		err = errCallerClosed
+	}
 	if err != nil {
 		return e.refuseBody(err)
 	}
@@ -52,6 +55,22 @@
 	return nil
 }
 
+// maxBodyBytes returns the size of the largest body that the process and the configuration allow.
+func (e *exchange) maxBodyBytes() int {
+	if config := e.view.Config; config != nil && config.Limits.MaxBodyBytes > 0 {
+		return min(config.Limits.MaxBodyBytes, e.server.cfg.MaxBodyBytes)
+	}
+	return e.server.cfg.MaxBodyBytes
+}
+
+// maxBodyWait returns how long the request waits for memory: at most half of the time that its caller allows.
+func (e *exchange) maxBodyWait() time.Duration {
+	if e.request.Timeout > 0 {
+		return min(bodyMemoryWait, e.request.Timeout/2)
+	}
+	return bodyMemoryWait
+}
+
 // refuseBody returns the answer to a request whose body cannot be read. Its connection must be closed, since the rest of the body
 // may follow.
 func (e *exchange) refuseBody(err error) *refusal {
@@ -60,6 +79,8 @@
 		e.server.deps.Metrics.BodiesRefused.Inc(1)
 		wait := bodyMemoryWait/2 + time.Duration(e.server.deps.Random()*float64(bodyMemoryWait))
 		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: "no memory for the body", retryAfter: wait}
+	case errors.Is(err, errCallerClosed):
+		return &refusal{status: fasthttp.StatusServiceUnavailable, reason: err.Error()}
 	case errors.Is(err, boundedbuffer.ErrTooLarge):
 		return &refusal{status: fasthttp.StatusRequestEntityTooLarge, reason: "body too large"}
 	case isTimeout(err):
--- a/forward/server.go
+++ b/forward/server.go
@@ -247,11 +247,13 @@
 func (s *Server) newExchange(ctx *fasthttp.RequestCtx) *exchange {
 	now := time.Now()
 	e := &exchange{
-		server: s, ctx: ctx, arrived: now,
+		server: s, ctx: ctx, begunAt: now, arrived: now,
 		view:    s.deps.State.View(),
 		request: s.deps.Codec.DecodeRequest(&ctx.Request.Header),
 		tried:   make(map[string]bool),
 	}
+	e.header = &fasthttp.RequestHeader{}
+	ctx.Request.Header.CopyTo(e.header) // before the body is read, which adds the fields of the trailer
 	e.context, e.cancel = context.WithCancel(context.Background())
 	return e
 }
