upstream: keep the dial timeout of 300 ms out of the tests of the exchange

A spec of package upstream failed on a busy machine: "dial tcp 127.0.0.1:35185: i/o timeout" in "is cut off after the reader's bound of a body without end". Callers saw nothing: a dial that takes longer than DialTimeout fails, as it must.

Cause: the specs opened their connections with the default DialTimeout of 300 ms of real time, which a busy machine exceeds on the loopback interface too. None of them tests the dial. If it failed before the endpoint accepted the connection, the specs of bytes without end waited 20 s and failed with "the connection stays open".

These specs now use a pool whose dial timeout is the bound of their own waits.

--- a/upstream/late_reader_test.go
+++ b/upstream/late_reader_test.go
@@ -41,7 +41,7 @@
 		header.SetHost("endpoint")
 		body := make([]byte, 1<<20)
 		header.SetContentLength(len(body))
-		response, err := NewPool(Config{}).Do(context.Background(), Request{
+		response, err := newPool().Do(context.Background(), Request{
 			Target: Target{Address: listener.Addr().String(), ID: "endpoint-1"}, Header: header, Body: body,
 			ResponseID: func(*fasthttp.ResponseHeader) string { return "" }, Deadline: time.Now().Add(testTimeout),
 		})
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -21,6 +21,9 @@
 // testTimeout bounds the waits of a test. No result depends on its value.
 const testTimeout = 20 * time.Second
 
+// newPool returns a Pool without the default dial timeout, which dial_timeout_test.go checks: a busy machine may exceed it.
+func newPool() *Pool { return NewPool(Config{DialTimeout: testTimeout}) }
+
 var _ = Describe("IdleLimit", func() {
 	// Guards against connection resets when all instances together hold more connections than an endpoint accepts.
 	DescribeTable("limits all instances together to half of the connections that an endpoint accepts, with at least one each",
@@ -89,7 +92,7 @@
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 			}
 		})
-		pool := NewPool(Config{})
+		pool := newPool()
 		var all sync.WaitGroup
 		for range 5 {
 			all.Go(func() {
@@ -124,7 +127,7 @@
 			_, _ = received.Body.Read(make([]byte, 1)) // reads no more and keeps the connection open
 			_, _ = io.Copy(io.Discard, blockingReader{})
 		})
-		pool := NewPool(Config{})
+		pool := newPool()
 		for _, expected := range []string{"1", "2"} {
 			requestBody := ""
 			if expected == "1" {
@@ -171,7 +174,7 @@
 		header := &fasthttp.RequestHeader{}
 		header.SetRequestURI("/work")
 		header.SetHost("endpoint")
-		response, err := NewPool(Config{}).Do(context.Background(), Request{
+		response, err := newPool().Do(context.Background(), Request{
 			Target: Target{Address: listener.Addr().String(), ID: "endpoint-1"}, Header: header, ID: "1",
 			ResponseID: func(h *fasthttp.ResponseHeader) string { return string(h.Peek("Id")) },
 			Deadline:   time.Now().Add(testTimeout), IdleLimit: 1,
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -34,7 +34,7 @@
 		header.SetHost("endpoint")
 		body := []byte(strings.Repeat("x", 32<<20)) // more than the socket buffers hold
 		header.SetContentLength(len(body))
-		response, err := NewPool(Config{}).Do(context.Background(), Request{
+		response, err := newPool().Do(context.Background(), Request{
 			Target: Target{Address: listener.Addr().String(), ID: "endpoint-1"}, Header: header, Body: body,
 			ResponseID: func(*fasthttp.ResponseHeader) string { return "" },
 			Deadline:   time.Now().Add(testTimeout), IdleLimit: 1,
