endpointlimit: age limits too by the time for which their message was on its way

Found by the simulation, once its reports were aged as in the instances. The change of the ages of ends left those of limits as they were: with 0.3 to 0.9 s on the way, limits that instances tell each other again and again hardly aged, counted as newer than the answers without them and did not end.

Limits in a message get older by the time since its sending, less 0.1 s for the difference between two estimates of the time of day.

--- a/endpointlimit/record.go
+++ b/endpointlimit/record.go
@@ -46,13 +46,19 @@
 	return aged
 }
 
-// Delayed returns the records of a message that was on its way or unread for the given time. Only the ends of limits get
-// older: a limit that counts as too young ends with the next answer without it, but one that ends too early is exceeded.
+// clockTolerance is the part of a message's delay that may be the difference between two estimates of the time of day.
+const clockTolerance = 100 * time.Millisecond
+
+// Delayed returns the records of a message that was on its way or unread for the given time. The ends of limits get older by all
+// of it, so that none counts as younger than it is. Limits get older by what exceeds clockTolerance: without that, those that
+// instances tell each other again and again would hardly get older, and not end.
 func (r Records) Delayed(by time.Duration) Records {
 	delayed := slices.Clone(r)
 	for i := range delayed {
 		if delayed[i].Ended {
 			delayed[i].Age += max(by, 0)
+		} else {
+			delayed[i].Age += max(by-clockTolerance, 0)
 		}
 	}
 	return delayed
--- a/endpointlimit/simulation_test.go
+++ b/endpointlimit/simulation_test.go
@@ -136,7 +136,7 @@
 		case d.at.After(s.now):
 			kept = append(kept, d)
 		case !s.cut[d.to]:
-			s.instances[d.to].Merge(s.now, d.records.Aged(s.now.Sub(d.sentAt)))
+			s.instances[d.to].Merge(s.now, d.records.Delayed(s.now.Sub(d.sentAt)))
 		}
 	}
 	s.reports = kept
