--- a/backend/http_caller_test.go
+++ b/backend/http_caller_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -99,48 +98,39 @@
 func TestAnswersAreBoundedTogether(t *testing.T) {
 	RegisterTestingT(t)
 	const calls, answerBytes = 12, 8 << 20
-	block := make([]byte, 64<<10) // shared, so that only the caller's copies count
-	var sent atomic.Int64
+	content := make([]byte, answerBytes)
+	var ended atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		for n := 0; n < answerBytes; n += len(block) {
-			if _, err := w.Write(block); err != nil {
-				break // the caller has given up
-			}
-		}
-		sent.Add(1)
-		<-r.Context().Done() // no end
+		_, _ = w.Write(content) // and no end
+		<-r.Context().Done()
 	}))
 	defer server.Close()
-	defer server.CloseClientConnections() // Close waits for the calls
 	caller, before := NewHTTPCaller(), heapBytes()
-	callWithin := func(limit time.Duration) {
-		ctx, cancel := context.WithTimeout(context.Background(), limit)
-		defer cancel()
-		call := outgoing(&request.Call{Method: "GET", Path: "/"})
-		call.MaxAnswerBytes = 2 * answerBytes
-		_, err := caller.Call(ctx, server.Listener.Addr().String(), call)
-		Expect(err).To(HaveOccurred())
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
 	var all sync.WaitGroup
 	for range calls {
-		all.Go(func() { callWithin(time.Minute) })
+		all.Go(func() {
+			defer ended.Add(1)
+			call := outgoing(&request.Call{Method: "GET", Path: "/"})
+			call.MaxAnswerBytes = 2 * answerBytes
+			_, err := caller.Call(ctx, server.Listener.Addr().String(), call)
+			Expect(err).To(HaveOccurred())
+		})
 	}
-	var growth []int64
-	Eventually(func(g Gomega) {
-		g.Expect(sent.Load()).To(BeEquivalentTo(calls))
-		growth = nil
-		for range 10 {
-			growth = append(growth, heapBytes()-before)
-			time.Sleep(20 * time.Millisecond)
-		}
-		g.Expect(slices.Min(growth)).To(BeNumerically(">", answerBytes), "no answer is held")
-		g.Expect(slices.Max(growth)-slices.Min(growth)).To(BeNumerically("<", 1<<20), "answers are still read")
-	}, 20*time.Second).Should(Succeed())
-	t.Logf("heap growth %.1f MiB", float64(slices.Max(growth))/(1<<20))
-	Expect(slices.Max(growth)).To(BeNumerically("<", 72<<20))
+	// In the end, each call that has not ended holds the whole content.
+	Eventually(func() bool {
+		used := caller.memory.Used()
+		Expect(used).To(BeNumerically("<=", maxAnswerMemory))
+		return used >= (calls-ended.Load())*answerBytes
+	}, 50*time.Second).Should(BeTrue())
+	growth := heapBytes() - before
+	t.Logf("heap growth %.1f MiB, %d bytes counted, %d calls ended", float64(growth)/(1<<20), caller.memory.Used(), ended.Load())
+	Expect(caller.memory.Used()).To(BeNumerically("<=", maxAnswerMemory))
+	Expect(growth).To(BeNumerically("<", 72<<20))
 	server.CloseClientConnections()
 	all.Wait()
-	callWithin(100 * time.Millisecond)
+	Expect(caller.memory.Used()).To(BeZero())
 }
 
 // heapBytes returns the memory of live objects.
