forward: copy the header of a request when its exchange is created

The spec about replaced configurations, which calls admit itself, failed since the header is copied before the body: it found no header. The exchange now has it from the start.

--- a/forward/server.go
+++ b/forward/server.go
@@ -182,7 +182,6 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	e.copyHeader()
 	if refusal := e.readBody(); refusal != nil {
 		e.refuse(refusal)
 		return
@@ -254,6 +253,7 @@
 		tried:   make(map[string]bool),
 	}
 	e.context, e.cancel = context.WithCancel(context.Background())
+	e.copyHeader()
 	return e
 }
 
