--- a/forward/server.go
+++ b/forward/server.go
@@ -252,9 +252,8 @@
 		request: s.deps.Codec.DecodeRequest(&ctx.Request.Header),
 		tried:   make(map[string]bool),
 	}
-	e.header = &fasthttp.RequestHeader{}
-	ctx.Request.Header.CopyTo(e.header) // before the body is read, which adds the fields of the trailer
 	e.context, e.cancel = context.WithCancel(context.Background())
+	e.copyHeader()
 	return e
 }
 
