--- a/forward/admit.go
+++ b/forward/admit.go
@@ -119,6 +119,12 @@
 // defaultTimeout applies when neither the route nor the caller sets a timeout.
 const defaultTimeout = 30 * time.Second
 
+// copyHeader must be called before readBody, which adds the fields of the trailer to the header.
+func (e *exchange) copyHeader() {
+	e.header = &fasthttp.RequestHeader{}
+	e.ctx.Request.Header.CopyTo(e.header)
+}
+
 // chargeTeam takes the request's cost from the team's limit.
 func (e *exchange) chargeTeam() *refusal {
 	if e.team == nil {
