Write crashes to the store before there is a quarantine

Cause: only quarantines were kept in the store, the crashes before them in the memory of the instances alone, so that a kill of all instances began the count anew.

Change: the object of the quarantines holds the newest crashes too, with the keys that were not answered since (32 crashes, 256 keys), from the first on. Its two writers write at most once a second while only crashes change.

--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -20,9 +21,13 @@
 	quarantineObject = "prompt-parts"
 	// quarantineInterval is the time between two checks whether the object has to be read or written.
 	quarantineInterval = 500 * time.Millisecond
+	// crashWriteGap is the shortest time between two writes of an instance that only crashes call for.
+	crashWriteGap = time.Second
+	// crashSettleTime is the time after a crash at which most of the answers that clear its keys are known.
+	crashSettleTime = 2 * time.Second
 )
 
-// quarantineStore keeps the quarantines in the store, so that they outlive a restart of all instances.
+// quarantineStore keeps the quarantines and recent crashes in the store, so that they outlive a restart of all instances.
 type quarantineStore struct {
 	lg    *slog.Logger
 	store objectapi.Store
@@ -32,18 +37,25 @@
 	// loaded is set once the object was read; version is its version, 0 if it does not exist.
 	loaded  bool
 	version objectapi.Version
+	// writtenAt is the time of the last write, writtenCrashes what it held of crashes.
+	writtenAt      time.Time
+	writtenCrashes map[uint64]bool
 }
 
 func newQuarantineStore(lg *slog.Logger, store objectapi.Store, guard *quarantine.Guard) *quarantineStore {
 	return &quarantineStore{lg: lg, store: store, guard: guard}
 }
 
-// quarantineRecord is one entry of the object. Ages are not kept, since the clocks of instances may differ: a quarantine that
-// is read begins anew.
+// quarantineRecord is one entry of the object: a quarantine or a crash. The time of the write is not kept, since the clocks of instances
+// may differ: a quarantine that is read begins anew, and a crash is as old as it was at the write.
 type quarantineRecord struct {
-	// Part is the quarantine.Key as a number.
+	// Part is the quarantine.Key as a number. Epoch is 0 in the entry of a crash, which earlier versions ignore.
 	Part  uint64 `json:"part"`
 	Epoch int    `json:"epoch"`
+	// Process, AgeMs and Keys are those of a quarantine.Crash.
+	Process uint64   `json:"process,omitempty"`
+	AgeMs   int64    `json:"age_ms,omitempty"`
+	Keys    []uint64 `json:"keys,omitempty"`
 }
 
 // run reads the object once, and writes it after changes while isWriter returns true, until ctx ends.
@@ -68,19 +80,34 @@
 		s.take(reply.Object)
 		s.loaded = true
 	}
-	if !isWriter || !s.changed.Swap(false) {
+	if !isWriter {
 		return nil
 	}
-	err := s.write(ctx)
+	now := clock.Now()
+	crashes := s.guard.Unanswered(now)
+	if !s.changed.Swap(false) && (now.Sub(s.writtenAt) < crashWriteGap || maps.Equal(s.writtenCrashes, settled(crashes))) {
+		return nil
+	}
+	err := s.write(ctx, now, crashes)
 	if err != nil {
 		s.changed.Store(true)
 	}
 	return err
 }
 
+// settled returns for each crash, by process, whether most answers to its keys are known. A crash calls for a write when it is
+// new, and when this changes.
+func settled(crashes []quarantine.Crash) map[uint64]bool {
+	states := make(map[uint64]bool, len(crashes))
+	for _, crash := range crashes {
+		states[crash.Process] = crash.Age >= crashSettleTime
+	}
+	return states
+}
+
 // write replaces the object. If another instance has changed it, its entries are taken over first.
-func (s *quarantineStore) write(ctx context.Context) error {
-	value, err := json.Marshal(s.records())
+func (s *quarantineStore) write(ctx context.Context, now time.Time, crashes []quarantine.Crash) error {
+	value, err := json.Marshal(s.records(now, crashes))
 	if err != nil {
 		return err
 	}
@@ -93,23 +120,30 @@
 		return nil
 	}
 	if err == nil {
-		s.version = reply.Object.Version
+		s.version, s.writtenAt, s.writtenCrashes = reply.Object.Version, now, settled(crashes)
 	}
 	return err
 }
 
-// records returns the quarantines in force.
-func (s *quarantineStore) records() []quarantineRecord {
+// records returns the quarantines in force and the given crashes.
+func (s *quarantineStore) records(now time.Time, crashes []quarantine.Crash) []quarantineRecord {
 	records := []quarantineRecord{}
-	for _, record := range s.guard.Own(clock.Now()).Records {
+	for _, record := range s.guard.Own(now).Records {
 		if !record.Lifted {
 			records = append(records, quarantineRecord{Part: uint64(record.Key), Epoch: record.Epoch})
 		}
 	}
+	for _, crash := range crashes {
+		record := quarantineRecord{Process: crash.Process, AgeMs: crash.Age.Milliseconds()}
+		for _, key := range crash.Keys {
+			record.Keys = append(record.Keys, uint64(key))
+		}
+		records = append(records, record)
+	}
 	return records
 }
 
-// take adds the quarantines of the object to those of this instance.
+// take adds the quarantines and crashes of the object to those of this instance.
 func (s *quarantineStore) take(object objectapi.Object) {
 	s.version = object.Version
 	if len(object.Value) == 0 {
@@ -121,8 +155,16 @@
 		return
 	}
 	var evidence quarantine.Evidence
-	for _, record := range records[:min(len(records), quarantine.MaxRecords)] {
-		evidence.Records = append(evidence.Records, quarantine.Record{Key: quarantine.Key(record.Part), Epoch: record.Epoch})
+	for _, record := range records[:min(len(records), quarantine.MaxRecords+quarantine.MaxCrashes)] {
+		if record.Epoch > 0 {
+			evidence.Records = append(evidence.Records, quarantine.Record{Key: quarantine.Key(record.Part), Epoch: record.Epoch})
+			continue
+		}
+		crash := quarantine.Crash{Process: record.Process, Age: time.Duration(max(record.AgeMs, 0)) * time.Millisecond}
+		for _, key := range record.Keys {
+			crash.Keys = append(crash.Keys, quarantine.Key(key))
+		}
+		evidence.Crashes = append(evidence.Crashes, crash)
 	}
 	s.guard.Observe(clock.Now(), evidence)
 }
