Keep the order of prompt parts when the evidence of a crash is merged

Cause: where parts explain the same crashes, the one further back in the prompt is chosen, by its position in the crash's list of keys. That list was in the order in which the requests in progress became known, so that a part of a request that was known first stood before the parts that precede it in other prompts.

Change: keys are inserted before those that follow them in their request. The new entry of the table failed before (it quarantined the sound part).

--- a/quarantine/crashing_request_test.go
+++ b/quarantine/crashing_request_test.go
@@ -122,6 +122,10 @@
 		ginkgo.Entry("a part too, if further requests with it crash after one is quarantined", []Key{harmful.Key, crashing},
 			crash(0, harmful), crash(500, harmful), crash(1000, harmful), answer(2000, request(9, first)),
 			crash(2100, request(2, other, crashing)), crash(2200, request(3, 7, crashing))),
+		// Guards against a sound part of the same prompts that is taken for the crashing one, as another request with this is known first.
+		ginkgo.Entry("the part further back, whatever else was in progress", []Key{crashing},
+			crash(0, request(1, crashing)), crash(0, request(2, first, other, crashing)), crash(500, request(3, crashing)),
+			crash(500, request(4, first, other, crashing)), crash(1000, request(5, first, other, crashing))),
 		// Guards against evidence that is lost while another key seems to explain the crashes.
 		ginkgo.Entry("the request, once its part is answered", []Key{harmful.Key},
 			crash(0, harmful), crash(500, harmful), crash(1000, request(2, crashing)), answer(2000, request(3, crashing)), crash(2500, harmful)),
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -117,12 +117,16 @@
 	return Crash{Process: a.Process, Age: max(a.Age, b.Age), Keys: addKeys(slices.Clone(a.Keys), b.Keys)}
 }
 
-// addKeys appends the keys that are missing in keys.
+// addKeys adds the keys that are missing in keys, each before those that follow it in added: a part stays behind the parts that
+// precede it in a prompt, whichever of the requests in progress is known first.
 func addKeys(keys, added []Key) []Key {
-	for _, key := range added {
-		if !slices.Contains(keys, key) {
-			keys = append(keys, key)
+	end := len(keys)
+	for _, key := range slices.Backward(added) {
+		if at := slices.Index(keys, key); at >= 0 {
+			end = min(end, at)
+			continue
 		}
+		keys = slices.Insert(keys, end, key)
 	}
 	return keys
 }
