gateway: bound the memory of request bodies that are being read

Callers of the own interface could end the process, with all its requests, by bodies within its limits: the HTTP server read each body whole before anything else was known. Registered requests are bounded together, bodies in reading were not.

Bodies are now read by the handler, after the credential was checked, into buffers that share 64 MiB. Without memory a request waits up to a second; then the rest of its body is discarded and it is answered with 503 as not run. Its connection stays usable.

--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -124,35 +124,46 @@
 		ctx.Response.Header.Set("Allow", "POST")
 		return notRunProblem(http.StatusMethodNotAllowed, "route", "only POST is allowed")
 	}
-	team, p := s.authenticateNewWork(ctx)
+	entry, stream, p := s.acceptCompletion(ctx)
 	if p != nil {
 		return p
 	}
-	req, stream, err := parseCompletion(ctx.PostBody())
+	return s.writeAnswer(ctx, entry, 0, stream)
+}
+
+// acceptCompletion registers and starts a completion. The second result reports whether the caller asked for a streamed answer.
+func (s *Server) acceptCompletion(ctx *fasthttp.RequestCtx) (*request.Entry, bool, *problem) {
+	team, p := s.authenticateNewWork(ctx)
+	if p != nil {
+		return nil, false, p
+	}
+	body, buffer, p := s.readBody(ctx)
+	if p != nil {
+		return nil, false, p
+	}
+	defer buffer.Release()
+	req, stream, err := parseCompletion(body)
 	if err != nil {
-		return notRunProblem(http.StatusBadRequest, "parse", err.Error())
+		return nil, false, notRunProblem(http.StatusBadRequest, "parse", err.Error())
 	}
 	service, found := s.deps.Directory.ServiceOfModel(req.Model)
 	if !found || service.Kind != catalog.KindModel {
-		return notRunProblem(http.StatusNotFound, "route", "unknown model")
+		return nil, false, notRunProblem(http.StatusNotFound, "route", "unknown model")
 	}
-	if p := authorise(team, service, len(ctx.PostBody())); p != nil {
-		return p
+	if p := authorise(team, service, len(body)); p != nil {
+		return nil, false, p
 	}
 	now := time.Now()
 	deadline, p := s.parseDeadline(&ctx.Request.Header, now)
 	if p != nil {
-		return p
+		return nil, false, p
 	}
 	// Requests to models can always be resumed and therefore count as idempotent.
 	entry, p := s.accept(request.Spec{
 		Completion: req, Stream: stream, Idempotent: true,
 		PromptTokens: estimatePromptTokens(req), Received: now, Deadline: deadline,
 	}, team, service)
-	if p != nil {
-		return p
-	}
-	return s.writeAnswer(ctx, entry, 0, stream)
+	return entry, stream, p
 }
 
 // estimatePromptTokens estimates the length of the prompt in tokens from the number of bytes in its messages.
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -15,6 +15,9 @@
 	MaxHeaderFields int
 	// MaxBodyBytes bounds every body, in addition to the limit of the service. Default 16 MiB.
 	MaxBodyBytes int
+	// MaxBodyMemory bounds the memory in bytes of the bodies that are being read, all together, except those of up to 16 KiB.
+	// Default 64 MiB.
+	MaxBodyMemory int
 	// ReadTimeout bounds the time to read a whole request, and the wait for the last event of a
 	// request when a caller re-attaches after it. Default 10 s.
 	ReadTimeout time.Duration
@@ -41,6 +44,7 @@
 	DefaultMaxHeaderBytes    = 16 << 10
 	DefaultMaxHeaderFields   = 100
 	DefaultMaxBodyBytes      = 16 << 20
+	DefaultMaxBodyMemory     = 64 << 20
 	DefaultReadTimeout       = 10 * time.Second
 	DefaultWriteTimeout      = 10 * time.Second
 	DefaultIdleTimeout       = 60 * time.Second
@@ -55,6 +59,7 @@
 	c.MaxHeaderBytes = cmp.Or(c.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	c.MaxHeaderFields = cmp.Or(c.MaxHeaderFields, DefaultMaxHeaderFields)
 	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, DefaultMaxBodyBytes)
+	c.MaxBodyMemory = cmp.Or(c.MaxBodyMemory, DefaultMaxBodyMemory)
 	c.ReadTimeout = cmp.Or(c.ReadTimeout, DefaultReadTimeout)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
 	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"knapweedhoist/internal/boundedbuffer"
 	"knapweedhoist/request"
 	"knapweedhoist/timeline"
 )
@@ -39,6 +40,8 @@
 	cfg  Config
 	deps Deps
 	http *fasthttp.Server
+	// bodies bounds the memory of the bodies that are being read.
+	bodies *boundedbuffer.Memory
 
 	// ready is the last value passed to SetReady.
 	ready atomic.Bool
@@ -49,20 +52,20 @@
 // NewServer returns a Server that is not ready yet.
 func NewServer(lg *slog.Logger, cfg Config, deps Deps) *Server {
 	s := &Server{lg: lg, cfg: cfg.withDefaults(), deps: deps}
+	s.bodies = boundedbuffer.NewMemory(s.cfg.MaxBodyMemory)
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleError,
-		HeaderReceived:               s.requestLimits,
 		Name:                         "knapweedhoist",
 		Concurrency:                  s.cfg.MaxConnections,
 		ReadBufferSize:               s.cfg.MaxHeaderBytes,
 		MaxRequestBodySize:           s.cfg.MaxBodyBytes,
+		StreamRequestBody:            true, // readBody bounds the memory
 		ReadTimeout:                  s.cfg.ReadTimeout,
 		WriteTimeout:                 s.cfg.WriteTimeout,
 		IdleTimeout:                  s.cfg.IdleTimeout,
 		DisablePreParseMultipartForm: true,
-		// Releases the read buffer while an answer is streamed, which saves MaxHeaderBytes (16 KiB by default)
-		// for each open stream.
+		// Releases the write buffers of idle connections; read buffers are kept with StreamRequestBody.
 		ReduceMemoryUsage:     true,
 		SecureErrorLogMessage: true,
 		CloseOnShutdown:       true,
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -15,30 +15,40 @@
 
 // serveServiceCall serves calls to plain services at /services/{name}/{path}.
 func (s *Server) serveServiceCall(ctx *fasthttp.RequestCtx, rest string) *problem {
-	team, p := s.authenticateNewWork(ctx)
+	entry, p := s.acceptServiceCall(ctx, rest)
 	if p != nil {
 		return p
 	}
+	return s.writeAnswer(ctx, entry, 0, false)
+}
+
+// acceptServiceCall registers and starts a call.
+func (s *Server) acceptServiceCall(ctx *fasthttp.RequestCtx, rest string) (*request.Entry, *problem) {
+	team, p := s.authenticateNewWork(ctx)
+	if p != nil {
+		return nil, p
+	}
+	body, buffer, p := s.readBody(ctx)
+	if p != nil {
+		return nil, p
+	}
+	defer buffer.Release()
 	name, path, _ := strings.Cut(rest, "/")
 	service, found := s.deps.Directory.Service(name)
 	if !found || service.Kind != catalog.KindPlain {
-		return notRunProblem(http.StatusNotFound, "route", "unknown service")
+		return nil, notRunProblem(http.StatusNotFound, "route", "unknown service")
 	}
-	if p := authorise(team, service, len(ctx.Request.Body())); p != nil {
-		return p
+	if p := authorise(team, service, len(body)); p != nil {
+		return nil, p
 	}
-	spec, p := s.callSpec(ctx, service, "/"+path)
+	spec, p := s.callSpec(ctx, service, "/"+path, body)
 	if p != nil {
-		return p
+		return nil, p
 	}
-	entry, p := s.accept(spec, team, service)
-	if p != nil {
-		return p
-	}
-	return s.writeAnswer(ctx, entry, 0, false)
+	return s.accept(spec, team, service)
 }
 
-func (s *Server) callSpec(ctx *fasthttp.RequestCtx, service *catalog.Service, path string) (request.Spec, *problem) {
+func (s *Server) callSpec(ctx *fasthttp.RequestCtx, service *catalog.Service, path string, body []byte) (request.Spec, *problem) {
 	now := time.Now()
 	deadline, p := s.parseDeadline(&ctx.Request.Header, now)
 	if p != nil {
@@ -50,7 +60,7 @@
 	}
 	call := &request.Call{
 		Method: string(ctx.Method()), Path: path, Query: string(ctx.URI().QueryString()),
-		Header: endToEndFields(&ctx.Request.Header), Body: append([]byte(nil), ctx.Request.Body()...),
+		Header: endToEndFields(&ctx.Request.Header), Body: append([]byte(nil), body...),
 	}
 	idempotent := isIdempotent(service, call.Method, path)
 	return request.Spec{
