forward, dispatch: one state of a takeover, and no search for confirmed endpoints without need

Callers see no difference. A takeover had three flags that exclude each other; they are one state now, and the spec that expected the flag expects the state. Each choice of an endpoint looked for one that is not Unconfirmed, under full load through all of them, also when none was Unconfirmed; it now does so once it meets one.

--- a/dispatch/avoidance.go
+++ b/dispatch/avoidance.go
@@ -105,7 +105,7 @@
 	if endpoint.Service != c.query.Service.Name || c.query.Tried[endpoint.ID] {
 		return false
 	}
-	if endpoint.Unconfirmed && c.confirmedOnly {
+	if endpoint.Unconfirmed && c.confirmedOnly() {
 		return false
 	}
 	reason, _ := avoidance(c.now, endpoint, c.balancer.current(endpoint))
--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -60,7 +60,6 @@
 	choice := &choice{
 		balancer: b, now: now, query: query, engine: b.learner.Engine(query.Service.Name), sharedTokens: sharedTokens(query),
 	}
-	choice.confirmedOnly = choice.confirmedCanServe()
 	candidates := choice.candidates()
 	if len(candidates) == 0 {
 		choice.ignoreRamps = true
--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -14,8 +14,8 @@
 	query    Query
 	// ignoreRamps is set if all endpoints that are not avoided have just ended a pause.
 	ignoreRamps bool
-	// confirmedOnly is set if an endpoint that is not Unconfirmed can serve the request.
-	confirmedOnly bool
+	// confirmed holds the result of confirmedCanServe once it was needed.
+	confirmed struct{ known, canServe bool }
 	// preferred is the ID of the endpoint that preferredEndpoint returned.
 	preferred string
 	// engine is the estimated speed of the service's endpoints.
--- a/forward/pause_test.go
+++ b/forward/pause_test.go
@@ -34,6 +34,6 @@
 		s, t := &eventStream{}, &takeover{}
 		s.giveUp(t)
 		Expect(s.win(t)).To(BeFalse())
-		Expect(t.won).To(BeFalse())
+		Expect(t.state).To(Equal(takeoverFailed))
 	})
 })
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -31,14 +31,27 @@
 	// exchange is a copy of the stream's exchange, which only the takeover uses until done is closed.
 	exchange *exchange
 	done     chan struct{}
-	// won is set once the other endpoint goes on, cancelled if the silent one did first, over if the attempt failed before
-	// either. At most one of them is set. They are guarded by eventStream.mu until done is closed.
-	won, cancelled, over bool
+	// state is guarded by eventStream.mu until done is closed.
+	state takeoverState
 	// answer is the other endpoint's stream, failed the reason why there is none.
 	answer *endpointAnswer
 	failed *failure
 }
 
+// takeoverState is the state of a takeover. It changes at most once.
+type takeoverState uint8
+
+const (
+	// takeoverOpen: neither endpoint has gone on.
+	takeoverOpen takeoverState = iota
+	// takeoverWon: the other endpoint goes on.
+	takeoverWon
+	// takeoverCancelled: the silent endpoint went on first.
+	takeoverCancelled
+	// takeoverFailed: the attempt failed while the silent endpoint was silent.
+	takeoverFailed
+)
+
 // fork returns a copy of e for one attempt beside the current one.
 func (e *exchange) fork() *exchange {
 	forked := *e
@@ -83,8 +96,8 @@
 	s.readingSince = time.Time{}
 	t := s.takeover
 	s.takeover = nil
-	if t != nil && answered && !t.won {
-		t.cancelled = true
+	if t != nil && answered && t.state == takeoverOpen {
+		t.state = takeoverCancelled
 		t.exchange.cancel()
 	}
 	s.mu.Unlock()
@@ -94,7 +107,7 @@
 	<-t.done
 	e := s.exchange
 	e.sends, e.tried = t.exchange.sends, t.exchange.tried
-	if !t.won {
+	if t.state != takeoverWon {
 		return nil
 	}
 	return t
@@ -118,7 +131,7 @@
 				t.exchange.inFlight.Done(time.Now(), dispatch.Failed)
 			}
 		}
-		if t.failed != nil || !t.won {
+		if t.failed != nil || t.state != takeoverWon {
 			t.exchange.cancel()
 			t.exchange.releaseBuffer()
 		}
@@ -162,33 +175,32 @@
 func (s *eventStream) win(t *takeover) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t.cancelled || t.over {
-		return false
-	}
-	if !t.won {
-		t.won = true
+	if t.state == takeoverOpen {
+		t.state = takeoverWon
 		s.answer.SetReadDeadline(time.Unix(1, 0))
 	}
-	return true
+	return t.state == takeoverWon
 }
 
 // giveUp keeps the timer of a failed attempt from aborting the silent endpoint.
 func (s *eventStream) giveUp(t *takeover) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.over = !t.won && !t.cancelled
+	if t.state == takeoverOpen {
+		t.state = takeoverFailed
+	}
 }
 
 // logStay logs why a silent stream stays at its endpoint.
 func (s *eventStream) logStay(t *takeover) {
 	s.mu.Lock()
-	cancelled, won := t.cancelled, t.won
+	state := t.state
 	s.mu.Unlock()
-	if won {
+	if state == takeoverWon {
 		return // the failure is that of the stream
 	}
 	e, reason := t.exchange, "the endpoint went on first"
-	if !cancelled {
+	if state != takeoverCancelled {
 		reason = t.failed.Error()
 	}
 	e.server.deps.Log.Info("silent stream not moved", "id", e.request.ID, "after_event", e.lastEventID, "sends", e.sends,
