--- a/entry/own_loss_test.go
+++ b/entry/own_loss_test.go
@@ -20,7 +20,7 @@
 	simCallTimeout, simWatchMargin = 1500 * time.Millisecond, 700 * time.Millisecond
 	// simResend is when a connection request that was lost is sent again.
 	simResend = time.Second
-	// simContact is the time after a disturbance from which the bounds hold again.
+	// simContact is the time after a disruption from which the bounds hold again.
 	simContact = 3 * time.Second
 	simStep    = 10 * time.Millisecond
 )
@@ -31,7 +31,7 @@
 func (s span) contains(t time.Duration) bool { return t >= s.at && t < s.at+s.length }
 
 // simStore answers the watches of one instance on the clock of the bubble. Calls block as on a real network: open connections
-// never recover from a disturbance.
+// never recover from a disruption.
 type simStore struct {
 	start time.Time
 	// cuts are the times without a connection, silences those at which all open connections go silent.
@@ -212,7 +212,7 @@
 	for _, c := range []struct {
 		name string
 		loss func(phase time.Duration) ownLoss
-		// end returns the end of the last disturbance, from which simContact counts. nil: the bound holds all the while.
+		// end returns the end of the last disruption, from which simContact counts. nil: the bound holds all the while.
 		end func(phase time.Duration) time.Duration
 	}{
 		{name: "the waiting watch alone", loss: func(phase time.Duration) ownLoss {
--- a/quarantine/caution_test.go
+++ b/quarantine/caution_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// calmTime is the time after a disturbance from which the bound on requests that crash endpoints applies.
+// calmTime is the time after a disruption from which the bound on requests that crash endpoints applies.
 const calmTime = 3 * time.Second
 
 // reportTime is the time between two reports of the guards.
--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -15,7 +15,7 @@
 	MinCrashesAnswered int
 	// MinLostTogether is the number of endpoints lost within LostTogether at which no key is suspended. Default 3.
 	MinLostTogether int
-	// CautionTime is how long a Guard is cautious, see ExtendCaution. Default 5 s: 3 s after the end of a disturbance the bound on
+	// CautionTime is how long a Guard is cautious, see ExtendCaution. Default 5 s: 3 s after the end of a disruption the bound on
 	// requests that crash endpoints applies again, and a crash before then is known with its answers 1.5 s later.
 	CautionTime time.Duration
 	// SuspensionTime is how long after a crash within the CautionTime a key without an answer is suspended at most. Default 10 s.
