faultsoak: a server's next process does not send what the former one was to send

A stand-in now drops what was queued when its process is replaced, and the end of a run stops its callers also after a failure. No check changed.

--- a/faultsoak/planned_stop_test.go
+++ b/faultsoak/planned_stop_test.go
@@ -52,8 +52,7 @@
 		time.Sleep(time.Duration(r.rng.Int64N(int64(stopGap))))
 	}
 	r.pendingReverts.Wait()
-	close(r.stop)
-	r.callers.Wait()
+	r.stopCallers()
 	t.Logf("seed %d: exchanges by status %v", seed, r.ledger.counts())
 	g.Expect(r.ledger.counts()[200]).To(BeNumerically(">", 0))
 	g.Expect(r.ledger.check(r.executions())).To(BeEmpty())
--- a/faultsoak/run_test.go
+++ b/faultsoak/run_test.go
@@ -36,10 +36,11 @@
 // id returns the id of the current process.
 func (s *server) id() string { return fmt.Sprintf("%s-%d", s.name, s.starts.Load()) }
 
-// restart returns the ids of the former and of the new process.
+// restart returns the ids of the former and of the new process, which does not send what the former one was to send.
 func (s *server) restart() (former, id string) {
 	former = s.id()
 	s.starts.Add(1)
+	s.backend.DropEnqueued()
 	return former, s.id()
 }
 
@@ -54,8 +55,10 @@
 	servers    []*server
 	ledger     ledger
 
-	stop    chan struct{}
-	callers sync.WaitGroup
+	// stop is closed by stopCallers.
+	stop     chan struct{}
+	stopOnce sync.Once
+	callers  sync.WaitGroup
 	// pendingReverts waits for the goroutines that have not reverted their fault yet.
 	pendingReverts sync.WaitGroup
 }
@@ -181,8 +184,16 @@
 	return executions
 }
 
-// close kills the daemons and closes the links, the servers and the platform of the run.
+// stopCallers ends the callers and waits for them.
+func (r *soakRun) stopCallers() {
+	r.stopOnce.Do(func() { close(r.stop) })
+	r.callers.Wait()
+}
+
+// close stops the callers, which would send to later runs otherwise, kills the daemons and closes the links, the servers and
+// the platform of the run.
 func (r *soakRun) close() error {
+	r.stopCallers()
 	var errs []error
 	for n, p := range r.processes {
 		p.kill()
