objectrelay: share the encoded answers of a copy between its readers

Cause: a relay encoded each answer for each reader, and held it until the reader had read it. At one change of a configuration of 1 MiB, 60 readers that are slow take 64 MB of a process that may have 184 MB.

Change: the history keeps each batch of changes in its encoded form, and a list is encoded once for each version; an answer is a sequence of these parts and the version and age of its reader. The messages are the same on the wire. The history no longer holds the objects besides, so that its bound counts what it holds.

--- a/objectrelay/copy.go
+++ b/objectrelay/copy.go
@@ -45,7 +45,9 @@
 
 	mu      sync.Mutex
 	objects map[string]objectapi.Object
-	history history
+	// encodedObjects is the encoding of objects that all lists share, nil until the first list after a change.
+	encodedObjects []byte
+	history        history
 	// version is the version of the store that objects reflects.
 	version objectapi.Version
 	// confirmedAt is the latest time at which the copy is known to have been complete.
@@ -74,6 +76,7 @@
 	for _, object := range objects {
 		c.objects[object.Name] = object
 	}
+	c.encodedObjects = nil
 	c.history.reset(version)
 	c.version = version
 	c.wakeWatches()
@@ -82,7 +85,12 @@
 // Apply implements objectwatch.Sink.
 func (c *Copy) Apply(events []objectapi.WatchEvent, version objectapi.Version) {
 	c.next.Apply(events, version)
+	var encoded []byte
+	var err error
 	isShared := c.cfg.IsShared == nil || c.cfg.IsShared()
+	if isShared {
+		encoded, err = encodeChanges(events)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, event := range events {
@@ -92,9 +100,10 @@
 		}
 		c.objects[event.Object.Name] = event.Object
 	}
+	c.encodedObjects = nil
 	c.version = version
-	if isShared {
-		c.history.add(batch{version: version, events: events})
+	if isShared && err == nil {
+		c.history.add(batch{version: version, changes: len(events), encoded: encoded})
 	} else {
 		c.history.reset(version)
 	}
@@ -134,29 +143,43 @@
 // WatchRegained implements objectwatch.Sink.
 func (c *Copy) WatchRegained() { c.next.WatchRegained() }
 
-// Do answers a list or watch from the copy. It implements objectapi.Store. It returns ErrUnavailable before the first
-// list, while the store does not answer, if the copy is older than MaxAge and if ctx ends; ErrCompacted if the history
-// no longer holds all changes after Request.From; and ErrInvalid for other operations.
+// Do answers a list or watch from the copy. It implements objectapi.Store, with the errors of read.
 func (c *Copy) Do(ctx context.Context, request objectapi.Request) (objectapi.Reply, error) {
+	answer, err := c.read(ctx, request)
+	if err != nil {
+		return objectapi.Reply{}, err
+	}
+	return answer.decode(c.cfg.Kind)
+}
+
+// read answers a list or watch from the copy. It returns ErrUnavailable before the first list, while the store does not
+// answer, if the copy is older than MaxAge and if ctx ends; ErrCompacted if the history no longer holds all changes after
+// Request.From; and ErrInvalid for other operations.
+func (c *Copy) read(ctx context.Context, request objectapi.Request) (encodedReply, error) {
 	switch request.Op {
 	case objectapi.OpList:
 		return c.list()
 	case objectapi.OpWatch:
 		return c.watch(ctx, request)
 	default:
-		return objectapi.Reply{}, objectapi.ErrInvalid
+		return encodedReply{}, objectapi.ErrInvalid
 	}
 }
 
-func (c *Copy) list() (objectapi.Reply, error) {
+func (c *Copy) list() (encodedReply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age, err := c.age()
 	if err != nil {
-		return objectapi.Reply{}, err
+		return encodedReply{}, err
+	}
+	if c.encodedObjects == nil {
+		objects := slices.SortedFunc(maps.Values(c.objects), func(a, b objectapi.Object) int { return strings.Compare(a.Name, b.Name) })
+		if c.encodedObjects, err = encodeObjects(objects); err != nil {
+			return encodedReply{}, err
+		}
 	}
-	objects := slices.SortedFunc(maps.Values(c.objects), func(a, b objectapi.Object) int { return strings.Compare(a.Name, b.Name) })
-	return objectapi.Reply{Objects: objects, Version: c.version, Age: age}, nil
+	return encodedReply{parts: [][]byte{c.encodedObjects}, version: c.version, age: age}, nil
 }
 
 // age returns the time since the copy was last complete, or ErrUnavailable if the copy must not answer. The caller holds
@@ -169,12 +192,12 @@
 	return age, nil
 }
 
-func (c *Copy) watch(ctx context.Context, request objectapi.Request) (objectapi.Reply, error) {
+func (c *Copy) watch(ctx context.Context, request objectapi.Request) (encodedReply, error) {
 	timer := time.NewTimer(request.Wait)
 	defer timer.Stop()
 	for waiting := true; ; {
 		reply, changed, err := c.changesSince(request.From)
-		if err != nil || len(reply.Events) > 0 || !waiting {
+		if err != nil || len(reply.parts) > 0 || !waiting {
 			return reply, err
 		}
 		select {
@@ -182,23 +205,23 @@
 		case <-timer.C:
 			waiting = false
 		case <-ctx.Done():
-			return objectapi.Reply{}, objectapi.ErrUnavailable
+			return encodedReply{}, objectapi.ErrUnavailable
 		}
 	}
 }
 
 // changesSince returns the changes after a version, and a channel that is closed at the next change or when the store
 // stops answering.
-func (c *Copy) changesSince(from objectapi.Version) (objectapi.Reply, <-chan struct{}, error) {
+func (c *Copy) changesSince(from objectapi.Version) (encodedReply, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	age, err := c.age()
 	if err != nil {
-		return objectapi.Reply{}, nil, err
+		return encodedReply{}, nil, err
 	}
-	events, err := c.history.since(from)
+	parts, err := c.history.since(from)
 	if err != nil {
-		return objectapi.Reply{}, nil, err
+		return encodedReply{}, nil, err
 	}
-	return objectapi.Reply{Events: events, Version: max(c.version, from), Age: age}, c.changed, nil
+	return encodedReply{parts: parts, version: max(c.version, from), age: age}, c.changed, nil
 }
--- a/objectrelay/cut_answer_test.go
+++ b/objectrelay/cut_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math"
 	"time"
 
@@ -26,13 +27,25 @@
 		client = NewClient(time.Minute)
 	})
 	object := objectapi.Object{Name: "i-1", Version: 5, Value: []byte("{}")}
+	// encode returns the message that a relay sends.
+	encode := func(reply objectapi.Reply) []byte {
+		objects, err := encodeObjects(reply.Objects)
+		Expect(err).NotTo(HaveOccurred())
+		changes, err := encodeChanges(reply.Events)
+		Expect(err).NotTo(HaveOccurred())
+		body, length, err := encodedReply{parts: [][]byte{objects, changes}, version: reply.Version, age: reply.Age}.body()
+		Expect(err).NotTo(HaveOccurred())
+		message, err := io.ReadAll(body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(message).To(HaveLen(length))
+		return message
+	}
 
 	// Guards against an answer that was cut and counts as a list without the objects behind the cut: a prefix of the message can
 	// be a message too.
 	DescribeTable("is an error if it ends early",
 		func(request objectapi.Request, reply objectapi.Reply) {
-			body, err := proto.Marshal(encodeReply(reply))
-			Expect(err).NotTo(HaveOccurred())
+			body := encode(reply)
 			server.ForEachCut("200 OK", string(body), func(cut rawserver.Cut) {
 				got, err := client.Read(context.Background(), server.Address(), request)
 				if !cut.Whole {
--- a/objectrelay/history.go
+++ b/objectrelay/history.go
@@ -5,8 +5,8 @@
 const (
 	// maxChanges is the number of changes that a history keeps.
 	maxChanges = 512
-	// eventBytes is the size of a change without its name and value.
-	eventBytes = 160
+	// batchBytes is the size of a batch without its encoded changes.
+	batchBytes = 64
 )
 
 // history holds the last changes of a copy for its watches. It keeps at most maxChanges changes of at most maxBytes
@@ -19,10 +19,12 @@
 	changes, bytes int
 }
 
-// batch holds the changes of one answer of the store. The version of the last change is at most version.
+// batch holds the changes of one answer of the store. The version of the last change is at most version. All readers share
+// the encoded changes.
 type batch struct {
 	version objectapi.Version
-	events  []objectapi.WatchEvent
+	changes int
+	encoded []byte
 }
 
 // reset drops all changes; the history begins after version.
@@ -34,37 +36,31 @@
 // is the only one, a batch of more than maxBytes is not.
 func (h *history) add(b batch) {
 	h.batches = append(h.batches, b)
-	h.changes += len(b.events)
+	h.changes += b.changes
 	h.bytes += b.size()
 	for len(h.batches) > 1 && h.changes > maxChanges || len(h.batches) > 0 && h.bytes > h.maxBytes {
 		oldest := h.batches[0]
 		h.batches[0] = batch{} // the array still refers to it
 		h.batches = h.batches[1:]
-		h.changes -= len(oldest.events)
+		h.changes -= oldest.changes
 		h.bytes -= oldest.size()
 		h.start = oldest.version
 	}
 }
 
-// since returns the changes after a version, or ErrCompacted if the history no longer holds them all. A batch of which
+// since returns the encoded changes after a version, or ErrCompacted if the history no longer holds them all. A batch of which
 // the reader has a part is returned whole: applied in order, it leads to the same state.
-func (h *history) since(from objectapi.Version) (events []objectapi.WatchEvent, err error) {
+func (h *history) since(from objectapi.Version) (parts [][]byte, err error) {
 	if from < h.start {
 		return nil, objectapi.ErrCompacted
 	}
 	for _, b := range h.batches {
-		if b.version > from {
-			events = append(events, b.events...)
+		if b.version > from && b.changes > 0 {
+			parts = append(parts, b.encoded)
 		}
 	}
-	return events, nil
+	return parts, nil
 }
 
-// size returns the memory of the changes in bytes.
-func (b batch) size() int {
-	size := 0
-	for _, event := range b.events {
-		size += eventBytes + len(event.Object.Name) + len(event.Object.Value)
-	}
-	return size
-}
+// size returns the memory of the batch in bytes.
+func (b batch) size() int { return batchBytes + len(b.encoded) }
--- a/objectrelay/http.go
+++ b/objectrelay/http.go
@@ -104,17 +104,17 @@
 		rc.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	reply, err := objectCopy.Do(rc, request)
+	reply, err := objectCopy.read(rc, request)
 	if err != nil {
 		rc.SetStatusCode(statusCode(err))
 		return
 	}
-	body, err := proto.Marshal(encodeReply(reply))
+	body, length, err := reply.body()
 	if err != nil {
 		rc.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	rc.Response.SetBodyRaw(body)
+	rc.SetBodyStream(body, length)
 }
 
 // parseRequest decodes the path and query of a read.
--- a/objectrelay/message.go
+++ b/objectrelay/message.go
@@ -5,21 +5,28 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 
 	"knapweedhoist/objectapi"
 	"knapweedhoist/wire"
 )
 
-// encodeReply returns a reply as a wire message. Its age is at least 1 ms, since readers refuse a message without an age.
-func encodeReply(reply objectapi.Reply) *wire.RelayedObjects {
-	message := &wire.RelayedObjects{Version: uint64(reply.Version), AgeMs: max(ceilMilliseconds(reply.Age), 1)}
-	for _, object := range reply.Objects {
+// encodeObjects returns the objects of an answer to a list. The error is that of a name that is not valid UTF-8.
+func encodeObjects(objects []objectapi.Object) ([]byte, error) {
+	message := &wire.RelayedObjects{}
+	for _, object := range objects {
 		message.Objects = append(message.Objects, encodeObject(object))
 	}
-	for _, event := range reply.Events {
+	return proto.Marshal(message)
+}
+
+// encodeChanges returns the changes of an answer to a watch, with the error of encodeObjects.
+func encodeChanges(events []objectapi.WatchEvent) ([]byte, error) {
+	message := &wire.RelayedObjects{}
+	for _, event := range events {
 		message.Changes = append(message.Changes, &wire.RelayedChange{Object: encodeObject(event.Object), Deleted: event.Deleted})
 	}
-	return message
+	return proto.Marshal(message)
 }
 
 // ceilMilliseconds rounds d up to whole milliseconds, so that a copy never reports a lower age than it has.
