--- a/objectwatch/watcher.go
+++ b/objectwatch/watcher.go
@@ -126,7 +126,7 @@
 		Op: objectapi.OpWatch, Kind: w.cfg.Kind, From: w.version, Wait: w.cfg.Wait,
 	})
 	if errors.Is(err, objectapi.ErrCompacted) {
-		w.lg.Info("version compacted, listing again", "version", uint64(w.version))
+		w.lg.Info("version compacted, listing again", "version", uint64(w.version), "reason", err.Error())
 		w.listed = false
 		return w.list(ctx)
 	}
