Bound connections of callers and responses by the memory of the process

Cause: connections of callers were bounded by descriptors only. Responses of the store might hold 48 MiB, and those of each relay as much.

"takes at most its share of the memory" checks what an idle connection takes.

--- a/entry/config_fetch.go
+++ b/entry/config_fetch.go
@@ -12,6 +12,7 @@
 	"knapweedhoist/internal/contain"
 	"knapweedhoist/internal/httpcall"
 	"knapweedhoist/objectapi"
+	"knapweedhoist/objectrelay"
 )
 
 const (
@@ -55,7 +56,9 @@
 
 // fetchConfig returns the encoded configuration of the instance at address.
 func fetchConfig(address string) ([]byte, error) {
-	client := httpcall.New(httpcall.Config{Address: address, Timeout: configFetchTimeout})
+	client := httpcall.New(httpcall.Config{
+		Address: address, Timeout: configFetchTimeout, MaxResponseBytes: objectrelay.MaxReplyBytes,
+	})
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), configFetchTimeout)
 	defer cancel()
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"log/slog"
+	"math"
 	"time"
 
+	"knapweedhoist/forward"
 	"knapweedhoist/objectwatch"
 )
 
@@ -22,3 +25,18 @@
 		SimCallTimeout: simCallTimeout, SimWatchMargin: simWatchMargin,
 	}
 }
+
+// MemoryBounds holds what the parts of an instance may hold, in bytes.
+type MemoryBounds struct {
+	Connections, Bodies, Answers, Histories int
+}
+
+// MemoryBoundsOf returns the bounds of an instance on a machine with memoryMB of memory and descriptors without a limit.
+func MemoryBoundsOf(memoryMB int) MemoryBounds {
+	s := DefaultSettings()
+	s.MemoryMB, s.MaxDescriptors = memoryMB, math.MaxInt32
+	kinds := len(New(slog.New(slog.DiscardHandler), s, Adapter{}).copies)
+	return MemoryBounds{
+		Connections: s.maxCallerConnections() * forward.ConnectionBytes, Bodies: s.maxBodyMemory(), Answers: s.maxAnswerMemory(), Histories: kinds * s.maxHistoryBytes(),
+	}
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -12,6 +12,7 @@
 	"github.com/go-playground/validator/v10"
 	"go.yaml.in/yaml/v3"
 
+	"knapweedhoist/forward"
 	"knapweedhoist/retrybudget"
 	"knapweedhoist/teamlimit"
 )
@@ -188,13 +189,17 @@
 	return int(bodyMemoryShare * float64(s.MemoryMB) * (1 << 20))
 }
 
-// historyShare is the share of MemoryMB that the changes kept for other instances may take, for each kind of object. On
-// the smallest machines (184 MiB) it holds one object of the largest size that the store allows, 1 MiB.
-const historyShare = 0.01
+const (
+	// historyShare is the share of MemoryMB that the changes kept for other instances may take, for each kind of object. On
+	// the smallest machines (184 MiB) it holds one object of the largest size that the store allows, 1 MiB.
+	historyShare = 0.01
+	// historyLimit bounds that memory in bytes. An answer with all of it stays below objectrelay.MaxReplyBytes.
+	historyLimit = 3 << 20
+)
 
 // maxHistoryBytes is the memory in bytes that the changes kept of one kind of object may take, 0 for the default.
 func (s Settings) maxHistoryBytes() int {
-	return int(historyShare * float64(s.MemoryMB) * (1 << 20))
+	return min(int(historyShare*float64(s.MemoryMB)*(1<<20)), historyLimit)
 }
 
 const (
@@ -205,8 +210,21 @@
 	callerDescriptorShare = 0.6
 )
 
-// maxCallerConnections is the number of connections of callers that the process keeps open, 0 if no limit is known.
+// connectionMemoryShare is the share of MemoryMB that connections of callers may take.
+const connectionMemoryShare = 0.25
+
+// maxCallerConnections is the number of connections of callers that the process keeps open, 0 if no limit is known. The
+// descriptors and the memory bound it.
 func (s Settings) maxCallerConnections() int {
+	byDescriptors := s.connectionsByDescriptors()
+	byMemory := int(connectionMemoryShare * float64(s.MemoryMB) * (1 << 20) / forward.ConnectionBytes)
+	if byDescriptors == 0 || byMemory > 0 && byMemory < byDescriptors {
+		return byMemory
+	}
+	return byDescriptors
+}
+
+func (s Settings) connectionsByDescriptors() int {
 	descriptors := s.MaxDescriptors
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < math.MaxInt32 {
--- /dev/null
+++ b/forward/connection_memory_test.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"runtime"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"knapweedhoist/clock"
+	"knapweedhoist/deployment"
+)
+
+// pipeListener accepts the server ends of pipes.
+type pipeListener chan net.Conn
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	if conn, ok := <-l; ok {
+		return conn, nil
+	}
+	return nil, net.ErrClosed
+}
+func (l pipeListener) Close() error   { close(l); return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against a process that exceeds its memory by connections that callers keep open, since one takes more than the number of
+// connections allows for.
+var _ = Describe("A connection of a caller between two requests", func() {
+	It("takes at most its share of the memory", func() {
+		const (
+			connections = 200
+			// idleBytes is the part of ConnectionBytes that is not for a request in progress.
+			idleBytes = 56 << 10
+		)
+		server := NewServer(Config{StartWait: 1}, Deps{
+			Log: slog.New(slog.DiscardHandler), Codec: plainCodec{}, State: deployment.NewState(), Started: make(chan struct{}),
+			Metrics: NewMetrics(metrics.NewRegistry()), Now: clock.Now,
+		})
+		listener := make(pipeListener)
+		go func() { _ = server.Serve(listener) }()
+		DeferCleanup(listener.Close)
+		memory := func() int64 {
+			var stats runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&stats)
+			return int64(stats.HeapAlloc + stats.StackInuse)
+		}
+		before := memory()
+		var clients []net.Conn
+		for range connections {
+			client, accepted := net.Pipe()
+			DeferCleanup(client.Close)
+			listener <- accepted
+			_, err := io.WriteString(client, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			_, err = client.Read(make([]byte, 4096))
+			Expect(err).NotTo(HaveOccurred())
+			clients = append(clients, client)
+		}
+		Expect((memory() - before) / connections).To(BeNumerically("<", idleBytes))
+		runtime.KeepAlive(clients)
+	})
+})
--- a/forward/connections.go
+++ b/forward/connections.go
@@ -9,6 +9,11 @@
 	"github.com/valyala/fasthttp"
 )
 
+// ConnectionBytes is the memory in bytes that one connection of a caller may take: the read buffer of the HTTP server in the
+// allocator's size (40 KiB), its write buffer, state and stack (16 KiB), and while a request is in progress the buffers that the bounds of
+// bodies and answers leave out (2 x 16 KiB) and a connection to an endpoint (12 KiB).
+const ConnectionBytes = 100 << 10
+
 // connections holds the open connections of callers. It is safe for concurrent use.
 type connections struct {
 	// limit is the number of connections above which the one that has waited longest for a request is closed, 0 for none.
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -41,13 +41,13 @@
 	memory *boundedbuffer.Memory
 }
 
-// memoryFactor times MaxResponseBytes is the memory of the bodies that a client reads at the same time.
-const memoryFactor = 3
+// MemoryFactor times MaxResponseBytes is the memory of the bodies that a client reads at the same time.
+const MemoryFactor = 3
 
 // New returns a Client for the server that cfg describes.
 func New(cfg Config) *Client {
 	c := &Client{cfg: cfg.withDefaults()}
-	c.memory = boundedbuffer.NewMemory(memoryFactor * c.cfg.MaxResponseBytes)
+	c.memory = boundedbuffer.NewMemory(MemoryFactor * c.cfg.MaxResponseBytes)
 	c.host = &fasthttp.HostClient{
 		Addr:                      c.cfg.Address,
 		Dial:                      c.dial,
--- a/internal/httpcall/request.go
+++ b/internal/httpcall/request.go
@@ -10,8 +10,6 @@
 	Header []Field
 	// Body is sent as application/json unless Header has a Content-Type.
 	Body []byte
-	// MaxResponseBytes bounds the response body of this Fetch; 0 takes Config.MaxResponseBytes.
-	MaxResponseBytes int
 }
 
 // Field is one header field.
--- a/internal/httpcall/stream.go
+++ b/internal/httpcall/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -56,7 +55,7 @@
 		return Response{}, err
 	}
 	defer stream.Close()
-	return stream.ReadAll(cmp.Or(request.MaxResponseBytes, c.cfg.MaxResponseBytes))
+	return stream.ReadAll(c.cfg.MaxResponseBytes)
 }
 
 func (c *Client) open(ctx context.Context, request Request, idleTimeout time.Duration) (*Stream, error) {
--- a/objectrelay/http.go
+++ b/objectrelay/http.go
@@ -21,6 +21,9 @@
 // PathPrefix is the prefix of the path of a read. The kind of the objects follows it.
 const PathPrefix = "/objects/"
 
+// MaxReplyBytes bounds an answer of a relay.
+const MaxReplyBytes = 4 << 20
+
 // Query parameters of a watch.
 const (
 	versionParam = "version"
@@ -70,7 +73,7 @@
 	defer c.mu.Unlock()
 	client := c.httpClients[address]
 	if client == nil {
-		client = httpcall.New(httpcall.Config{Address: address, Timeout: c.timeout})
+		client = httpcall.New(httpcall.Config{Address: address, Timeout: c.timeout, MaxResponseBytes: MaxReplyBytes})
 		c.httpClients[address] = client
 	}
 	return client
