faultsoak: storms of a large configuration, idle callers, and limits of memory and descriptors

Daemons now have 184 MiB and 600 descriptors in their settings. A fault writes 20 versions of about 0.75 MB in a row, another opens 300 connections, where 210 are kept. A process that ends without having been told to, or whose resident memory exceeds 184 MiB, fails the run.

--- a/faultsoak/faults_test.go
+++ b/faultsoak/faults_test.go
@@ -1,6 +1,7 @@
 package faultsoak
 
 import (
+	"errors"
 	"fmt"
 	"syscall"
 	"time"
@@ -17,7 +18,7 @@
 	(*soakRun).killProcess, (*soakRun).stopProcess, (*soakRun).pauseProcess, (*soakRun).killOneOrAll, (*soakRun).changeSettings,
 	(*soakRun).breakStoreLink, (*soakRun).breakServerLink, (*soakRun).breakCallerLink, (*soakRun).breakStore,
 	(*soakRun).compactStore, (*soakRun).reconfigure, (*soakRun).removeServer, (*soakRun).breakAnswer,
-	(*soakRun).leaveServer,
+	(*soakRun).leaveServer, (*soakRun).stormConfiguration, (*soakRun).addIdleCallers,
 }
 
 // revertLater schedules revert after a random time shorter than within, and returns that time.
@@ -134,6 +135,44 @@
 	return fmt.Sprintf("write configuration %d, error %v", r.platform.Version, err)
 }
 
+const (
+	// stormVersions is the number of versions of a storm, stormRoutes that of their further routes: about 0.75 MB.
+	stormVersions = 20
+	stormRoutes   = 4000
+	// idleCallers is the number of connections that addIdleCallers opens, more than maxDescriptors allows a daemon to keep.
+	idleCallers = 300
+)
+
+// stormConfiguration writes many versions of a large configuration in quick succession, then one of the usual size.
+func (r *soakRun) stormConfiguration() string {
+	r.platform.IdleRoutes = stormRoutes
+	var errs []error
+	for range stormVersions {
+		errs = append(errs, r.platform.Reconfigure())
+	}
+	r.platform.IdleRoutes = 0
+	errs = append(errs, r.platform.Reconfigure())
+	return fmt.Sprintf("write %d versions of a large configuration, error %v", stormVersions, errors.Join(errs...))
+}
+
+// addIdleCallers opens connections that stay open after one request each.
+func (r *soakRun) addIdleCallers() string {
+	p := r.randomProcess()
+	keep := time.Duration(r.rng.Int64N(int64(2 * time.Second)))
+	r.pendingReverts.Go(func() {
+		for range idleCallers {
+			caller, err := platformtest.Dial(p.link.address(), 100*time.Millisecond)
+			if err != nil {
+				break
+			}
+			defer caller.Close()
+			caller.Do("GET", probePath, "idle-"+p.name, 100*time.Millisecond)
+		}
+		time.Sleep(keep)
+	})
+	return fmt.Sprintf("open %d connections to %s for %v more", idleCallers, p.name, keep)
+}
+
 // removeServer removes the store entry of a server and writes it again after a second. The server keeps
 // serving meanwhile.
 func (r *soakRun) removeServer() string {
--- a/faultsoak/process_test.go
+++ b/faultsoak/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -18,6 +19,13 @@
 	peersPort   = ":7602"
 )
 
+const (
+	// memoryMB is the memory of a daemon in MiB, that of the smallest machines.
+	memoryMB = 184
+	// maxDescriptors is the number of descriptors of a daemon, which allows 210 connections of callers.
+	maxDescriptors = 600
+)
+
 // process is one entry daemon, which can be restarted.
 type process struct {
 	name         string
@@ -31,6 +39,9 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
+	// told is set once the running process was told to end. violations holds what processes did that none may do.
+	told       bool
+	violations []string
 }
 
 // start starts the daemon unless it is running.
@@ -47,13 +58,46 @@
 	}
 	exited := make(chan struct{})
 	go func() {
-		_ = command.Wait() // returns an error for a killed process
+		err := command.Wait() // an error for a killed process
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.told {
+			p.violations = append(p.violations, fmt.Sprintf("%s ended by itself: %v", p.name, err))
+		}
 		close(exited)
 	}()
-	p.command, p.exited = command, exited
+	p.command, p.exited, p.told = command, exited, false
 	return nil
 }
 
+// peakMemory returns the largest resident memory of the running process in MiB, 0 if it has exited.
+func (p *process) peakMemory() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var kilobytes int
+	if _, peak, found := strings.Cut(string(status), "VmHWM:"); found {
+		_, _ = fmt.Sscan(peak, &kilobytes) // a process that has just exited has no value
+	}
+	return kilobytes >> 10
+}
+
+// check returns the violations of the processes so far.
+func (p *process) check() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.checkMemory()
+	return p.violations
+}
+
+// checkMemory records a violation if the running process has exceeded its memory. The caller holds p.mu.
+func (p *process) checkMemory() {
+	if peak := p.peakMemory(); peak > memoryMB {
+		p.violations = append(p.violations, fmt.Sprintf("%s had %d MiB, %d are allowed", p.name, peak, memoryMB))
+	}
+}
+
 func isClosed(c chan struct{}) bool {
 	select {
 	case <-c:
@@ -68,6 +112,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !isClosed(p.exited) {
+		p.checkMemory()
+		p.told = p.told || signal == syscall.SIGTERM || signal == syscall.SIGKILL
 		_ = p.command.Process.Signal(signal) // fails only when the process has just exited
 	}
 	return p.exited
@@ -107,7 +153,9 @@
 stop_grace_s: 6
 usage: {window_s: 1, delay_s: 3}
 retries: {slack: %d}
-`, p.name, p.host+callersPort, p.host+readyPort, p.host+peersPort, store, cloud, slack)
+memory_mb: %d
+max_descriptors: %d
+`, p.name, p.host+callersPort, p.host+readyPort, p.host+peersPort, store, cloud, slack, memoryMB, maxDescriptors)
 	next := p.settingsPath + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
--- a/faultsoak/soak_test.go
+++ b/faultsoak/soak_test.go
@@ -87,6 +87,9 @@
 	r.awaitReady(g)
 	r.awaitService(g)
 	r.stopCallers()
+	for _, p := range r.processes {
+		g.Expect(p.check()).To(BeEmpty())
+	}
 	t.Logf("seed %d: exchanges by status %v", seed, r.ledger.counts())
 	g.Expect(r.ledger.counts()[200]).To(BeNumerically(">", 0))
 	g.Expect(r.ledger.check(r.executions())).To(BeEmpty(), "replay: %s=%d %s=1 go test ./faultsoak -v", seedVariable, seed, seedsVariable)
