--- a/forward/connection_memory_test.go
+++ b/forward/connection_memory_test.go
@@ -12,20 +12,9 @@
 
 	"knapweedhoist/clock"
 	"knapweedhoist/deployment"
+	"knapweedhoist/internal/pipelistener"
 )
 
-// pipeListener accepts the server ends of pipes.
-type pipeListener chan net.Conn
-
-func (l pipeListener) Accept() (net.Conn, error) {
-	if conn, ok := <-l; ok {
-		return conn, nil
-	}
-	return nil, net.ErrClosed
-}
-func (l pipeListener) Close() error   { close(l); return nil }
-func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // Guards against a process that exceeds its memory by connections that callers keep open, since one takes more than the number of
 // connections allows for.
 var _ = Describe("A connection of a caller between two requests", func() {
@@ -39,7 +28,7 @@
 			Log: slog.New(slog.DiscardHandler), Codec: plainCodec{}, State: deployment.NewState(), Started: make(chan struct{}),
 			Metrics: NewMetrics(metrics.NewRegistry()), Now: clock.Now,
 		})
-		listener := make(pipeListener)
+		listener := pipelistener.New()
 		go func() { _ = server.Serve(listener) }()
 		DeferCleanup(listener.Close)
 		memory := func() int64 {
@@ -51,9 +40,8 @@
 		before := memory()
 		var clients []net.Conn
 		for range connections {
-			client, accepted := net.Pipe()
+			client := listener.Dial()
 			DeferCleanup(client.Close)
-			listener <- accepted
 			_, err := io.WriteString(client, "GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
 			Expect(err).NotTo(HaveOccurred())
 			_, err = client.Read(make([]byte, 4096))
--- a/objectrelay/readers_memory_test.go
+++ b/objectrelay/readers_memory_test.go
@@ -10,21 +10,10 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"knapweedhoist/internal/pipelistener"
 	"knapweedhoist/objectapi"
 )
 
-// pipeListener accepts the server ends of pipes, which hold no bytes that the other end has not read.
-type pipeListener chan net.Conn
-
-func (l pipeListener) Accept() (net.Conn, error) {
-	if conn, ok := <-l; ok {
-		return conn, nil
-	}
-	return nil, net.ErrClosed
-}
-func (l pipeListener) Close() error   { close(l); return nil }
-func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // Guards against a relay that exceeds its memory at one change of a large configuration because it holds an answer for each
 // instance of its data centre that reads it.
 var _ = Describe("The answers of a relay to many readers of a large object", func() {
@@ -34,11 +23,11 @@
 		// maxHeap is a tenth of the memory of the smallest machine, in bytes.
 		maxHeap = 18 << 20
 	)
-	var listener pipeListener
+	var listener *pipelistener.Listener
 	var objectCopy *Copy
 	BeforeEach(func() {
 		objectCopy = NewCopy(CopyConfig{Kind: objectapi.KindDeployment, MaxAge: time.Hour, Now: time.Now}, discardSink{})
-		listener = make(pipeListener)
+		listener = pipelistener.New()
 		server := &fasthttp.Server{Handler: func(rc *fasthttp.RequestCtx) {
 			Serve(rc, map[objectapi.Kind]*Copy{objectapi.KindDeployment: objectCopy})
 		}}
@@ -47,9 +36,8 @@
 	})
 	// request sends one read on a connection and does not read the answer.
 	request := func(path string) net.Conn {
-		client, accepted := net.Pipe()
+		client := listener.Dial()
 		DeferCleanup(client.Close)
-		listener <- accepted
 		_, err := fmt.Fprintf(client, "GET %s HTTP/1.1\r\nHost: relay\r\n\r\n", path)
 		Expect(err).NotTo(HaveOccurred())
 		return client
