--- a/deployment/versions.go
+++ b/deployment/versions.go
@@ -8,13 +8,12 @@
 	Keys *KeyList
 }
 
-// Versions decides which configuration is in force, from the versions of it that an instance reads from the store or from other
-// instances. The newest valid version is in force, without the API keys that a newer version withdraws which is not valid
-// as a whole: whoever withdraws a key relies on it, whatever else the version holds. Nothing that such a version adds
-// is in force.
+// Versions decides which configuration is in force, from the versions that an instance reads from the store or from other
+// instances. The newest valid version is in force. A newer one that is rejected only withdraws API keys: the operator who
+// withdrew a key relies on it, whatever fault the version has in another place.
 //
-// A revision is the store's, which orders the versions that the store held. It is 0 for what another instance sent. The zero value
-// holds no configuration. It is not safe for concurrent use.
+// A revision is the store's, which orders the versions that the store held; it is 0 for what another instance sent. The zero value
+// holds no configuration. Versions is not safe for concurrent use.
 type Versions struct {
 	// accepted is the newest valid version.
 	accepted *Config
