platform: test answers that are reset while a long upload is being written

Handled before: upstream.Response.wasReset asks the write of the request whether a reset ended the body.

--- a/internal/rawserver/server.go
+++ b/internal/rawserver/server.go
@@ -9,13 +9,23 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 )
 
 // Server sends the same bytes in answer to each request and closes the connection.
 type Server struct {
 	listener net.Listener
-	raw      atomic.Pointer[string]
-	reset    atomic.Bool
+	answer   atomic.Pointer[answer]
+}
+
+// answer describes what a Server does with each request.
+type answer struct {
+	raw string
+	// reset ends the connection by a reset instead of a FIN.
+	reset bool
+	// early sends raw without reading the body of the request. The connection ends after pause.
+	early bool
+	pause time.Duration
 }
 
 // New starts a Server on a free loopback port.
@@ -38,8 +48,13 @@
 
 // Answer sets the bytes that the server sends from now on, and whether it then resets the connection instead of sending a FIN.
 func (s *Server) Answer(raw string, reset bool) {
-	s.raw.Store(&raw)
-	s.reset.Store(reset)
+	s.answer.Store(&answer{raw: raw, reset: reset})
+}
+
+// AnswerEarly makes the server send raw from now on as soon as the header section of a request has arrived, read no body and reset
+// the connection after pause.
+func (s *Server) AnswerEarly(raw string, pause time.Duration) {
+	s.answer.Store(&answer{raw: raw, reset: true, early: true, pause: pause})
 }
 
 func (s *Server) accept() {
@@ -58,9 +73,13 @@
 	if err != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, request.Body)
-	_, _ = io.WriteString(conn, *s.raw.Load())
-	if tcp, ok := conn.(*net.TCPConn); ok && s.reset.Load() {
+	answer := s.answer.Load()
+	if !answer.early {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+	_, _ = io.WriteString(conn, answer.raw)
+	time.Sleep(answer.pause)
+	if tcp, ok := conn.(*net.TCPConn); ok && answer.reset {
 		_ = tcp.SetLinger(0)
 	}
 }
