--- a/backend/malformed_answer_test.go
+++ b/backend/malformed_answer_test.go
@@ -62,3 +62,36 @@
 			To(MatchError(ErrBroken))
 	}
 }
+
+// Guards against a broken answer of a plain service that reaches the caller, and a sound one with a rare field that does not.
+func TestHeadsOfAnswers(t *testing.T) {
+	RegisterTestingT(t)
+	server := newRawServer(t)
+	for _, repeatable := range []bool{false, true} {
+		Expect(server.CheckHeads("200 OK", "body", func() error { return callUploading(server, repeatable, nil) })).To(Succeed())
+	}
+}
+
+// Guards against a part of an answer that reaches the caller as a complete one, because the write of the call got the error of a reset.
+func TestResetDuringUpload(t *testing.T) {
+	RegisterTestingT(t)
+	server := newRawServer(t)
+	for _, repeatable := range []bool{false, true} {
+		Expect(server.CheckEarlyReset("200 OK", "half", func() error {
+			return callUploading(server, repeatable, make([]byte, rawserver.UploadBytes))
+		})).To(Succeed())
+	}
+}
+
+// callUploading makes a call with this body and returns its error, which must be ErrBroken.
+func callUploading(server *rawserver.Server, repeatable bool, body []byte) error {
+	call := outgoing(&request.Call{Method: "POST", Path: "/", Body: body})
+	call.Repeatable = repeatable
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	_, err := NewHTTPCaller().Call(ctx, server.Address(), call)
+	if err != nil {
+		Expect(err).To(MatchError(ErrBroken))
+	}
+	return err
+}
--- a/engine/cut_stream_test.go
+++ b/engine/cut_stream_test.go
@@ -47,3 +47,32 @@
 		}
 	})
 }
+
+// Guards against the tokens of a broken answer, and against a stream that was reset and counts as complete.
+func TestBrokenAnswerIsNoStream(t *testing.T) {
+	g := NewWithT(t)
+	server, err := rawserver.New()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer server.Close()
+	client := engine.NewClient(lg, engine.ClientConfig{Address: server.Address()})
+	defer client.Close()
+	call := func(content string) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		request := engine.Request{ID: "r1", Attempt: 1, Messages: []engine.Message{{Role: "user", Content: content}}}
+		err := client.Stream(ctx, request, func(engine.Event) error { return nil })
+		if err != nil {
+			g.Expect(err).To(MatchError(engine.ErrBroken))
+		}
+		return err
+	}
+	finish := strings.Replace(tokenEvent(0), "null", `"stop"`, 1)
+	g.Expect(server.CheckHeads("200 OK", finish+"data: "+engine.StreamEnd+"\n\n", func() error { return call("") })).To(Succeed())
+	g.Expect(server.CheckEarlyReset("200 OK", tokenEvent(0), func() error {
+		return call(strings.Repeat("x", rawserver.UploadBytes))
+	})).To(Succeed())
+	g.Expect(server.CheckHeads("200 OK", `{}`, func() error {
+		_, err := client.Load(t.Context())
+		return err
+	})).To(Succeed())
+}
--- a/internal/rawserver/head.go
+++ b/internal/rawserver/head.go
@@ -1,6 +1,9 @@
 package rawserver
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // ForEachInvalid calls check for answers that are no valid ones, each with this status and body as far as it holds them: with a
 // blank or a control byte in the name of a field, in the answer or in an informational one before it, and with a status below 100.
@@ -59,3 +62,39 @@
 		head + connection + length + line + "\r\n" + body,
 	}
 }
+
+// CheckHeads returns an error for the first answer with this status and body that call does not treat as its header section requires:
+// call must fail for an invalid one and succeed for a valid one.
+func (s *Server) CheckHeads(status, body string, call func() error) (failed error) {
+	s.ForEachInvalid(status, body, func(raw string) {
+		if call() == nil && failed == nil {
+			failed = fmt.Errorf("invalid answer taken for a valid one: %q", raw)
+		}
+	})
+	s.ForEachUnusual(status, body, func(raw string) {
+		if err := call(); err != nil && failed == nil {
+			failed = fmt.Errorf("valid answer rejected: %w: %q", err, raw)
+		}
+	})
+	return failed
+}
+
+// UploadBytes is the size of a request body that is more than the socket buffers hold.
+const UploadBytes = 12 << 20
+
+// earlyResets is how often CheckEarlyReset makes a call for each pause.
+const earlyResets = 5
+
+// CheckEarlyReset returns an error if one of its calls succeeds. Each sends a body of UploadBytes, gets an answer of this status, without a
+// length and with a part of its body, and is then reset.
+func (s *Server) CheckEarlyReset(status, part string, call func() error) error {
+	for _, pause := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond} {
+		s.AnswerEarly("HTTP/1.1 "+status+"\r\n\r\n"+part, pause)
+		for range earlyResets {
+			if call() == nil {
+				return fmt.Errorf("part of an answer taken for a complete one, reset after %s", pause)
+			}
+		}
+	}
+	return nil
+}
--- a/objectrelay/cut_answer_test.go
+++ b/objectrelay/cut_answer_test.go
@@ -63,6 +63,15 @@
 			objectapi.Reply{Version: 7, Age: time.Second, Events: []objectapi.WatchEvent{{Object: object, Deleted: true}}}),
 	)
 
+	// Guards against a broken answer that counts as a list.
+	It("is an error if its head is invalid", func() {
+		body := encode(objectapi.Reply{Version: 7, Age: time.Second, Objects: []objectapi.Object{object}})
+		Expect(server.CheckHeads("200 OK", string(body), func() error {
+			_, err := client.Read(context.Background(), server.Address(), objectapi.Request{Op: objectapi.OpList})
+			return err
+		})).To(Succeed())
+	})
+
 	// Guards against a foreign server at the address of a relay that is gone, whose empty answer takes all objects away.
 	It("is an error if it is empty", func() {
 		server.Answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false)
--- a/roster/client_test.go
+++ b/roster/client_test.go
@@ -11,7 +11,7 @@
 	"knapweedhoist/internal/rawserver"
 )
 
-// Guards against a response that was cut, or is that of another program, and counts as an empty list, which takes all entries
+// Guards against a response that was cut or is broken, or is that of another program, and counts as an empty list, which takes all entries
 // away.
 func TestResponseWithoutAListIsAnError(t *testing.T) {
 	RegisterTestingT(t)
@@ -29,6 +29,10 @@
 		}
 		Expect(err).To(MatchError(ErrUnavailable), cut.Text)
 	})
+	Expect(server.CheckHeads("200 OK", `{"at_ms":5,"entries":[]}`, func() error {
+		_, err := client.Read(context.Background())
+		return err
+	})).To(Succeed())
 	for _, body := range []string{`{}`, `null`, `{"error":"x"}`, `{"entries":[]}`, `{"at_ms":0,"entries":[]}`} {
 		server.Answer(fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body), false)
 		_, err := client.Read(context.Background())
