hoistctl: reject invalid responses

Seen by operators: a response with a blank in the name of a field, or with a status below 100, counts as a success, so that hoistctl reports a change that the instance may not have stored.

Cause: the client of hoistctl was the only one that reads answers from fasthttp without httpconn. fasthttp takes 000 for 200.

Change: its connections are httpconn.Conn.

Evidence: "is a failure if its head is invalid" fails on the code before and passes now, with the sound answers that it includes. "is a failure if it is reset while the request is being written" passes on both.

--- a/hoistctl/client.go
+++ b/hoistctl/client.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"net"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"knapweedhoist/internal/httpconn"
 	"knapweedhoist/operator"
 )
 
@@ -28,10 +30,19 @@
 	}
 	return &client{
 		address: strings.TrimPrefix(o.Address, "http://"), key: key, timeout: o.Timeout,
-		http: &fasthttp.Client{MaxResponseBodySize: maxResponseBytes, MaxIdemponentCallAttempts: 1},
+		http: &fasthttp.Client{Dial: dial, MaxResponseBodySize: maxResponseBytes, MaxIdemponentCallAttempts: 1},
 	}, nil
 }
 
+// dial opens a connection that rejects invalid responses.
+func dial(address string) (net.Conn, error) {
+	conn, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return httpconn.New(conn), nil
+}
+
 // withAddress returns a copy of the client that calls the instance at address.
 func (c *client) withAddress(address string) *client {
 	copied := *c
