httpconn: reject answers with a control byte in the reason phrase

Seen by callers: an answer whose reason phrase holds a control byte reaches the client as a success, with that byte.

Change: CheckHead requires a status line without control bytes other than tabs. obs-text, tabs and an empty phrase pass, as RFC 9112, 4 has it.

Evidence: with "\x00" before the phrase "The head of a server's answer" fails in its four entries of invalid heads on the code before, and so do the tests of cloud, hoistctl and httpcall; they pass now, with the valid phrases.

--- a/internal/httpconn/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -74,6 +74,8 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101\r\n\r\n",
 		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"HTTP/1.0 200 OK\r\nContent-Length: 4\r\ntransfer-encoding :gzip\r\n\r\n",
+		"HTTP/1.1 200 O\x00K\r\n\r\n",
+		"HTTP/1.1 200 OK\r\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nA B: c\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length : 4\r\n\r\nbody",
 		"\r\nHTTP/1.1 200 OK\nA: b\nB\x00: c\n\r\n",
@@ -112,6 +114,9 @@
 		if header.StatusCode() < 100 {
 			t.Fatalf("status %d is not rejected: %q", header.StatusCode(), text)
 		}
+		if !httpguts.ValidHeaderFieldValue(string(header.StatusMessage())) {
+			t.Fatalf("reason phrase %q is not rejected: %q", header.StatusMessage(), text)
+		}
 		for name := range header.All() {
 			if !httpguts.ValidHeaderFieldName(string(name)) {
 				t.Fatalf("field name %q is not rejected: %q", name, text)
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -33,12 +33,16 @@
 // CheckHead returns an error that wraps ErrInvalid if a complete header section has
 //   - a status below 100, of which fasthttp takes 000 for 200,
 //   - status 101, since no request asks for another protocol,
+//   - a control byte in the status line, since fasthttp passes on all reason phrases,
 //   - a field name that is no token, since fasthttp passes on names with blanks and drops those before the colon, or
 //   - a transfer encoding without HTTP/1.1, which fasthttp drops: the framing is faulty then (RFC 9112, section 6.1).
 func CheckHead(head []byte) error {
 	if status := statusCode(head); len(status) == 3 && (status[0] == '0' || string(status) == "101") {
 		return fmt.Errorf("%w: status %s", ErrInvalid, status)
 	}
+	if line := statusLine(head); !httpguts.ValidHeaderFieldValue(string(line)) {
+		return BoundText(fmt.Errorf("%w: status line %q", ErrInvalid, line))
+	}
 	isHTTP11 := bytes.HasPrefix(statusLine(head), []byte("HTTP/1.1 "))
 	for name := range fieldNames(head) {
 		if !httpguts.ValidHeaderFieldName(string(name)) {
@@ -67,15 +71,15 @@
 	}
 }
 
-// statusLine returns the first line of a header section.
+// statusLine returns the first line of a header section without its end.
 func statusLine(head []byte) []byte {
 	line, _, _ := bytes.Cut(head[skipEmptyLines(head):], []byte("\n"))
-	return line
+	return bytes.TrimSuffix(line, []byte("\r"))
 }
 
 // statusCode returns the digits of the status.
 func statusCode(head []byte) []byte {
 	_, rest, _ := bytes.Cut(statusLine(head), []byte(" "))
 	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	return bytes.TrimRight(status, "\r")
+	return status
 }
--- a/internal/rawserver/head.go
+++ b/internal/rawserver/head.go
@@ -2,24 +2,34 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
 // ForEachInvalid calls check for answers that are no valid ones, each with this status and body as far as it holds them: with a
-// blank or a control byte in the name of a field, in the answer or in an informational one before it, and with a status below 100.
+// blank or a control byte in the name of a field, in the answer or in an informational one before it, with a status below 100, and
+// with a control byte in the reason phrase.
 func (s *Server) ForEachInvalid(status, body string, check func(raw string)) {
+	sound := answersWith("X-A: a", status, body)[0]
+	replace := func(old, replacement string) { s.answerAndCheck(strings.Replace(sound, old, replacement, 1), check) }
 	for _, line := range invalidFields() {
 		for _, raw := range answersWith(line, status, body) {
 			s.answerAndCheck(raw, check)
 		}
-		s.answerAndCheck("HTTP/1.1 103 Early Hints\r\nLink: a\r\n"+line+"\r\n\r\n"+answersWith("X-A: a", status, body)[0], check)
+		replace("", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n"+line+"\r\n\r\n")
+	}
+	for _, blank := range []string{" ", "\t"} { // as the first field, it continues none
+		replace("\r\n", "\r\n"+blank+"X-A: a\r\n")
 	}
 	for _, code := range []string{"000", "001", "099"} {
-		s.answerAndCheck(answersWith("X-A: a", code+status[len(code):], body)[0], check)
+		replace(status[:len(code)], code)
+	}
+	for _, control := range []string{"\x00", "\x01", "\r", "\x1f", "\x7f"} {
+		replace(status[:len("200 ")], status[:len("200 ")]+control)
 	}
 }
 
-// ForEachUnusual calls check for valid answers with this status and body and with a field that is rarely seen.
+// ForEachUnusual calls check for valid answers with this status and body and with a field or a reason phrase that is rarely seen.
 func (s *Server) ForEachUnusual(status, body string, check func(raw string)) {
 	for _, line := range []string{
 		"X-Tab:\ta\tb\t", "X-Colon: a: b:c:", "X-Colon:a:b", "X-Empty:", "X-Empty: \t", "X-Blank:   a b  ", "X-Bytes: \x80\xff",
@@ -29,6 +39,9 @@
 			s.answerAndCheck(raw, check)
 		}
 	}
+	for _, reason := range []string{"", "\t", "\x80\xff ", "a: b "} {
+		s.answerAndCheck(answersWith("X-A: a", status[:len("200 ")]+reason+status[len("200 "):], body)[0], check)
+	}
 }
 
 func (s *Server) answerAndCheck(raw string, check func(raw string)) {
