--- a/hoistctl/client.go
+++ b/hoistctl/client.go
@@ -34,7 +34,7 @@
 	}, nil
 }
 
-// dial opens a connection that rejects invalid responses.
+// dial opens a connection whose reads fail at an invalid response.
 func dial(address string) (net.Conn, error) {
 	conn, err := fasthttp.Dial(address)
 	if err != nil {
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -33,17 +33,18 @@
 // CheckHead returns an error that wraps ErrInvalid if a complete header section has
 //   - a status below 100, of which fasthttp takes 000 for 200,
 //   - status 101, since no request asks for another protocol,
-//   - a control byte in the status line, since fasthttp passes on all reason phrases,
-//   - a field name that is no token, since fasthttp passes on names with blanks and drops those before the colon, or
+//   - a control character in the status line, since fasthttp passes on all reason phrases,
+//   - a field name that is no token, since fasthttp passes on names with spaces and drops those before the colon, or
 //   - a transfer encoding without HTTP/1.1, which fasthttp drops: the framing is faulty then (RFC 9112, section 6.1).
 func CheckHead(head []byte) error {
 	if status := statusCode(head); len(status) == 3 && (status[0] == '0' || string(status) == "101") {
 		return fmt.Errorf("%w: status %s", ErrInvalid, status)
 	}
-	if line := statusLine(head); !httpguts.ValidHeaderFieldValue(string(line)) {
+	line := statusLine(head)
+	if !httpguts.ValidHeaderFieldValue(string(line)) {
 		return BoundText(fmt.Errorf("%w: status line %q", ErrInvalid, line))
 	}
-	isHTTP11 := bytes.HasPrefix(statusLine(head), []byte("HTTP/1.1 "))
+	isHTTP11 := bytes.HasPrefix(line, []byte("HTTP/1.1 "))
 	for name := range fieldNames(head) {
 		if !httpguts.ValidHeaderFieldName(string(name)) {
 			return BoundText(fmt.Errorf("%w: field name %q", ErrInvalid, name))
--- a/internal/rawserver/head.go
+++ b/internal/rawserver/head.go
@@ -3,12 +3,10 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 )
 
-// ForEachInvalid calls check for answers that are no valid ones, each with this status and body as far as it holds them: with a
-// blank or a control byte in the name of a field, in the answer or in an informational one before it, with a status below 100, and
-// with a control byte in the reason phrase.
+// ForEachInvalid calls check for invalid answers. Each has this status and body but for one fault: whitespace or a control character in
+// a field name, in the answer or in an informational one before it, a status below 100, or a control character in the reason phrase.
 func (s *Server) ForEachInvalid(status, body string, check func(raw string)) {
 	sound := answersWith("X-A: a", status, body)[0]
 	replace := func(old, replacement string) { s.answerAndCheck(strings.Replace(sound, old, replacement, 1), check) }
@@ -18,8 +16,8 @@
 		}
 		replace("", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n"+line+"\r\n\r\n")
 	}
-	for _, blank := range []string{" ", "\t"} { // as the first field, it continues none
-		replace("\r\n", "\r\n"+blank+"X-A: a\r\n")
+	for _, space := range []string{" ", "\t"} { // before the first field there is none to continue
+		replace("\r\n", "\r\n"+space+"X-A: a\r\n")
 	}
 	for _, code := range []string{"000", "001", "099"} {
 		replace(status[:len(code)], code)
@@ -32,7 +30,7 @@
 // ForEachUnusual calls check for valid answers with this status and body and with a field or a reason phrase that is rarely seen.
 func (s *Server) ForEachUnusual(status, body string, check func(raw string)) {
 	for _, line := range []string{
-		"X-Tab:\ta\tb\t", "X-Colon: a: b:c:", "X-Colon:a:b", "X-Empty:", "X-Empty: \t", "X-Blank:   a b  ", "X-Bytes: \x80\xff",
+		"X-Tab:\ta\tb\t", "X-Colon: a: b:c:", "X-Colon:a:b", "X-Empty:", "X-Empty: \t", "X-Spaces:   a b  ", "X-Bytes: \x80\xff",
 		"X-Folded: a\r\n b", "X-Folded:\r\n\ta\r\n \t b", "X-Folded: a\r\n b c: d", "X-Folded: a\r\n :", "!#$%&'*+-.^_`|~09azAZ: a", "x: a",
 	} {
 		for _, raw := range answersWith(line, status, body) {
@@ -49,18 +47,19 @@
 	check(raw)
 }
 
-// invalidFields returns lines of a header section whose field names hold a blank or a control byte.
+// invalidFields returns lines of a header section whose field names hold whitespace or a control character.
 func invalidFields() []string {
 	lines := []string{"Content Length: 1", "Content-Length : 1", "Transfer Encoding: chunked", "Transfer-Encoding : chunked"}
-	for c := range '!' {
-		if c != '\n' {
-			lines = append(lines, fmt.Sprintf("X%cA: a", c), fmt.Sprintf("X-A%c: a", c))
+	for c := rune(0); c <= '\x7f'; c++ {
+		if c == '\n' || c > ' ' && c < '\x7f' {
+			continue
 		}
-		if c != '\n' && c != '\t' && c != ' ' { // a blank begins a continuation of the line before
+		lines = append(lines, fmt.Sprintf("X%cA: a", c), fmt.Sprintf("X-A%c: a", c))
+		if c != '\t' && c != ' ' { // these would continue the line before
 			lines = append(lines, fmt.Sprintf("%cX-A: a", c))
 		}
 	}
-	return append(lines, "X\x7fA: a", "X-A\x7f: a", "\x7fX-A: a")
+	return lines
 }
 
 // answersWith returns answers with a line as the first, the second and the last one of their fields.
@@ -91,23 +90,3 @@
 	})
 	return failed
 }
-
-// UploadBytes is the size of a request body that is more than the socket buffers hold.
-const UploadBytes = 12 << 20
-
-// earlyResets is how often CheckEarlyReset makes a call for each pause.
-const earlyResets = 5
-
-// CheckEarlyReset returns an error if one of its calls succeeds. Each sends a body of UploadBytes, gets an answer of this status, without a
-// length and with a part of its body, and is then reset.
-func (s *Server) CheckEarlyReset(status, part string, call func() error) error {
-	for _, pause := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond} {
-		s.AnswerEarly("HTTP/1.1 "+status+"\r\n\r\n"+part, pause)
-		for range earlyResets {
-			if call() == nil {
-				return fmt.Errorf("part of an answer taken for a complete one, reset after %s", pause)
-			}
-		}
-	}
-	return nil
-}
