--- a/backend/malformed_answer_test.go
+++ b/backend/malformed_answer_test.go
@@ -14,7 +14,12 @@
 // callRaw calls a server that sends raw and closes the connection, and returns the error of the call.
 func callRaw(server *rawserver.Server, raw string, repeatable bool) error {
 	server.Answer(raw, false)
-	call := outgoing(&request.Call{Method: "GET", Path: "/"})
+	return callServer(server, &request.Call{Method: "GET", Path: "/"}, repeatable)
+}
+
+// callServer makes a call and returns its error.
+func callServer(server *rawserver.Server, content *request.Call, repeatable bool) error {
+	call := outgoing(content)
 	call.Repeatable = repeatable
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -85,11 +90,7 @@
 
 // callUploading makes a call with this body and returns its error, which must be ErrBroken.
 func callUploading(server *rawserver.Server, repeatable bool, body []byte) error {
-	call := outgoing(&request.Call{Method: "POST", Path: "/", Body: body})
-	call.Repeatable = repeatable
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
-	_, err := NewHTTPCaller().Call(ctx, server.Address(), call)
+	err := callServer(server, &request.Call{Method: "POST", Path: "/", Body: body}, repeatable)
 	if err != nil {
 		Expect(err).To(MatchError(ErrBroken))
 	}
