objectera, platform, lease: show the era of the store's history

Callers of the cloud saw orders from two instances with one fencing token.

Change: objectapi.Reply has the era that the answer names (Store-Era), also beside an error; absent or malformed is 0, unknown. objectera.Store remembers the highest era that any answer to the instance had, with one warning for each rise (both eras, both versions), the gauge store_era and the counters store_returns and store_unusual_eras. An older era, or none, changes nothing and is logged once per change. The lines of the lease have fence, version and era. No decision changes.

Tests: the era of every kind of answer of the store; the era never falls. The existing test of an event of the keeper also compares the version now.

--- a/duty/lease_runner.go
+++ b/duty/lease_runner.go
@@ -75,13 +75,14 @@
 }
 
 func (l *leaseRunner) logEvent(event lease.Event) {
+	lg := l.lg.With("fence", event.Fence, "version", event.Version, "era", event.Era)
 	switch event.Kind {
 	case lease.Acquired:
-		l.lg.Info("duties acquired", "fence", event.Fence)
+		lg.Info("duties acquired")
 	case lease.Lost:
-		l.lg.Warn("duties lost", "fence", event.Fence)
+		lg.Warn("duties lost")
 	case lease.Released:
-		l.lg.Info("duties released", "fence", event.Fence)
+		lg.Info("duties released")
 	}
 }
 
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -21,6 +21,7 @@
 	"knapweedhoist/internal/listen"
 	"knapweedhoist/internal/wait"
 	"knapweedhoist/objectapi"
+	"knapweedhoist/objectera"
 	"knapweedhoist/objectrelay"
 	"knapweedhoist/objectwatch"
 	"knapweedhoist/quarantine"
@@ -37,7 +38,9 @@
 	lg       *slog.Logger
 	settings Settings
 	adapter  Adapter
-	source   fleetstate.Source
+	// store is that of adapter, and knows the era of its history.
+	store  *objectera.Store
+	source fleetstate.Source
 
 	state    *deployment.State
 	learner  *enginemodel.Learner
@@ -112,6 +115,7 @@
 		reportPace:    newPace(reportBytesPerSecond), summaryPace: newPace(summaryBytesPerSecond),
 		digestPace: newPace(digestBytesPerSecond),
 	}
+	i.store = objectera.NewStore(i.lg, i.registry, adapter.Store)
 	i.ownServices.Store(&map[string]fleetstate.ServiceLoad{})
 	i.otherServices.Store(&map[string]fleetstate.ServiceLoad{})
 	i.fleet = fleetstate.NewFleet(fleetstate.Config{
@@ -132,7 +136,7 @@
 		now: clock.Now, configAge: func() time.Duration { return i.state.ConfigAge(clock.Now()) },
 		absenceLimit: settings.absenceLimit(), onRestart: i.balancer.Forget,
 	})
-	i.quarantineStore = newQuarantineStore(i.lg, adapter.Store, i.quarantine)
+	i.quarantineStore = newQuarantineStore(i.lg, i.store, i.quarantine)
 	i.copies, i.freshPeers = i.newCopies(), newFreshPeers()
 	i.server = forward.NewServer(forward.Config{
 		MaxConfigAge: settings.maxConfigAge(), MaxAnswerMemory: settings.maxAnswerMemory(),
@@ -213,7 +217,7 @@
 		source := objectrelay.NewSource(i.lg, objectrelay.SourceConfig{
 			RelayWait: i.settings.relayWait(), SharedWait: i.settings.sharedWatchWait(),
 			SharedGap: i.settings.sharedWatchGap(), Backoff: relayBackoff, Now: clock.Now,
-		}, i.adapter.Store, relayClient.Read, i.readRoute)
+		}, i.store, relayClient.Read, i.readRoute)
 		go objectwatch.NewWatcher(i.lg, objectwatch.Config{Kind: kind, Wait: i.settings.watchWait()}, source, objectCopy).Run(ctx)
 	}
 }
--- a/entry/join.go
+++ b/entry/join.go
@@ -146,7 +146,7 @@
 	now := clock.Now()
 	for _, name := range i.fleet.Dead(now, func(name string) time.Time { return m.listed[name] }) {
 		request := objectapi.Request{Op: objectapi.OpDelete, Kind: objectapi.KindInstance, Name: name}
-		if _, err := i.adapter.Store.Do(ctx, request); err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		if _, err := i.store.Do(ctx, request); err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 			return err
 		}
 		i.fleet.Unlist(name)
@@ -164,10 +164,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = i.adapter.Store.Do(ctx, objectapi.Create(objectapi.KindInstance, i.settings.Instance, value))
+	_, err = i.store.Do(ctx, objectapi.Create(objectapi.KindInstance, i.settings.Instance, value))
 	if errors.Is(err, objectapi.ErrConflict) { // the object of an earlier start
 		request := objectapi.Request{Op: objectapi.OpPut, Kind: objectapi.KindInstance, Name: i.settings.Instance, Value: value}
-		_, err = i.adapter.Store.Do(ctx, request)
+		_, err = i.store.Do(ctx, request)
 	}
 	return err
 }
@@ -176,7 +176,7 @@
 func (i *Instance) readInstances(ctx context.Context, stale bool) (map[string]fleetstate.Listing, error) {
 	listed := make(map[string]fleetstate.Listing)
 	for after := ""; ; {
-		reply, err := i.adapter.Store.Do(ctx, objectapi.Request{
+		reply, err := i.store.Do(ctx, objectapi.Request{
 			Op: objectapi.OpList, Kind: objectapi.KindInstance, After: after, AllowStale: stale,
 		})
 		if err != nil {
--- a/instance.go
+++ b/instance.go
@@ -27,6 +27,7 @@
 	"knapweedhoist/invariant"
 	"knapweedhoist/membership"
 	"knapweedhoist/objectapi"
+	"knapweedhoist/objectera"
 	"knapweedhoist/operator"
 	"knapweedhoist/peer"
 	"knapweedhoist/platform"
@@ -107,10 +108,10 @@
 }
 
 func (i *Instance) createExternalClients() {
-	i.store = &meteredStore{registry: i.metrics, Store: platform.NewStore(platform.StoreConfig{
+	i.store = objectera.NewStore(i.lg, i.metrics, &meteredStore{registry: i.metrics, Store: platform.NewStore(platform.StoreConfig{
 		Address: i.cfg.Platform.Address, Token: string(i.cfg.Platform.Credential), Timeout: i.cfg.Platform.CallTimeout(),
 		MaxConnections: storeConnections,
-	})}
+	})})
 	i.list = &meteredList{registry: i.metrics, List: roster.NewClient(i.lg, roster.ClientConfig{
 		Address: i.cfg.List.Address, Token: string(i.cfg.List.Credential), Timeout: i.cfg.List.CallTimeout(),
 	})}
--- a/lease/event.go
+++ b/lease/event.go
@@ -1,5 +1,7 @@
 package lease
 
+import "knapweedhoist/objectapi"
+
 // EventKind is the kind of a change of the lease at this instance.
 type EventKind uint8
 
@@ -20,4 +22,8 @@
 	// Fence is the fencing token of the last observed record: that of the new holder when Lost follows a takeover, 0 when
 	// the object does not exist.
 	Fence uint64
+	// Version is the version of that record, 0 when the object does not exist. Era is the era of the store in which it was read,
+	// 0 when the store names none.
+	Version objectapi.Version
+	Era     objectapi.Era
 }
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -56,6 +56,8 @@
 	versionReadAt time.Time
 	// fence is the highest fencing token observed.
 	fence uint64
+	// era is the highest era that an answer named.
+	era objectapi.Era
 
 	// ownsRecord reports whether this incarnation wrote record. acquired reports whether Acquired was emitted and neither
 	// Lost nor Released since. heldUntil is when the holder stops sending orders; ordersAllowedFrom is when no order of
@@ -140,6 +142,7 @@
 	}
 	completed := *k.inFlight
 	k.inFlight = nil
+	k.era = max(k.era, done.Reply.Era)
 	k.nextCallAt = now.Add(k.callInterval())
 	switch {
 	case done.Err == nil && completed.op == objectapi.OpPut:
@@ -341,9 +344,10 @@
 
 // emit adds an event to out and records it in the timeline and the log.
 func (k *Keeper) emit(out *Output, kind EventKind, step string) {
-	out.Events = append(out.Events, Event{Kind: kind, Fence: k.record.Fence})
+	event := Event{Kind: kind, Fence: k.record.Fence, Version: k.version, Era: k.era}
+	out.Events = append(out.Events, event)
 	k.cfg.Recorder.Record(timeline.Event{Kind: timeline.KindLease, Step: step, Detail: k.cfg.Duty})
-	k.lg.Info("lease changed", "step", step, "fence", k.record.Fence)
+	k.lg.Info("lease changed", "step", step, "fence", event.Fence, "version", event.Version, "era", event.Era)
 }
 
 // callInterval returns the period of renewals, and of reads while another instance holds the lease.
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -83,7 +83,7 @@
 
 	It("guards against a lease duration that counts from the reply instead of the request", func() {
 		k := keeper()
-		Expect(acquire(k).Events).To(ConsistOf(Event{Kind: Acquired, Fence: 1}))
+		Expect(acquire(k).Events).To(ConsistOf(Event{Kind: Acquired, Fence: 1, Version: 5}))
 		_, held := k.Held(now.Add(8*time.Second - time.Millisecond))
 		Expect(held).To(BeTrue())
 		_, held = k.Held(now.Add(8 * time.Second))
--- a/objectapi/object.go
+++ b/objectapi/object.go
@@ -28,9 +28,16 @@
 	KindEndpoint Kind = "endpoint"
 )
 
-// Version orders all changes of the store. It increases with every change of any object.
+// Version orders the changes of the store within one Era. It increases with every change of any object.
 type Version uint64
 
+// Era numbers the histories of the store: it rises each time the store returns from an older copy, which takes back changes
+// and gives their versions out again. 0 is unknown: the store names none, or there was no answer.
+type Era uint64
+
+// MaxEra is the highest era. The fencing tokens of package lease leave it 31 bits.
+const MaxEra Era = 1<<31 - 1
+
 // Object is one stored value.
 type Object struct {
 	Kind    Kind    `json:"kind"`
--- a/objectapi/reply.go
+++ b/objectapi/reply.go
@@ -13,6 +13,8 @@
 	Events []WatchEvent
 	// Version is the version of the store at the time of the reply. The next watch starts from it.
 	Version Version
+	// Era is the era of the store that answered, also beside an error; 0 when it is unknown.
+	Era Era
 	// Age is the age of the copy that answered, 0 for the store itself.
 	Age time.Duration
 	// Waited is the minimum time for which the answer to a watch was held back: the whole Request.Wait when nothing
--- a/objectapi/store.go
+++ b/objectapi/store.go
@@ -21,8 +21,8 @@
 	ErrInvalid = errors.New("platform: invalid request")
 )
 
-// Store executes requests of the object API. Its errors wrap the sentinel errors of this package. Implementations are
-// safe for concurrent use.
+// Store executes requests of the object API. Its errors wrap the sentinel errors of this package; the Reply beside an error
+// has the era that the answer names, and with ErrConflict the current object. Implementations are safe for concurrent use.
 type Store interface {
 	Do(ctx context.Context, request Request) (Reply, error)
 }
