standin, testutil: let stores return from an older copy

Needed to reproduce the incident of one fencing token from two holders: the users' store may return from a copy some seconds old, and neither stand-in could play it.

Without a return the era is 0, which means that the store names none.

Existing tests are unchanged.

--- a/standin/objects.go
+++ b/standin/objects.go
@@ -3,7 +3,9 @@
 import (
 	"sort"
 	"strings"
+	"time"
 
+	"knapweedhoist/internal/undolog"
 	"knapweedhoist/objectapi"
 )
 
@@ -27,6 +29,9 @@
 	compacted objectapi.Version
 	// changed is closed and replaced on each change.
 	changed chan struct{}
+	// era rises with each restore. undo has the latest changes.
+	era  objectapi.Era
+	undo undolog.Log
 }
 
 func newObjects(history, pageObjects int) *objects {
@@ -37,12 +42,12 @@
 	}
 }
 
-func (o *objects) execute(request objectapi.Request) (objectapi.Reply, error) {
+func (o *objects) execute(now time.Time, request objectapi.Request) (objectapi.Reply, error) {
 	switch request.Op {
 	case objectapi.OpPut:
-		return o.put(request)
+		return o.put(now, request)
 	case objectapi.OpDelete:
-		return o.remove(request)
+		return o.remove(now, request)
 	case objectapi.OpList:
 		return o.list(request), nil
 	default:
@@ -58,12 +63,12 @@
 	return objectapi.Reply{Object: object}, nil
 }
 
-func (o *objects) put(request objectapi.Request) (objectapi.Reply, error) {
+func (o *objects) put(now time.Time, request objectapi.Request) (objectapi.Reply, error) {
 	current := o.kinds[request.Kind][request.Name]
 	if !conditionHolds(request.Condition, current) {
 		return objectapi.Reply{Object: current}, objectapi.ErrConflict
 	}
-	o.version++
+	o.recordChange(now, request, current)
 	object := objectapi.Object{
 		Kind: request.Kind, Name: request.Name, Version: o.version,
 		Value: append([]byte(nil), request.Value...),
@@ -77,7 +82,7 @@
 }
 
 // remove deletes an object. For a missing object it returns ErrNotFound regardless of the condition.
-func (o *objects) remove(request objectapi.Request) (objectapi.Reply, error) {
+func (o *objects) remove(now time.Time, request objectapi.Request) (objectapi.Reply, error) {
 	current, ok := o.kinds[request.Kind][request.Name]
 	if !ok {
 		return objectapi.Reply{}, objectapi.ErrNotFound
@@ -85,13 +90,37 @@
 	if !conditionHolds(request.Condition, current) {
 		return objectapi.Reply{Object: current}, objectapi.ErrConflict
 	}
-	o.version++
+	o.recordChange(now, request, current)
 	delete(o.kinds[request.Kind], request.Name)
 	tombstone := objectapi.Object{Kind: request.Kind, Name: request.Name, Version: o.version}
 	o.publish(objectapi.WatchEvent{Deleted: true, Object: tombstone})
 	return objectapi.Reply{Object: tombstone}, nil
 }
 
+// recordChange prepares the change of an object whose current state is given.
+func (o *objects) recordChange(now time.Time, request objectapi.Request, current objectapi.Object) {
+	current.Kind, current.Name = request.Kind, request.Name
+	o.undo.Add(now, current, o.version)
+	o.version++
+}
+
+// restore takes back the changes after the time to, and gives their versions out again.
+func (o *objects) restore(to time.Time) {
+	o.version = o.undo.Undo(to, o.version, func(former objectapi.Object) {
+		if former.Version == 0 {
+			delete(o.kinds[former.Kind], former.Name)
+		} else {
+			o.kinds[former.Kind][former.Name] = former
+		}
+	})
+	kept := sort.Search(len(o.log), func(i int) bool { return o.log[i].Object.Version > o.version })
+	o.log = o.log[:kept:kept]
+	o.compacted = min(o.compacted, o.version)
+	o.era++
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
 func conditionHolds(condition objectapi.Condition, current objectapi.Object) bool {
 	if condition.IfAbsent {
 		return current.Version == 0
@@ -155,9 +184,9 @@
 // change after from was discarded or from exceeds the current version.
 func (o *objects) events(kind objectapi.Kind, from objectapi.Version) (objectapi.Reply, <-chan struct{}, error) {
 	if from < o.compacted || from > o.version {
-		return objectapi.Reply{}, nil, objectapi.ErrCompacted
+		return objectapi.Reply{Era: o.era}, nil, objectapi.ErrCompacted
 	}
-	reply := objectapi.Reply{Version: o.version}
+	reply := objectapi.Reply{Version: o.version, Era: o.era}
 	first := sort.Search(len(o.log), func(i int) bool { return o.log[i].Object.Version > from })
 	size := 0
 	for _, event := range o.log[first:] {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -49,7 +49,7 @@
 	e.delay += p.cfg.Latency
 	refused := &objectapi.ThrottledError{RetryAfter: e.retryAfter}
 	if err := e.before(ctx, p.cfg.Clock, objectapi.ErrUnavailable, refused); err != nil {
-		return objectapi.Reply{}, err
+		return objectapi.Reply{Era: p.Era()}, err
 	}
 	if e.writeDelay > 0 {
 		runAfter(context.WithoutCancel(ctx), p.cfg.Clock, e.writeDelay, func() { _, _ = p.execute(context.Background(), request) })
@@ -71,34 +71,49 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.objects.execute(request)
+	return p.objects.execute(p.cfg.Clock.Now(), request)
+}
+
+// Restore returns to the copy of the given age: later changes are taken back and their versions given out again. The era
+// rises by one.
+func (p *Platform) Restore(age time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects.restore(p.cfg.Clock.Now().Add(-age))
 }
 
-// conflictOnly clears the reply of a failed call, except for ErrConflict, whose
-// reply holds the current object.
+// Era returns the era of the history, which is the number of calls of Restore.
+func (p *Platform) Era() objectapi.Era {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.objects.era
+}
+
+// conflictOnly clears the reply of a failed call except for its era, and with
+// ErrConflict the current object.
 func conflictOnly(reply objectapi.Reply, err error) objectapi.Reply {
 	if err == objectapi.ErrConflict { //nolint:errorlint // run returns the sentinel itself
 		return reply
 	}
-	return objectapi.Reply{}
+	return objectapi.Reply{Era: reply.Era}
 }
 
 func (p *Platform) execute(ctx context.Context, request objectapi.Request) (objectapi.Reply, error) {
 	p.mu.Lock()
 	if err := p.chargeRate(request.Op); err != nil {
 		p.mu.Unlock()
-		return objectapi.Reply{}, err
+		return objectapi.Reply{Era: p.Era()}, err
 	}
 	if request.Op == objectapi.OpWatch {
 		p.mu.Unlock()
 		return p.watch(ctx, request)
 	}
 	defer p.mu.Unlock()
-	reply, err := p.objects.execute(request)
+	reply, err := p.objects.execute(p.cfg.Clock.Now(), request)
 	if err == objectapi.ErrConflict { //nolint:errorlint // objects return the sentinel itself
 		p.stats.Conflicts++
 	}
-	reply.Version = p.objects.version
+	reply.Version, reply.Era = p.objects.version, p.objects.era
 	return reply, err
 }
 
--- a/testutil/store.go
+++ b/testutil/store.go
@@ -1,12 +1,14 @@
 package testutil
 
 import (
+	"errors"
 	"math/rand"
 	"slices"
 	"sort"
 	"strings"
 	"time"
 
+	"knapweedhoist/internal/undolog"
 	"knapweedhoist/objectapi"
 )
 
@@ -24,6 +26,9 @@
 	versions         []objectapi.Version // versions[i] is the store version of history[i]
 	pendingWatches   []*watch
 	dueReplies       []Delivery
+	// era rises with each Restore. undo has the latest changes.
+	era  objectapi.Era
+	undo undolog.Log
 	// Injected counts the injected faults by name; Calls counts the submitted calls by operation.
 	Injected map[string]int
 	Calls    map[string]int
@@ -63,6 +68,27 @@
 	s.history, s.versions = nil, nil
 }
 
+// Restore returns to the copy that was current age before now: later changes are taken back and their versions given out
+// again. The era rises by one. Calls without an effect so far have theirs on the copy.
+func (s *Store) Restore(now time.Time, age time.Duration) {
+	s.Injected["return"]++
+	s.era++
+	s.version = s.undo.Undo(now.Add(-age), s.version, func(former objectapi.Object) {
+		if former.Version == 0 {
+			delete(s.objects, key(former.Kind, former.Name))
+		} else {
+			s.objects[key(former.Kind, former.Name)] = former
+		}
+	})
+	kept := sort.Search(len(s.versions), func(i int) bool { return s.versions[i] > s.version })
+	s.history, s.versions = s.history[:kept:kept], s.versions[:kept:kept]
+	s.compactedVersion = min(s.compactedVersion, s.version)
+	s.notifyWatches(now)
+}
+
+// Era returns the era of the history, which is the number of calls of Restore.
+func (s *Store) Era() objectapi.Era { return s.era }
+
 // Object returns the stored object and whether it exists.
 func (s *Store) Object(kind objectapi.Kind, name string) (objectapi.Object, bool) {
 	object, ok := s.objects[key(kind, name)]
@@ -139,6 +165,9 @@
 		return
 	}
 	reply, err := s.apply(at, call.Request)
+	if !errors.Is(err, objectapi.ErrUnavailable) {
+		reply.Era = s.era
+	}
 	s.reply(at.Add(s.delay()), caller, call.ID, reply, err)
 }
 
@@ -152,7 +181,7 @@
 	case objectapi.OpList:
 		return s.list(request), nil
 	default:
-		reply, err := s.write(request)
+		reply, err := s.write(at, request)
 		if err == nil {
 			s.notifyWatches(at)
 		}
@@ -183,7 +212,7 @@
 	return reply
 }
 
-func (s *Store) write(request objectapi.Request) (objectapi.Reply, error) {
+func (s *Store) write(at time.Time, request objectapi.Request) (objectapi.Reply, error) {
 	current, exists := s.objects[key(request.Kind, request.Name)]
 	if request.Condition.IfAbsent && exists {
 		return objectapi.Reply{Object: current, Version: s.version}, objectapi.ErrConflict
@@ -194,6 +223,8 @@
 	if request.Op == objectapi.OpDelete && !exists {
 		return objectapi.Reply{Version: s.version}, objectapi.ErrNotFound
 	}
+	current.Kind, current.Name = request.Kind, request.Name
+	s.undo.Add(at, current, s.version)
 	s.version++
 	object := objectapi.Object{Kind: request.Kind, Name: request.Name, Version: s.version, Value: request.Value}
 	if request.Op == objectapi.OpDelete {
@@ -219,11 +250,11 @@
 // answerWatch schedules a reply to the watch and returns true when there are events of its kind after its version, its
 // version is compacted, or it has expired; otherwise it returns false.
 func (s *Store) answerWatch(at time.Time, w *watch, expired bool) bool {
-	if w.call.Request.From < s.compactedVersion {
-		s.reply(at.Add(s.delay()), w.caller, w.call.ID, objectapi.Reply{}, objectapi.ErrCompacted)
+	if w.call.Request.From < s.compactedVersion || w.call.Request.From > s.version {
+		s.reply(at.Add(s.delay()), w.caller, w.call.ID, objectapi.Reply{Era: s.era}, objectapi.ErrCompacted)
 		return true
 	}
-	reply := objectapi.Reply{Version: s.version}
+	reply := objectapi.Reply{Version: s.version, Era: s.era}
 	for i, event := range s.history {
 		if s.versions[i] > w.call.Request.From && event.Object.Kind == w.call.Request.Kind {
 			reply.Events = append(reply.Events, event)
