lease: failing model check of holders over returns of the store

The simulation of the lease gets returns of the store, beside its other faults, and a check that each fencing token has one incarnation and that tokens of permits never fall. The existing checks and runs are unchanged.

--- a/lease/simulation_test.go
+++ b/lease/simulation_test.go
@@ -27,6 +27,11 @@
 	record     Record
 	steps      int
 	failures   []string
+	// maxCopyAge bounds the age of the copies from which the store returns; 0 for a store that loses nothing.
+	maxCopyAge time.Duration
+	// permitted has the incarnation that got permits with each fencing token, highestPermit the highest of these tokens.
+	permitted     map[uint64]string
+	highestPermit uint64
 }
 
 // contender adapts a Keeper to the driver; tamper injects a defect after each step.
@@ -59,7 +64,7 @@
 	store := testutil.NewStore(rng, faults)
 	s := &simulation{
 		Driver: testutil.NewDriver(time.UnixMilli(1_800_000_000_000), store),
-		rng:    rng, contenders: make(map[string]*contender), checker: testutil.NewChecker(),
+		rng:    rng, contenders: make(map[string]*contender), checker: testutil.NewChecker(), permitted: make(map[uint64]string),
 	}
 	for i := range n {
 		name := fmt.Sprintf("entry-%d", i)
@@ -87,9 +92,11 @@
 		s.steps++
 		s.Step(time.Duration(1+s.rng.Intn(400)) * time.Millisecond)
 		s.injectFault(inject)
+		s.returnStore()
 		s.raiseFences()
 		s.sendOrders()
 		s.checkHolders()
+		s.checkPermits()
 	}
 }
 
@@ -143,6 +150,37 @@
 	}
 }
 
+// returnStore lets the store return from a copy of random age now and then.
+func (s *simulation) returnStore() {
+	if s.maxCopyAge == 0 || s.rng.Intn(returnInterval) != 0 {
+		return
+	}
+	s.Store.Restore(s.Now, time.Duration(s.rng.Int63n(int64(s.maxCopyAge))))
+	s.record = Record{} // the stored fencing token may be lower than before
+}
+
+// returnInterval is the mean number of steps between two returns of the store.
+const returnInterval = 100
+
+// checkPermits fails when two incarnations get permits with one fencing token, or one gets a lower token than an earlier permit.
+func (s *simulation) checkPermits() {
+	for _, name := range s.names {
+		permit, err := s.contenders[name].Permit(s.Now, true)
+		if err != nil || s.Paused(name) {
+			continue
+		}
+		incarnation := s.contenders[name].cfg.Incarnation
+		switch former := s.permitted[permit.Fence]; {
+		case former != "" && former != incarnation:
+			s.recordFailure("two holders, one fence: %d of %s and %s", permit.Fence, former, incarnation)
+		case permit.Fence < s.highestPermit:
+			s.recordFailure("permit of %s with fencing token %d after %d", incarnation, permit.Fence, s.highestPermit)
+		}
+		s.permitted[permit.Fence] = incarnation
+		s.highestPermit = max(s.highestPermit, permit.Fence)
+	}
+}
+
 // checkHolders fails when more than one instance holds the lease.
 func (s *simulation) checkHolders() {
 	holders := 0
