faultsoak: reproduce one fencing token of two holders with processes

The model check of the keeper shows that a return of the store from an older copy suffices; this test shows it with the real program.

TestOneFenceOverStoreReturns stops, kills or pauses the holder of the duties, lets the store be away for up to 0.7 s and return from a copy 1 to 5 s old, and writes the operator's and the servers' objects again. It checks all usage reports and orders for endpoints: one holder for each token and subject, tokens that never fall, one report for each window. The daemons of the soak may order endpoints now; only this test has a service that wants some. checkDuties is unchanged but for the check of the tokens, which fenceCheck shares.

--- a/faultsoak/ledger_test.go
+++ b/faultsoak/ledger_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -148,9 +147,7 @@
 // checkDuties returns the violations in the usage reports that holders of the duties' lease sent to the cloud: two
 // different reports of one window, a fencing token that decreases, and one fencing token that two holders use.
 func checkDuties(calls []platformtest.CloudCall) (violations []string) {
-	bodies := make(map[int64][]byte)
-	holders := make(map[uint64]string)
-	highest := uint64(0)
+	bodies, fences := make(map[int64][]byte), newFenceCheck()
 	for _, call := range calls {
 		var report platformtest.UsageReport
 		if err := json.Unmarshal(call.Body, &report); err != nil {
@@ -161,17 +158,9 @@
 			violations = append(violations, fmt.Sprintf("window %d was reported as %s and %s", report.WindowID, previous, call.Body))
 		}
 		bodies[report.WindowID] = call.Body
-		token, err := strconv.ParseUint(call.FencingToken, 10, 64)
-		switch {
-		case err != nil:
-			violations = append(violations, "fencing token is not a number: "+call.FencingToken)
-		case token < highest:
-			violations = append(violations, fmt.Sprintf("fencing token %d after %d", token, highest))
-		case holders[token] != "" && holders[token] != call.Holder:
-			violations = append(violations, fmt.Sprintf("fencing token %d used by %s and %s", token, holders[token], call.Holder))
+		if violation := fences.add(call); violation != "" {
+			violations = append(violations, violation)
 		}
-		highest = max(highest, token)
-		holders[token] = call.Holder
 	}
 	return violations
 }
--- a/faultsoak/process_test.go
+++ b/faultsoak/process_test.go
@@ -153,7 +153,7 @@
 listen: {callers: %q, ready: %q, peers: %q}
 store: %q
 cloud: %q
-duties: [usage_report]
+duties: [usage_report, autoscale]
 alternation_ms: 1500
 stop_grace_s: 6
 usage: {window_s: 1, delay_s: 3}
