lease: hold a lease only in the era of its fencing token

Cause: the keeper relied on a store that loses nothing it has acknowledged. The users' store may return from an older copy: the copy lacks a takeover, its holder still acts on the write that was acknowledged, and the next instance stores the next token after the copy's record, which is the same one. Keepers also ignored records whose version was not above the one they had read, so that often no instance could take the lease for a long time.

Change: a token has the era of the store in its upper bits, and within the era it follows the version of the record that the write replaces. At a rise of the era, in any answer to any call of the instance, the keeper drops what it read and wrote and reads the lease again; permits need a token of the present era, and a write gives the lease only if it was answered in that era. Where the era has no lease, a takeover waits the duration and one margin from the first sight of the era, or of a record of an earlier era; the instance that held the lease when it saw the rise takes it at once. A store that names no era (0) gets the same tokens and waits as before.

The test of the stored record skips records of an earlier era than the store's, which give no lease.

--- a/control/core.go
+++ b/control/core.go
@@ -241,17 +241,27 @@
 
 // handlePlatformDone passes the result of a platform call to the component that made it.
 func (c *Core) handlePlatformDone(now time.Time, done PlatformDone) []Effect {
+	effects := c.observeEra(now, done)
 	switch done.Component.Kind {
 	case ComponentClaim:
-		return c.claimEffects(done.Component.Shard, c.shards[done.Component.Shard].Done(now, done.Done))
+		return append(effects, c.claimEffects(done.Component.Shard, c.shards[done.Component.Shard].Done(now, done.Done))...)
 	case ComponentLease:
-		return c.leaseEffects(done.Component.Duty, c.keepers[done.Component.Duty].Done(now, done.Done))
+		return append(effects, c.leaseEffects(done.Component.Duty, c.keepers[done.Component.Duty].Done(now, done.Done))...)
 	default:
 		c.publishNow = true
-		return c.configuration.handlePlatformDone(now, done)
+		return append(effects, c.configuration.handlePlatformDone(now, done)...)
 	}
 }
 
+// observeEra tells the lease keepers the era of the store that an answer names.
+func (c *Core) observeEra(now time.Time, done PlatformDone) []Effect {
+	var effects []Effect
+	for _, duty := range []string{DutyCapacity, DutyQuota} {
+		effects = append(effects, c.leaseEffects(duty, c.keepers[duty].ObserveEra(now, done.Done.Reply.Era))...)
+	}
+	return effects
+}
+
 // claimEffects converts an output of a shard.
 func (c *Core) claimEffects(shard int, out claim.Output) []Effect {
 	effects := platformCalls(Component{Kind: ComponentClaim, Shard: shard}, out.Calls)
--- a/duty/lease_runner.go
+++ b/duty/lease_runner.go
@@ -18,13 +18,15 @@
 type leaseRunner struct {
 	lg    *slog.Logger
 	store objectapi.Store
+	// era returns the highest era of the store that any call of this instance has seen.
+	era func() objectapi.Era
 
 	mu     sync.Mutex // guards keeper
 	keeper *lease.Keeper
 }
 
-func newLeaseRunner(lg *slog.Logger, cfg Config, store objectapi.Store) *leaseRunner {
-	return &leaseRunner{lg: lg, store: store, keeper: lease.NewKeeper(lg, lease.Config{
+func newLeaseRunner(lg *slog.Logger, cfg Config, store objectapi.Store, era func() objectapi.Era) *leaseRunner {
+	return &leaseRunner{lg: lg, store: store, era: era, keeper: lease.NewKeeper(lg, lease.Config{
 		Duty: "duties", Holder: cfg.Instance, Incarnation: cfg.Incarnation,
 		Duration: cfg.leaseDuration(), Margin: leaseMargin, MaxOrderDuration: maxOrderDuration,
 		Checker: invariant.NewReporter(lg, timeline.Discard),
@@ -35,6 +37,9 @@
 func (l *leaseRunner) permit(checksFence bool) (uint64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.era() > l.keeper.Era() {
+		return 0, lease.ErrNotHeld // the next tick tells the keeper
+	}
 	permit, err := l.keeper.Permit(clock.Now(), checksFence)
 	return permit.Fence, err
 }
@@ -50,8 +55,10 @@
 func (l *leaseRunner) tick(ctx context.Context, candidate bool) {
 	l.mu.Lock()
 	l.keeper.SetCandidate(candidate)
+	risen := l.keeper.ObserveEra(clock.Now(), l.era())
 	out := l.keeper.Tick(clock.Now())
 	l.mu.Unlock()
+	l.handleOutput(ctx, risen)
 	l.handleOutput(ctx, out)
 }
 
--- a/duty/runner.go
+++ b/duty/runner.go
@@ -15,9 +15,11 @@
 
 // Deps are the dependencies of a Runner.
 type Deps struct {
-	Store  objectapi.Store
-	Cloud  Cloud
-	Ledger *usage.Ledger
+	Store objectapi.Store
+	// StoreEra returns the highest era that any answer of Store has named, 0 for none.
+	StoreEra func() objectapi.Era
+	Cloud    Cloud
+	Ledger   *usage.Ledger
 	// CompleteUntil returns the time of day up to which Ledger has the counts of all connected instances.
 	CompleteUntil func() time.Time
 	// WallTime returns the estimated true time of day.
@@ -44,7 +46,7 @@
 // NewRunner returns a Runner that makes no call before Run.
 func NewRunner(lg *slog.Logger, cfg Config, deps Deps) *Runner {
 	cfg = cfg.withDefaults()
-	leaseRunner := newLeaseRunner(lg, cfg, deps.Store)
+	leaseRunner := newLeaseRunner(lg, cfg, deps.Store, deps.StoreEra)
 	return &Runner{
 		lg: lg, cfg: cfg, deps: deps, leaseRunner: leaseRunner, startedAt: time.Now(),
 		usageDuty: &usageDuty{
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -30,7 +30,7 @@
 		OrdersEndpoints: slices.Contains(i.settings.Duties, dutyOrders),
 		UsageDueWithin:  seconds(i.settings.Usage.Delay), ChecksFence: i.settings.ChecksFence,
 	}, duty.Deps{
-		Store: i.store, Cloud: i.adapter.Cloud, Ledger: i.ledger, WallTime: i.wallNow,
+		Store: i.store, StoreEra: i.store.Era, Cloud: i.adapter.Cloud, Ledger: i.ledger, WallTime: i.wallNow,
 		CompleteUntil: func() time.Time { return i.fleet.CompleteUntil(clock.Now(), i.wallNow()) },
 		Candidate:     i.isCandidate, PlanSizes: i.planSizes,
 	})
--- a/lease/check.go
+++ b/lease/check.go
@@ -9,7 +9,7 @@
 
 // Names of the checked invariants.
 const (
-	// InvariantFence: the fencing token never decreases, and increases at each change of the holder's incarnation.
+	// InvariantFence: within an era of the store the fencing token never decreases, and increases at each change of the holder's incarnation.
 	InvariantFence = "lease/fence_order"
 	// InvariantOneHolder: no other incarnation is stored as the holder while this instance holds the lease.
 	InvariantOneHolder = "lease/one_holder"
@@ -17,8 +17,8 @@
 
 // checkObserved checks a newly observed record against the last one.
 func (k *Keeper) checkObserved(now time.Time, record Record) {
-	if k.cfg.Checker == nil {
-		return
+	if k.cfg.Checker == nil || !k.ofEra(record) {
+		return // a record of an earlier era is one that the store has returned to, or a late write
 	}
 	changed := k.record.Incarnation != record.Incarnation
 	if record.Fence < k.fence || (changed && k.version != 0 && record.Fence == k.fence && k.fence != 0) {
--- a/lease/event.go
+++ b/lease/event.go
@@ -10,7 +10,8 @@
 	// Acquired: this instance became the holder, with a new fencing token, or renewed the lease after Lost before any other
 	// instance took it over, with the same fencing token.
 	Acquired EventKind = iota + 1
-	// Lost: the lease expired at this instance, another instance took it over, or the object was deleted.
+	// Lost: the lease expired at this instance, another instance took it over, the object was deleted, or the store returned
+	// from an older copy.
 	Lost
 	// Released: the release is stored, or there is no lease to release; the instance may stop.
 	Released
--- a/lease/record.go
+++ b/lease/record.go
@@ -11,7 +11,7 @@
 type Record struct {
 	Holder      string `json:"holder"`
 	Incarnation string `json:"incarnation"`
-	// Fence is the fencing token; it increases by one with each takeover, and stays the same at renewals.
+	// Fence is the fencing token, see nextFence; it increases with each takeover, and stays the same at renewals.
 	Fence      uint64 `json:"fence"`
 	DurationMs int64  `json:"duration_ms"`
 	// Nonce numbers the writes of an incarnation, so that it recognises a write of its own whose reply was lost.
--- a/lease/simulation_test.go
+++ b/lease/simulation_test.go
@@ -39,10 +39,15 @@
 	*Keeper
 	tamper         func(*Keeper)
 	dropConditions bool // remove the conditions from writes
+	ignoreEra      bool // hide the era of the store from the Keeper
+	countFences    bool // let tokens of an era count its holders instead of following the versions
 }
 
 func (c *contender) Tick(now time.Time) []objectapi.Call { return c.handleOutput(c.Keeper.Tick(now)) }
 func (c *contender) Done(now time.Time, d objectapi.CallResult) []objectapi.Call {
+	if c.ignoreEra {
+		d.Reply.Era = 0
+	}
 	return c.handleOutput(c.Keeper.Done(now, d))
 }
 
@@ -55,10 +60,23 @@
 		if c.dropConditions {
 			out.Calls[i].Request.Condition = objectapi.Condition{}
 		}
+		if c.countFences && out.Calls[i].Request.Op == objectapi.OpPut {
+			out.Calls[i].Request.Value = c.countFence()
+		}
 	}
 	return out.Calls
 }
 
+// countFence replaces a new token of the write in flight with the highest token observed plus one, and returns its value.
+func (c *contender) countFence() []byte {
+	record := &c.inFlight.record
+	if record.Fence > c.fence {
+		record.Fence = max(c.fence+1, uint64(c.era)<<eraShift+1)
+		c.pendingWrites[len(c.pendingWrites)-1].record = *record
+	}
+	return record.encode()
+}
+
 func newSimulation(seed int64, n int, faults testutil.Faults, inject func(*contender)) *simulation {
 	rng := rand.New(rand.NewSource(seed))
 	store := testutil.NewStore(rng, faults)
@@ -79,6 +97,7 @@
 	incarnation := fmt.Sprintf("%s/%d", name, s.steps)
 	cfg := Config{Duty: "capacity", Holder: name, Incarnation: incarnation, Checker: s.checker}
 	c := &contender{Keeper: NewKeeper(discardLog, cfg)}
+	c.nextID = uint64(s.steps) << 32 // the results of calls of the former incarnation are not for this one
 	if inject != nil {
 		inject(c)
 	}
@@ -93,6 +112,7 @@
 		s.Step(time.Duration(1+s.rng.Intn(400)) * time.Millisecond)
 		s.injectFault(inject)
 		s.returnStore()
+		s.observeEras()
 		s.raiseFences()
 		s.sendOrders()
 		s.checkHolders()
@@ -162,6 +182,18 @@
 // returnInterval is the mean number of steps between two returns of the store.
 const returnInterval = 100
 
+// observeEras tells each instance that is not paused the era now and then, as another of its calls does.
+func (s *simulation) observeEras() {
+	if s.maxCopyAge == 0 {
+		return
+	}
+	for _, name := range s.names {
+		if c := s.contenders[name]; !s.Paused(name) && !c.ignoreEra && s.rng.Intn(4) == 0 {
+			s.Submit(name, c.handleOutput(c.ObserveEra(s.Now, s.Store.Era())))
+		}
+	}
+}
+
 // checkPermits fails when two incarnations get permits with one fencing token, or one gets a lower token than an earlier permit.
 func (s *simulation) checkPermits() {
 	for _, name := range s.names {
@@ -206,6 +238,9 @@
 		s.recordFailure("stored lease record cannot be decoded: %v", err)
 		return
 	}
+	if fenceEra(record.Fence) < s.Store.Era() {
+		return // a late write of an earlier era, which gives no lease
+	}
 	if record.Fence < s.record.Fence {
 		s.recordFailure("stored fencing token decreased from %d to %d", s.record.Fence, record.Fence)
 	}
--- a/objectapi/object.go
+++ b/objectapi/object.go
@@ -35,8 +35,8 @@
 // and gives their versions out again. 0 is unknown: the store names none, or there was no answer.
 type Era uint64
 
-// MaxEra is the highest era. The fencing tokens of package lease leave it 31 bits.
-const MaxEra Era = 1<<31 - 1
+// MaxEra is the highest era. The fencing tokens of package lease leave it 23 bits.
+const MaxEra Era = 1<<23 - 1
 
 // Object is one stored value.
 type Object struct {
