duty: report no window with other counts after a return of the store

A return of the store from an older copy loses the stored report. The holder, or the next one, then counts the window again and sends other counts, since counts of other instances arrive late and restarted instances have lost theirs.

Change: a process keeps the reports that it has stored or read while they may be due, and repeats only these. Windows that ended before the process saw the present era, and that it does not know, are left out. The record names the era in which it was written and the first window that ended in it, so that a later holder of the same era does not leave out more; the first window is needed, since a holder that stops between two reports it repeats would leave the second one to a holder that does not know it. An answer from another era stores no report. Without an era nothing changes.

Tests: three specs: the same process, a next holder and its successor, and a holder that stops between two repeats.

Open: a late write of an earlier era may replace the record, if a version that was given out again meets its condition. The next holder then takes its reports for sent ones.

--- a/duty/runner.go
+++ b/duty/runner.go
@@ -51,6 +51,7 @@
 		lg: lg, cfg: cfg, deps: deps, leaseRunner: leaseRunner, startedAt: time.Now(),
 		usageDuty: &usageDuty{
 			lg: lg, cfg: cfg, store: deps.Store, cloud: deps.Cloud, ledger: deps.Ledger, completeUntil: deps.CompleteUntil,
+			storeEra: deps.StoreEra,
 		},
 		sizeDuty: newSizeDuty(lg, deps.Cloud, cfg.ChecksFence, leaseRunner.raiseFence),
 	}
@@ -106,6 +107,7 @@
 // runDuties runs each enabled duty once, or discards the state of the duties when the lease is not held. It does
 // nothing while calls of the former holder may be in flight to a cloud that ignores fencing tokens.
 func (r *Runner) runDuties(ctx context.Context) {
+	r.usageDuty.observeEra(r.deps.WallTime())
 	holder, err := r.permit()
 	if err != nil {
 		if errors.Is(err, lease.ErrNotHeld) {
--- a/duty/usage_duty.go
+++ b/duty/usage_duty.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"time"
 
 	"knapweedhoist/objectapi"
 	"knapweedhoist/usage"
 )
 
-// usageDuty reports the usage of ended windows, oldest first.
+// usageDuty reports the usage of ended windows, oldest first. After a return of the store from an older copy, the reports of
+// windows that ended before may be lost: those that this process does not know are left out.
 type usageDuty struct {
 	lg     *slog.Logger
 	cfg    Config
@@ -18,6 +20,15 @@
 	ledger *usage.Ledger
 	// completeUntil returns the time of day up to which the counts of all connected instances have arrived.
 	completeUntil func() time.Time
+	// storeEra returns the highest era that any answer of store has named, 0 for none.
+	storeEra func() objectapi.Era
+
+	// era is the last result of storeEra, newFrom the first window that ended after this instance saw it, 0 for the era 0.
+	era     objectapi.Era
+	newFrom int64
+	// known has the reports that this process has read or stored and that may still be due. They stay correct over returns of
+	// the store: a window is stored once, except by those who know its report.
+	known map[int64]usage.Counts
 
 	// loaded reports whether record was read from the store.
 	loaded bool
@@ -31,6 +42,34 @@
 	d.loaded, d.unsent = false, nil
 }
 
+// observeEra must be called before each runOnce, and while the lease is not held: windows that ended before the present era was
+// seen may have been reported, although the store has lost the report.
+func (d *usageDuty) observeEra(wall time.Time) {
+	era := d.storeEra()
+	if era == d.era {
+		return
+	}
+	d.era, d.newFrom = era, d.ledger.Window(wall)
+	d.reset()
+}
+
+// remember keeps a report that is stored, and drops those that are no longer due.
+func (d *usageDuty) remember(report usageReport, wall time.Time) {
+	if d.known == nil {
+		d.known = make(map[int64]usage.Counts)
+	}
+	maps.DeleteFunc(d.known, func(window int64, _ usage.Counts) bool { return d.expired(window, wall) })
+	d.known[report.Window] = report.Counts
+}
+
+// firstNew returns the first window that ended in the present era, for all holders of this era that have written the record.
+func (d *usageDuty) firstNew() int64 {
+	if d.record.Era == d.era {
+		return min(d.newFrom, d.record.NewFrom)
+	}
+	return d.newFrom
+}
+
 // runOnce does one of three things: it loads the record, stores the next report, or sends one stored report or drops it
 // if it is no longer due. permit returns the holder for one call to the cloud.
 func (d *usageDuty) runOnce(ctx context.Context, wall time.Time, permit func() (Holder, error)) error {
@@ -61,15 +100,20 @@
 // loadRecord reads the reports that former holders stored. A former holder may have stopped before it sent a report,
 // so each that is still due is sent again unchanged.
 func (d *usageDuty) loadRecord(ctx context.Context, wall time.Time) error {
-	record, err := loadUsageRecord(ctx, d.store)
+	record, err := loadUsageRecord(ctx, d.store, d.era)
 	if err != nil {
 		return err
 	}
 	d.record, d.loaded = record, true
 	for _, report := range record.Reports {
-		if !d.expired(report.Window, wall) {
-			d.unsent = append(d.unsent, report)
+		if d.expired(report.Window, wall) {
+			continue
 		}
+		if counts, ok := d.known[report.Window]; ok {
+			report.Counts = counts
+		}
+		d.remember(report, wall)
+		d.unsent = append(d.unsent, report)
 	}
 	return nil
 }
@@ -83,16 +127,28 @@
 // due, if there is one.
 func (d *usageDuty) storeNextReport(ctx context.Context, wall time.Time) error {
 	window := max(d.record.lastWindow()+1, d.ledger.Window(wall.Add(-d.cfg.UsageDueWithin)))
-	if !d.collected(window, wall) {
-		return nil
+	firstNew := d.firstNew()
+	counts, known := d.known[window]
+	for ; window < firstNew && !known; counts, known = d.known[window] {
+		window++
 	}
-	report := usageReport{Window: window, Counts: d.ledger.Total(window)}
-	record, err := d.record.appendReport(ctx, d.store, report)
+	if !known {
+		if !d.collected(window, wall) {
+			return nil
+		}
+		counts = d.ledger.Total(window)
+	}
+	report := usageReport{Window: window, Counts: counts}
+	record, err := d.record.appendReport(ctx, d.store, report, d.era, firstNew)
 	if err != nil {
 		d.reset()
 		return err
 	}
+	if skipped := window - d.record.lastWindow() - 1; d.record.lastWindow() != 0 && skipped > 0 && d.era != 0 {
+		d.lg.Warn("windows are not reported", "from", d.record.lastWindow()+1, "count", skipped, "era", d.era, "first_new", firstNew)
+	}
 	d.record = record
+	d.remember(report, wall)
 	d.unsent = append(d.unsent, report)
 	return nil
 }
--- a/duty/usage_duty_test.go
+++ b/duty/usage_duty_test.go
@@ -19,9 +19,18 @@
 	object objectapi.Object
 	// loseNextReply makes the next write take effect and return ErrUnavailable.
 	loseNextReply bool
+	// era is that of the answers.
+	era objectapi.Era
 }
 
-func (s *memoryStore) Do(_ context.Context, request objectapi.Request) (objectapi.Reply, error) {
+// Do answers a request and names the era.
+func (s *memoryStore) Do(ctx context.Context, request objectapi.Request) (objectapi.Reply, error) {
+	reply, err := s.do(ctx, request)
+	reply.Era = s.era
+	return reply, err
+}
+
+func (s *memoryStore) do(_ context.Context, request objectapi.Request) (objectapi.Reply, error) {
 	switch {
 	case request.Op == objectapi.OpGet && s.object.Version == 0:
 		return objectapi.Reply{}, objectapi.ErrNotFound
@@ -72,11 +81,12 @@
 		ledger := usage.NewLedger(5*time.Second, func(window int64) map[string]float64 { return counts[window] })
 		return &usageDuty{
 			lg: slog.New(slog.DiscardHandler), cfg: Config{}.withDefaults(), store: store, cloud: cloud, ledger: ledger,
-			completeUntil: func() time.Time { return completeUntil },
+			completeUntil: func() time.Time { return completeUntil }, storeEra: func() objectapi.Era { return store.era },
 		}
 	}
 	runSteps := func(d *usageDuty, wall time.Time, n int) {
 		for range n {
+			d.observeEra(wall)
 			if err := d.runOnce(ctx, wall, permit); err != nil {
 				Expect(err).To(Or(MatchError(ErrUnavailable), MatchError(objectapi.ErrUnavailable), MatchError(objectapi.ErrConflict)))
 			}
@@ -154,4 +164,50 @@
 		}
 		Expect(cloud.reports).To(BeEmpty())
 	})
+
+	Context("after a return of the store from a copy that lacks a report", func() {
+		returnStore := func() { store.object, store.era = objectapi.Object{}, store.era+1 }
+
+		// Guards against two different reports of one window: counts of other instances arrive after the first report.
+		It("repeats the report that it has sent", func() {
+			counts := map[int64]map[string]float64{2: {"t": 4}}
+			d := newDuty(counts)
+			runSteps(d, at(16.6), 6)
+			Expect(cloud.reports[2]).To(Equal(usage.Counts{"t": 4}))
+			returnStore()
+			counts[2] = map[string]float64{"t": 9}
+			runSteps(d, at(17), 8) // strictCloud fails if the counts differ
+			stored, err := decodeUsageRecord(store.object)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(stored.Reports).To(ContainElement(usageReport{Window: 2, Counts: usage.Counts{"t": 4}}))
+		})
+
+		// Guards against two different reports of one window: the next holder does not know that the former one has reported it.
+		It("reports only the windows that end later from another instance, and from its successor", func() {
+			counts := map[int64]map[string]float64{2: {"t": 4}, 3: {"t": 5}, 4: {"t": 6}}
+			runSteps(newDuty(counts), at(16.6), 6)
+			returnStore()
+			counts[2] = map[string]float64{"t": 9}
+			next := newDuty(counts)
+			runSteps(next, at(17), 8)
+			runSteps(next, at(21.6), 4)
+			Expect(cloud.reports).To(HaveKeyWithValue(int64(3), usage.Counts{"t": 5}))
+			Expect(cloud.reports[2]).To(Equal(usage.Counts{"t": 4}))
+			runSteps(newDuty(counts), at(26.6), 4) // it starts later than window 4, which nobody can have reported
+			Expect(cloud.reports).To(HaveKeyWithValue(int64(4), usage.Counts{"t": 6}))
+		})
+
+		// Guards against two different reports of one window from the successor of a holder that had repeated some of its reports.
+		It("does not report a window that the former holder was to repeat", func() {
+			counts := map[int64]map[string]float64{1: {"t": 3}, 2: {"t": 4}}
+			first := newDuty(counts)
+			runSteps(first, at(16.6), 8)
+			Expect(cloud.reports).To(HaveLen(2))
+			returnStore()
+			runSteps(first, at(17), 2) // loads the record and stores the oldest report again
+			counts[2] = map[string]float64{"t": 9}
+			runSteps(newDuty(counts), at(17.5), 8)
+			Expect(cloud.reports[2]).To(Equal(usage.Counts{"t": 4}))
+		})
+	})
 })
