--- a/duty/runner.go
+++ b/duty/runner.go
@@ -15,9 +15,11 @@
 
 // Deps are the dependencies of a Runner.
 type Deps struct {
-	Store  objectapi.Store
-	Cloud  Cloud
-	Ledger *usage.Ledger
+	Store objectapi.Store
+	// StoreEra returns the highest era that any answer of Store has named, 0 for none.
+	StoreEra func() objectapi.Era
+	Cloud    Cloud
+	Ledger   *usage.Ledger
 	// CompleteUntil returns the time of day up to which Ledger has the counts of all connected instances.
 	CompleteUntil func() time.Time
 	// WallTime returns the estimated true time of day.
@@ -44,11 +46,12 @@
 // NewRunner returns a Runner that makes no call before Run.
 func NewRunner(lg *slog.Logger, cfg Config, deps Deps) *Runner {
 	cfg = cfg.withDefaults()
-	leaseRunner := newLeaseRunner(lg, cfg, deps.Store)
+	leaseRunner := newLeaseRunner(lg, cfg, deps.Store, deps.StoreEra)
 	return &Runner{
 		lg: lg, cfg: cfg, deps: deps, leaseRunner: leaseRunner, startedAt: time.Now(),
 		usageDuty: &usageDuty{
 			lg: lg, cfg: cfg, store: deps.Store, cloud: deps.Cloud, ledger: deps.Ledger, completeUntil: deps.CompleteUntil,
+			storeEra: deps.StoreEra,
 		},
 		sizeDuty: newSizeDuty(lg, deps.Cloud, cfg.ChecksFence, leaseRunner.raiseFence),
 	}
@@ -104,6 +107,7 @@
 // runDuties runs each enabled duty once, or discards the state of the duties when the lease is not held. It does
 // nothing while calls of the former holder may be in flight to a cloud that ignores fencing tokens.
 func (r *Runner) runDuties(ctx context.Context) {
+	r.usageDuty.observeEra(r.deps.WallTime())
 	holder, err := r.permit()
 	if err != nil {
 		if errors.Is(err, lease.ErrNotHeld) {
--- a/lease/simulation_test.go
+++ b/lease/simulation_test.go
@@ -27,6 +27,11 @@
 	record     Record
 	steps      int
 	failures   []string
+	// maxCopyAge bounds the age of the copies from which the store returns; 0 for a store that loses nothing.
+	maxCopyAge time.Duration
+	// permitted has the incarnation that got permits with each fencing token, highestPermit the highest of these tokens.
+	permitted     map[uint64]string
+	highestPermit uint64
 }
 
 // contender adapts a Keeper to the driver; tamper injects a defect after each step.
@@ -34,10 +39,15 @@
 	*Keeper
 	tamper         func(*Keeper)
 	dropConditions bool // remove the conditions from writes
+	ignoreEra      bool // hide the era of the store from the Keeper
+	countFences    bool // let tokens of an era count its holders instead of following the versions
 }
 
 func (c *contender) Tick(now time.Time) []objectapi.Call { return c.handleOutput(c.Keeper.Tick(now)) }
 func (c *contender) Done(now time.Time, d objectapi.CallResult) []objectapi.Call {
+	if c.ignoreEra {
+		d.Reply.Era = 0
+	}
 	return c.handleOutput(c.Keeper.Done(now, d))
 }
 
@@ -50,16 +60,29 @@
 		if c.dropConditions {
 			out.Calls[i].Request.Condition = objectapi.Condition{}
 		}
+		if c.countFences && out.Calls[i].Request.Op == objectapi.OpPut {
+			out.Calls[i].Request.Value = c.countFence()
+		}
 	}
 	return out.Calls
 }
 
+// countFence replaces a new token of the write in flight with the highest token observed plus one, and returns its value.
+func (c *contender) countFence() []byte {
+	record := &c.inFlight.record
+	if record.Fence > c.fence {
+		record.Fence = max(c.fence+1, uint64(c.era)<<eraShift+1)
+		c.pendingWrites[len(c.pendingWrites)-1].record = *record
+	}
+	return record.encode()
+}
+
 func newSimulation(seed int64, n int, faults testutil.Faults, inject func(*contender)) *simulation {
 	rng := rand.New(rand.NewSource(seed))
 	store := testutil.NewStore(rng, faults)
 	s := &simulation{
 		Driver: testutil.NewDriver(time.UnixMilli(1_800_000_000_000), store),
-		rng:    rng, contenders: make(map[string]*contender), checker: testutil.NewChecker(),
+		rng:    rng, contenders: make(map[string]*contender), checker: testutil.NewChecker(), permitted: make(map[uint64]string),
 	}
 	for i := range n {
 		name := fmt.Sprintf("entry-%d", i)
@@ -74,6 +97,7 @@
 	incarnation := fmt.Sprintf("%s/%d", name, s.steps)
 	cfg := Config{Duty: "capacity", Holder: name, Incarnation: incarnation, Checker: s.checker}
 	c := &contender{Keeper: NewKeeper(discardLog, cfg)}
+	c.nextID = uint64(s.steps) << 32 // the results of calls of the former incarnation are not for this one
 	if inject != nil {
 		inject(c)
 	}
@@ -87,9 +111,12 @@
 		s.steps++
 		s.Step(time.Duration(1+s.rng.Intn(400)) * time.Millisecond)
 		s.injectFault(inject)
+		s.returnStore()
+		s.observeEras()
 		s.raiseFences()
 		s.sendOrders()
 		s.checkHolders()
+		s.checkPermits()
 	}
 }
 
@@ -143,6 +170,49 @@
 	}
 }
 
+// returnStore lets the store return from a copy of random age now and then.
+func (s *simulation) returnStore() {
+	if s.maxCopyAge == 0 || s.rng.Intn(returnInterval) != 0 {
+		return
+	}
+	s.Store.Restore(s.Now, time.Duration(s.rng.Int63n(int64(s.maxCopyAge))))
+	s.record = Record{} // the stored fencing token may be lower than before
+}
+
+// returnInterval is the mean number of steps between two returns of the store.
+const returnInterval = 100
+
+// observeEras tells each instance that is not paused the era now and then, as another of its calls does.
+func (s *simulation) observeEras() {
+	if s.maxCopyAge == 0 {
+		return
+	}
+	for _, name := range s.names {
+		if c := s.contenders[name]; !s.Paused(name) && !c.ignoreEra && s.rng.Intn(4) == 0 {
+			s.Submit(name, c.handleOutput(c.ObserveEra(s.Now, s.Store.Era())))
+		}
+	}
+}
+
+// checkPermits fails when two incarnations get permits with one fencing token, or one gets a lower token than an earlier permit.
+func (s *simulation) checkPermits() {
+	for _, name := range s.names {
+		permit, err := s.contenders[name].Permit(s.Now, true)
+		if err != nil || s.Paused(name) {
+			continue
+		}
+		incarnation := s.contenders[name].cfg.Incarnation
+		switch former := s.permitted[permit.Fence]; {
+		case former != "" && former != incarnation:
+			s.recordFailure("two holders, one fence: %d of %s and %s", permit.Fence, former, incarnation)
+		case permit.Fence < s.highestPermit:
+			s.recordFailure("permit of %s with fencing token %d after %d", incarnation, permit.Fence, s.highestPermit)
+		}
+		s.permitted[permit.Fence] = incarnation
+		s.highestPermit = max(s.highestPermit, permit.Fence)
+	}
+}
+
 // checkHolders fails when more than one instance holds the lease.
 func (s *simulation) checkHolders() {
 	holders := 0
@@ -168,6 +238,9 @@
 		s.recordFailure("stored lease record cannot be decoded: %v", err)
 		return
 	}
+	if fenceEra(record.Fence) < s.Store.Era() {
+		return // a late write of an earlier era, which gives no lease
+	}
 	if record.Fence < s.record.Fence {
 		s.recordFailure("stored fencing token decreased from %d to %d", s.record.Fence, record.Fence)
 	}
