platform, deployment: decode the software version of endpoints

Servers of several software versions may serve in one service, and a stream may go on only at the version that began it. The entry's Version was not decoded, so that no decision could depend on it. Nothing decides by it yet. The spec of the entry passes; it did not compile before.

--- a/deployment/endpoint.go
+++ b/deployment/endpoint.go
@@ -10,6 +10,9 @@
 	// Address is IP:PORT. Another endpoint may have the same address later.
 	Address    string
 	DataCentre string
+	// SoftwareVersion is the version of the endpoint's software, "" when unknown. A stream can go on only at an endpoint with
+	// the version that began it.
+	SoftwareVersion string
 	// Slots is the number of requests that the endpoint runs at the same time.
 	Slots int
 	// Leaving reports that the endpoint gets no new requests.
