--- a/forward/config.go
+++ b/forward/config.go
@@ -64,6 +64,8 @@
 	// Quarantine refuses requests, and prompt parts, that crash endpoints.
 	Quarantine *quarantine.Guard
 	Metrics    *Metrics
+	// Origins remembers which software version began each stream. If it is nil, a caller may continue a stream at any endpoint.
+	Origins Origins
 	// Started is closed once the instance has read the configuration, the endpoints and the list of instances. Requests do
 	// not wait if it is nil.
 	Started <-chan struct{}
