forward, platform: a stream goes on only at the software version that began it

Cause: chooseEndpoint saw all endpoints of the service for each attempt, whether it began a stream or continued one. An exchange did not know where its stream began, nor was Resumes read.

Change: an exchange has an origin (service and software version) from its first event on, recorded with Deps.Origins before that event is passed on. The candidates of all further attempts (retries, takeover of a silent stream, return to it) are the endpoints of that origin. A request with Last-Event-Id gets the origin from Origins.Find by Resumes before its first attempt; if it is unknown, if only other versions get new requests, or if the route leads to other services, it is refused with 503 before any send. Log lines have software and resumes; counters forward_stream_origin_unknown and forward_stream_version_gone are new. Without Origins a take-up may still go to any version: entry does not set it yet.

--- a/deployment/route.go
+++ b/deployment/route.go
@@ -40,6 +40,18 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
+// LeadsTo reports whether SelectService returns the service for some point.
+func (r *Route) LeadsTo(service string) bool {
+	totalWeight := 0
+	for _, target := range r.Targets {
+		if target.Service == service && target.Weight > 0 {
+			return true
+		}
+		totalWeight += target.Weight
+	}
+	return totalWeight == 0 && r.Targets[len(r.Targets)-1].Service == service
+}
+
 // SelectService returns the service of the target that a point in [0, 1) selects, in proportion to the weights.
 func (r *Route) SelectService(point float64) string {
 	totalWeight := 0
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -32,6 +32,9 @@
 // sendWithRetries sends the request to one endpoint after another until one
 // answers or the request must not be sent again. The error is a *failure.
 func (e *exchange) sendWithRetries() (*endpointAnswer, error) {
+	if failed := e.findOrigin(); failed != nil {
+		return nil, failed
+	}
 	e.server.deps.Budget.RecordRequest(e.server.deps.Now(), e.service.Name)
 	if !e.awaitEvidence() {
 		return nil, &failure{cause: causeCallerClosed, err: errCallerClosed}
@@ -60,6 +63,9 @@
 		return nil, &failure{cause: causeQuarantined, err: err}
 	}
 	if err := e.chooseEndpoint(time.Now()); err != nil {
+		if errors.Is(err, errVersionGone) {
+			return nil, &failure{cause: causeVersionGone, err: err}
+		}
 		return nil, &failure{cause: causeNoEndpoint, err: err}
 	}
 	if failed := e.awaitRateLimit(); failed != nil {
@@ -72,9 +78,13 @@
 	return e.readAnswer(answer, answerHeader)
 }
 
-// chooseEndpoint chooses an endpoint that was not tried yet, or returnTo, and sets e.inFlight.
+// chooseEndpoint chooses an endpoint that was not tried yet, or returnTo, and sets e.inFlight. A stream goes on only at the
+// software version that began it.
 func (e *exchange) chooseEndpoint(now time.Time) error {
-	endpoints := e.server.deps.State.View().Endpoints
+	endpoints, err := e.candidates(e.server.deps.State.View().Endpoints)
+	if err != nil {
+		return err
+	}
 	if e.returnTo != "" {
 		endpoints = onlyEndpoint(endpoints, e.returnTo)
 		e.returnTo = ""
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -10,6 +10,7 @@
 	"knapweedhoist/dispatch"
 	"knapweedhoist/internal/boundedbuffer"
 	"knapweedhoist/quarantine"
+	"knapweedhoist/streamorigin"
 )
 
 // exchange is one request of a caller and its answer. One goroutine at a time
@@ -65,6 +66,9 @@
 	// firstEventAt is the time of the first event of the current send, progressed whether its answer went on after that.
 	firstEventAt time.Time
 	progressed   bool
+	// origin is where the stream began, nil before its first event unless findOrigin has found that of an earlier request. What
+	// it points to does not change.
+	origin *streamorigin.Origin
 	// buffer holds what was read of the current endpoint's answer and not passed on; nil before the first answer.
 	buffer *boundedbuffer.Buffer
 	// lastEventAt is the time of the last event read for the caller, zero before the first one.
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -20,6 +20,10 @@
 	causeStopping
 	// causeQuarantined: requests like this one, or with a part of its prompt, have crashed endpoints.
 	causeQuarantined
+	// causeOriginUnknown: it is not known which software version began the stream that the request goes on with.
+	causeOriginUnknown
+	// causeVersionGone: the stream can't go on at the software version that began it.
+	causeVersionGone
 	// causeNoEndpoint: every endpoint of the service is leaving, full or was tried, or it has none.
 	causeNoEndpoint
 )
@@ -40,6 +44,10 @@
 		return "instance is stopping"
 	case causeQuarantined:
 		return "quarantined"
+	case causeOriginUnknown:
+		return "software version of the stream unknown"
+	case causeVersionGone:
+		return "software version of the stream gone"
 	default:
 		return "no endpoint"
 	}
--- a/forward/header_codec.go
+++ b/forward/header_codec.go
@@ -38,6 +38,8 @@
 	OutputTokens int
 	// Continues is set if the caller asks to go on with a stream after an event that it has.
 	Continues bool
+	// Resumes is the ID of the request that brought the first event of that stream, "" if the caller does not name it.
+	Resumes string
 }
 
 // Attempt holds the header fields that the system sets on one send to an endpoint.
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -36,6 +36,9 @@
 	// RateLimitWaits counts the attempts that waited until the rate limit of an endpoint allowed them, RateLimited those that
 	// found all endpoints at their limits for too long.
 	RateLimitWaits, RateLimited metrics.Counter
+	// OriginUnknown counts the requests to go on with a stream that were refused because the software version that began it is
+	// unknown, VersionGone the streams that were refused or broken off because they can't go on at that version.
+	OriginUnknown, VersionGone metrics.Counter
 	// Crashes counts the sends that were in progress at an endpoint that crashed before it had answered them.
 	Crashes metrics.Counter
 	// Oversized counts the answers that were given up because of their size or of the memory of all answers, see isOversized.
@@ -66,6 +69,7 @@
 		},
 		RateLimitChanges: counter("forward_rate_limit_changes"), InvalidRateLimits: counter("forward_rate_limits_invalid"),
 		RateLimitWaits: counter("forward_rate_limit_waits"), RateLimited: counter("forward_rate_limited"),
+		OriginUnknown: counter("forward_stream_origin_unknown"), VersionGone: counter("forward_stream_version_gone"),
 		Crashes:     counter("forward_endpoint_crashes"),
 		Quarantined: counter("forward_quarantined"), Held: counter("forward_held"),
 		Oversized: counter("forward_oversized"), BodiesRefused: counter("forward_bodies_refused"),
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -101,8 +101,12 @@
 
 // retryAfter returns when the caller should try again: when a quarantined key is tried again, after the first of the pauses
 // that the endpoints have asked for, when the first rate limit allows a request, or after the wait for a slot if every endpoint
-// is full, but at least retryAfterNoEndpoint. Random parts spread the retries of callers that are refused at the same time.
+// is full, but at least retryAfterNoEndpoint; after maxRetryAfter if the stream can't go on. Random parts spread the retries of
+// callers that are refused at the same time.
 func (e *exchange) retryAfter(failed *failure) time.Duration {
+	if failed.cause == causeVersionGone {
+		return maxRetryAfter + time.Duration(e.server.deps.Random()*float64(retryAfterNoEndpoint))
+	}
 	wait := retryAfterNoEndpoint
 	var overloaded *dispatch.OverloadedError
 	if errors.As(failed, &overloaded) {
@@ -125,6 +129,7 @@
 
 func (e *exchange) countFailure(status int, failed *failure) {
 	counters := e.server.deps.Metrics
+	e.countOriginFailure(failed)
 	if failed.cause == causeQuarantined {
 		counters.Quarantined.Inc(1)
 	}
@@ -144,6 +149,20 @@
 	}
 }
 
+// countOriginFailure counts a stream that did not go on because of the software version that began it.
+func (e *exchange) countOriginFailure(err error) {
+	var failed *failure
+	if !errors.As(err, &failed) {
+		return
+	}
+	switch failed.cause {
+	case causeOriginUnknown:
+		e.server.deps.Metrics.OriginUnknown.Inc(1)
+	case causeVersionGone:
+		e.server.deps.Metrics.VersionGone.Inc(1)
+	}
+}
+
 // respondLocal writes an answer that this instance generates, with reason as its body.
 func (e *exchange) respondLocal(status int, reason string, retryAfter time.Duration) {
 	e.ctx.Response.Reset()
@@ -174,6 +193,12 @@
 		attributes = append(attributes, "endpoint", e.inFlight.Endpoint.ID, "cost_ms", e.inFlight.Cost.Milliseconds(),
 			"missing_tokens", e.inFlight.UncachedTokens)
 	}
+	if e.origin != nil {
+		attributes = append(attributes, "software", e.origin.Version)
+	}
+	if e.request.Continues {
+		attributes = append(attributes, "resumes", e.request.Resumes)
+	}
 	if !e.lastEventAt.IsZero() {
 		attributes = append(attributes, "last_event", e.lastEventID, "silent_ms", time.Since(e.lastEventAt).Milliseconds())
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -49,6 +49,7 @@
 		e.recordStart()
 		return &endpointAnswer{header: &answer.Header, stream: stream}, nil // Read returns the end
 	}
+	e.recordOrigin()
 	now := time.Now()
 	e.inFlight.FirstToken(now)
 	e.observeEvents(now)
@@ -119,7 +120,7 @@
 		if err == nil && next.stream != nil {
 			e.server.deps.Metrics.Resumed.Inc(1)
 			e.server.deps.Log.Info("stream resumed", "id", e.request.ID, "endpoint", e.inFlight.Endpoint.ID,
-				"after_event", e.lastEventID, "reason", failed.Error())
+				"software", e.inFlight.Endpoint.SoftwareVersion, "after_event", e.lastEventID, "reason", failed.Error())
 			s.answer, s.reader, s.pending = next.stream.answer, next.stream.reader, next.stream.pending
 			return
 		}
@@ -148,6 +149,7 @@
 	case s.err != nil:
 		e.logOutcome("stream broken off", 200, s.err)
 		e.server.deps.Metrics.Failed.Inc(1)
+		e.countOriginFailure(s.err)
 	default:
 		s.answer.Abort()
 		e.inFlight.Done(time.Now(), dispatch.Served)
--- a/forward/stream_versions_test.go
+++ b/forward/stream_versions_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -26,18 +28,16 @@
 	"knapweedhoist/quarantine"
 	"knapweedhoist/retrybudget"
 	"knapweedhoist/streamorigin"
-	"knapweedhoist/testutil"
 	"knapweedhoist/upstream"
 )
 
 // ioTimeout bounds each wait of a test; no assertion depends on the time that a wait takes.
 const ioTimeout = 20 * time.Second
 
-// origins is a forward.Origins of one process. wait makes Find wait for the end of its context.
+// origins is a forward.Origins of one process.
 type origins struct {
 	mu    sync.Mutex
 	known map[string]streamorigin.Origin
-	wait  bool
 }
 
 func (o *origins) Record(id string, origin streamorigin.Origin, _ time.Time) {
@@ -46,11 +46,7 @@
 	o.known[id] = origin
 }
 
-func (o *origins) Find(ctx context.Context, id, _ string) (streamorigin.Origin, error) {
-	if o.wait {
-		<-ctx.Done()
-		return streamorigin.Origin{}, ctx.Err()
-	}
+func (o *origins) Find(_ context.Context, id, _ string) (streamorigin.Origin, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	origin, ok := o.known[id]
@@ -60,7 +56,14 @@
 	return origin, nil
 }
 
-// versionsFixture is a Server in front of backends, one for each software version.
+// recorded returns the origins by request id.
+func (o *origins) recorded() map[string]streamorigin.Origin {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.known)
+}
+
+// versionsFixture is a Server in front of backends, one for each software version and "other" for the service of that name.
 type versionsFixture struct {
 	origins  *origins
 	state    *deployment.State
@@ -73,21 +76,18 @@
 const eventCount = 5
 
 func newVersionsFixture(versions ...string) *versionsFixture {
-	if !testutil.RunsKnownRed() {
-		Skip("listed in KNOWN-RED.txt")
-	}
 	f := &versionsFixture{
 		origins: &origins{known: make(map[string]streamorigin.Origin)}, state: deployment.NewState(),
 		backends: make(map[string]*platformtest.Backend), registry: metrics.NewRegistry(),
 	}
-	for _, version := range versions {
+	for _, version := range append(versions, "other") {
 		backend, err := platformtest.NewBackend(platformtest.Response{Events: eventCount})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(backend.Close)
 		f.backends[version] = backend
 	}
 	f.list(versions...)
-	f.configure("service")
+	f.route("service")
 	server := forward.NewServer(forward.Config{}, forward.Deps{
 		Log: slog.New(slog.DiscardHandler), Codec: platform.Headers{}, State: f.state, Origins: f.origins,
 		Balancer: dispatch.NewBalancer(dispatch.Config{}, enginemodel.NewLearner()), Pool: upstream.NewPool(upstream.Config{}),
@@ -103,20 +103,26 @@
 	return f
 }
 
-// configure publishes a configuration with a route for streams to the service.
-func (f *versionsFixture) configure(service string) {
+// route publishes a configuration with a route for streams to the services, with equal weights.
+func (f *versionsFixture) route(services ...string) {
+	var targets []deployment.Target
+	for _, service := range services {
+		targets = append(targets, deployment.Target{Service: service, Weight: 1})
+	}
 	f.state.SetConfig(deployment.NewConfig(1,
 		[]*deployment.Route{{
 			Name: "stream", Host: "a", Prefix: "/", Kind: deployment.Stream, Resumable: true, MaxAttempts: 2,
-			Targets: []deployment.Target{{Service: service, Weight: 1}},
+			Targets: targets,
 		}},
 		[]*deployment.Service{{Name: "service", MaxConnections: 10}, {Name: "other", MaxConnections: 10}},
 		deployment.OpenToAll, nil, deployment.Limits{}))
 }
 
-// list publishes the endpoints of the versions. Those of "leaving" versions get no new requests.
+// list publishes the endpoints of the versions and that of the other service. Those of "leaving" versions get no new requests.
 func (f *versionsFixture) list(versions ...string) {
-	endpoints := make(map[string]*deployment.Endpoint)
+	endpoints := map[string]*deployment.Endpoint{
+		"i-other": {ID: "i-other", Service: "other", Address: f.backends["other"].Address(), Slots: 8, SoftwareVersion: "1"},
+	}
 	for _, version := range versions {
 		name, leaving := strings.CutSuffix(version, " leaving")
 		id := "i-" + name
@@ -140,6 +146,11 @@
 	return versions
 }
 
+// count returns the value of a counter of the Server.
+func (f *versionsFixture) count(counter string) int64 {
+	return f.registry.Get(counter).(metrics.Counter).Count()
+}
+
 func (f *versionsFixture) dial() net.Conn {
 	conn, err := net.Dial("tcp4", f.address)
 	Expect(err).NotTo(HaveOccurred())
@@ -169,6 +180,26 @@
 // takeUp are the lines of a request that goes on with the stream of the request after its second event.
 func takeUp(id string) []string { return []string{"Last-Event-Id: 2\r\n", "Resumes: " + id + "\r\n"} }
 
+var _ = Describe("A stream without a first event", func() {
+	// Guards against requests that fail although only endpoints of another version than that of a failed attempt are left, and
+	// against the origin of an attempt that brought no event.
+	It("is sent again to an endpoint of any version, which is its origin", func() {
+		f := newVersionsFixture("1", "2")
+		for version, other := range map[string]string{"1": "2", "2": "1"} {
+			id := "begun-after-" + version
+			f.list(version)
+			f.backends[version].RespondWith(func() platformtest.Response {
+				f.list("1", "2")
+				return platformtest.Response{Raw: "HTTP/1.1 200 OK\r\n"}
+			})
+			f.ask(id)
+			f.backends[version].RespondWith(func() platformtest.Response { return platformtest.Response{Events: eventCount} })
+			Expect(f.receivedBy(id)).To(ConsistOf("1", "2"))
+			Expect(f.origins.recorded()).To(HaveKeyWithValue(id, streamorigin.Origin{Service: "service", Version: other}))
+		}
+	})
+})
+
 var _ = Describe("A caller that takes a stream up", func() {
 	// Guards against a stream with events of two software versions: the take-up goes to the endpoint of the least cost,
 	// whatever its version.
@@ -183,6 +214,57 @@
 			Expect(response.StatusCode).To(Equal(http.StatusOK))
 			Expect(body).To(HavePrefix("id: 3\n"))
 			Expect(f.receivedBy(taken)).To(Equal([]string{version}))
+			Expect(f.origins.recorded()).NotTo(HaveKey(taken), "the caller names the request that began the stream")
 		}
 	})
+
+	// Guards against a stream that goes on at another version because none of its own is left, and against callers that come
+	// back in vain.
+	DescribeTable("is refused without a send",
+		func(arrange func(*versionsFixture), counter string, minRetryAfter float64) {
+			f := newVersionsFixture("1", "2")
+			f.origins.Record("begun", streamorigin.Origin{Service: "service", Version: "1"}, time.Time{})
+			arrange(f)
+			response, _ := f.ask("taken", takeUp("begun")...)
+			Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			retryAfter, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(retryAfter).To(BeNumerically(">=", minRetryAfter))
+			Expect(retryAfter).To(BeNumerically("<", minRetryAfter+1))
+			Expect(f.receivedBy("taken")).To(BeEmpty())
+			Expect(f.count(counter)).To(Equal(int64(1)))
+			Expect(f.count("forward_refused")).To(Equal(int64(1)))
+			response, _ = f.ask("new")
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+		},
+		Entry("if no endpoint of the version is listed", func(f *versionsFixture) { f.list("2") }, "forward_stream_version_gone", 8.0),
+		Entry("if those of the version leave", func(f *versionsFixture) { f.list("1 leaving", "2") }, "forward_stream_version_gone", 8.0),
+		Entry("if the version is unknown", func(f *versionsFixture) { delete(f.origins.known, "begun") },
+			"forward_stream_origin_unknown", 0.1),
+		Entry("if the route leads to another service", func(f *versionsFixture) { f.route("other") }, "forward_stream_version_gone", 8.0),
+	)
+
+	// Guards against callers that stay away for long while all endpoints of the service are away for a moment.
+	It("is told to come back soon if the service has no endpoint at all", func() {
+		f := newVersionsFixture("1")
+		f.ask("begun")
+		f.list("1 leaving")
+		response, _ := f.ask("taken", takeUp("begun")...)
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get("Retry-After")).To(HavePrefix("0."))
+		Expect(f.count("forward_stream_version_gone")).To(BeZero())
+	})
+
+	// Guards against a take-up that is moved to the service to which its route sends new requests.
+	It("goes on at the service that began the stream if the route leads to several", func() {
+		f := newVersionsFixture("1")
+		f.ask("begun")
+		f.route("other", "service")
+		f.ask("new")
+		Expect(f.receivedBy("new")).To(Equal([]string{"other"}))
+		response, _ := f.ask("taken", takeUp("begun")...)
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Expect(f.receivedBy("taken")).To(Equal([]string{"1"}))
+		Expect(f.backends["1"].Received()).To(ContainElement(HaveField("Header", HaveKeyWithValue("Resumes", []string{"begun"}))))
+	})
 })
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -227,5 +227,5 @@
 	e.buffer = other.buffer
 	e.server.deps.Metrics.Resumed.Inc(1)
 	e.server.deps.Log.Info("stream resumed", "id", e.request.ID, "endpoint", e.inFlight.Endpoint.ID,
-		"after_event", after, "reason", fmt.Sprintf("%v for %v", errSilent, silent.Round(time.Millisecond)))
+		"software", e.inFlight.Endpoint.SoftwareVersion, "after_event", after, "reason", fmt.Sprintf("%v for %v", errSilent, silent.Round(time.Millisecond)))
 }
