forward: Deps.Origins stands beside the functions that know other instances

The field stood among the limits and budgets. No change of behaviour; go vet and the specs of forward pass.

--- a/forward/config.go
+++ b/forward/config.go
@@ -64,14 +64,14 @@
 	// Quarantine refuses requests, and prompt parts, that crash endpoints.
 	Quarantine *quarantine.Guard
 	Metrics    *Metrics
-	// Origins remembers which software version began each stream. If it is nil, a caller may continue a stream at any endpoint.
-	Origins Origins
 	// Started is closed once the instance has read the configuration, the endpoints and the list of instances. Requests do
 	// not wait if it is nil.
 	Started <-chan struct{}
 	// RecordStart counts a request of the team as run. It is called at most once per request, when an endpoint's complete
 	// answer or first event was read, and never for a request without a team.
 	RecordStart func(team string)
+	// Origins knows which software version began each stream. A caller may take a stream up at any endpoint if it is nil.
+	Origins Origins
 	// Instances returns the number of entry instances, this one included.
 	Instances func() int
 	// Now returns the time of package clock, which the limits, the retry budget and the configuration's age use.
