streamorigin: remember where streams began, and which versions were in service

Callers whose streams broke off take them up at any instance; with two software versions in service, or just after one has left, text of both was joined, with nothing in the answer to show it. Only the instance that passed on the first event knew the version, and nothing remembered it.

The package holds the decisions, without clocks or calls. A stream that it does not know belongs to the only version that counts. That holds only if no version can have been missed: after a start or a loss of the store the shared entries have to be read first, and an instance that is not connected to all others has to read them after each such request, since it may be cut off without knowing it. Schedule decides on calls of the store; it makes none without a mix of versions, except one read after the start and after each loss of the store. Nothing uses the package yet.

The load pattern of the package comment is replayed with 6,000 streams and every third message lost.

--- /dev/null
+++ b/streamorigin/directory_test.go
@@ -0,0 +1,119 @@
+package streamorigin_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/streamorigin"
+)
+
+var _ = Describe("Directory", func() {
+	const service = "s"
+	var (
+		now       time.Time
+		directory *streamorigin.Directory
+	)
+	origin := func(version string) streamorigin.Origin {
+		return streamorigin.Origin{Service: service, Version: version}
+	}
+	list := func(d *streamorigin.Directory, versions ...string) {
+		listed := make(map[streamorigin.Origin]bool)
+		for _, version := range versions {
+			listed[origin(version)] = true
+		}
+		d.SetListed(now, listed)
+		d.Confirm(now, now)
+		d.Read(now)
+		d.ObserveConnection(now, true, 2)
+	}
+	find := func(d *streamorigin.Directory, id string) string {
+		found, answer := d.Find(now, now, id, service)
+		if answer != streamorigin.Known {
+			return answer.String()
+		}
+		return found.Version
+	}
+	BeforeEach(func() {
+		now, directory = time.Unix(1000, 0), streamorigin.NewDirectory(2*time.Second)
+		list(directory, "v1")
+	})
+
+	// Guards against a take-up of all streams at another instance, while two versions replace each other, that joins text of two
+	// versions or loses streams (ORDER, LOST). This is the load pattern of the package comment.
+	It("tells another instance where all streams began that are taken up at once", func() {
+		const streams = 6000
+		other := streamorigin.NewDirectory(2 * time.Second)
+		list(other, "v1")
+		versionOf := func(n int) string { return fmt.Sprint("v", 1+n%2) }
+		list(directory, "v1", "v2")
+		directory.Update(now)
+		for n := range streams {
+			directory.Record(now, fmt.Sprint(n), origin(versionOf(n)), now.Add(streamorigin.Lifetime))
+		}
+		messages := 0
+		for entries := directory.TakeUnsent(now, 500); len(entries) > 0; entries = directory.TakeUnsent(now, 500) {
+			if messages++; messages%3 != 0 { // every third message is lost
+				other.Learn(now, entries)
+			}
+		}
+		Expect(messages).To(Equal(2 * streams / 500))
+		other.Learn(now, directory.TakeOwn(now, streams))
+		list(other, "v2")
+		for n := range streams {
+			Expect(find(other, fmt.Sprint(n))).To(Equal(versionOf(n)))
+		}
+		Expect(find(other, "of nobody")).To(Equal(streamorigin.Mixed.String()))
+		now = now.Add(streamorigin.Lifetime)
+		list(other, "v2")
+		Expect(find(other, "of nobody")).To(Equal("v2"))
+		Expect(other.Update(now)).To(BeEmpty())
+		Expect(other.Remembered()).To(BeZero())
+	})
+
+	// Guards against a memory that grows with the number of streams, or of origins.
+	It("forgets the oldest streams beyond its bound", func() {
+		for n := range streamorigin.MaxEntries + 10 {
+			directory.Record(now, fmt.Sprint(n), origin("v1"), now.Add(streamorigin.Lifetime))
+		}
+		Expect(directory.Remembered()).To(Equal(streamorigin.MaxEntries))
+		for n := range 2 * streamorigin.MaxOrigins {
+			directory.Record(now, fmt.Sprint("origin ", n), streamorigin.Origin{Service: fmt.Sprint(n)}, now.Add(streamorigin.Lifetime))
+		}
+		_, answer := directory.Find(now, now, fmt.Sprint("origin ", 2*streamorigin.MaxOrigins-1), service)
+		Expect(answer).To(Equal(streamorigin.Known)) // the service's only version
+		Expect(find(directory, fmt.Sprint(streamorigin.MaxEntries))).To(Equal("v1"))
+	})
+
+	// Guards against a stream that goes on at one of two versions that both count as its own.
+	It("does not choose between two origins of one stream", func() {
+		directory.Record(now, "a", origin("v1"), now.Add(streamorigin.Lifetime))
+		directory.Learn(now, []streamorigin.Entry{{Key: streamorigin.KeyOf("a"), Origin: origin("v2"), Remaining: time.Second}})
+		Expect(find(directory, "a")).To(Equal(streamorigin.Ambiguous.String()))
+	})
+
+	// Guards against entries without a version, and a restart under the same id, that count as the version of others.
+	It("keeps endpoints without a version apart from others", func() {
+		list(directory, "")
+		Expect(find(directory, "a")).To(Equal(streamorigin.Mixed.String()))
+		now = now.Add(streamorigin.Lifetime)
+		list(directory, "")
+		Expect(find(directory, "a")).To(BeEmpty())
+	})
+
+	// Guards against messages from another version of the program, or broken ones, that end the process.
+	It("refuses a message whose columns don't fit", func() {
+		message := streamorigin.Encode([]streamorigin.Entry{{Key: 1, Origin: origin("v1"), Remaining: time.Second}})
+		entries, err := streamorigin.Decode(message)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(entries).To(HaveExactElements(streamorigin.Entry{Key: 1, Origin: origin("v1"), Remaining: time.Second}))
+		message.Origins[0] = 1
+		_, err = streamorigin.Decode(message)
+		Expect(err).To(HaveOccurred())
+		message.Versions = nil
+		_, err = streamorigin.DecodeVersions(message)
+		Expect(err).To(HaveOccurred())
+	})
+})
--- /dev/null
+++ b/streamorigin/history.go
@@ -0,0 +1,98 @@
+package streamorigin
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// maxVersions is the number of versions of a service that are kept apart. Which one began a stream is unknown in any case if
+// there are several.
+const maxVersions = 32
+
+// history knows which versions of each service streams can have begun at that are not yet too old to be taken up.
+type history struct {
+	// services holds the versions by service.
+	services map[string]map[string]sighting
+}
+
+// sighting tells how long a version counts.
+type sighting struct {
+	// listed is set while an endpoint with the version is listed. Otherwise the version counts until a time.
+	listed bool
+	until  time.Time
+}
+
+func newHistory() *history { return &history{services: make(map[string]map[string]sighting)} }
+
+// setListed sets the versions of all listed endpoints. Versions that are no longer listed count for Lifetime.
+func (h *history) setListed(now time.Time, listed map[Origin]bool) {
+	for service, versions := range h.services {
+		for version, seen := range versions {
+			if seen.listed && !listed[Origin{service, version}] {
+				versions[version] = sighting{until: now.Add(Lifetime)}
+			}
+		}
+	}
+	for origin := range listed {
+		h.set(origin, sighting{listed: true})
+	}
+}
+
+// saw lets a version count until a time, which is at most Lifetime away.
+func (h *history) saw(now time.Time, origin Origin, until time.Time) {
+	if latest := now.Add(Lifetime); until.After(latest) {
+		until = latest
+	}
+	if seen := h.services[origin.Service][origin.Version]; !seen.listed && until.After(seen.until) {
+		h.set(origin, sighting{until: until})
+	}
+}
+
+func (h *history) set(origin Origin, seen sighting) {
+	versions := h.services[origin.Service]
+	if versions == nil {
+		versions = make(map[string]sighting)
+		h.services[origin.Service] = versions
+	}
+	if _, known := versions[origin.Version]; known || seen.listed || len(versions) < maxVersions {
+		versions[origin.Version] = seen
+	}
+}
+
+// versions returns the versions of a service that count, sorted.
+func (h *history) versions(now time.Time, service string) []string {
+	var counting []string
+	for version, seen := range h.services[service] {
+		if seen.listed || now.Before(seen.until) {
+			counting = append(counting, version)
+		}
+	}
+	slices.Sort(counting)
+	return counting
+}
+
+// forget removes the versions that no longer count.
+func (h *history) forget(now time.Time) {
+	for service, versions := range h.services {
+		maps.DeleteFunc(versions, func(_ string, seen sighting) bool { return !seen.listed && !now.Before(seen.until) })
+		if len(versions) == 0 {
+			delete(h.services, service)
+		}
+	}
+}
+
+// all returns the origins that count, of the services with any stated version.
+func (h *history) all(now time.Time) map[Origin]bool {
+	origins := make(map[Origin]bool)
+	for service := range h.services {
+		versions := h.versions(now, service)
+		if len(versions) == 1 && versions[0] == "" {
+			continue
+		}
+		for _, version := range versions {
+			origins[Origin{service, version}] = true
+		}
+	}
+	return origins
+}
--- /dev/null
+++ b/streamorigin/schedule.go
@@ -0,0 +1,131 @@
+package streamorigin
+
+import "time"
+
+const (
+	// minWriteInterval is the shortest time between two writes of an instance, minReadInterval between two reads.
+	minWriteInterval = 250 * time.Millisecond
+	minReadInterval  = 100 * time.Millisecond
+	// writesPerSecond bounds the writes of all instances together, readsPerSecond their reads.
+	writesPerSecond = 100
+	readsPerSecond  = 500
+	// minCallBackoff is the time without calls after a failed one. It doubles up to maxCallBackoff.
+	minCallBackoff = 250 * time.Millisecond
+	maxCallBackoff = 2 * time.Second
+	// remainsAge is how long an object of another instance has to be unchanged before it is deleted: its streams can no longer be
+	// taken up, also if the object was read late.
+	remainsAge = 2 * Lifetime
+)
+
+// Step is what an instance has to do about the entries in the store.
+type Step uint8
+
+// Steps of a Schedule.
+const (
+	StepNone Step = iota
+	// StepRead reads the objects of all instances.
+	StepRead
+	// StepWrite writes the object of this instance, StepRemove deletes it.
+	StepWrite
+	StepRemove
+	// StepWriteVersions writes the object that names the versions in service.
+	StepWriteVersions
+	// StepClean reads the objects of all instances and deletes those that were unchanged for a long time.
+	StepClean
+)
+
+// Situation is what decides on the next Step.
+type Situation struct {
+	// Unread is set if the objects have to be read before versions are known to be complete, Awaited if a caller waits for a
+	// stream that is not known.
+	Unread, Awaited bool
+	// Mixed is set while several versions of a service count, Unwritten if streams have begun here since the last write.
+	Mixed, Unwritten bool
+	// VersionsDiffer is set if the object that names the versions in service is outdated.
+	VersionsDiffer bool
+	// IsCandidate is set at the instances that do what one has to do for all.
+	IsCandidate bool
+	// Instances is the number of instances in the deployment.
+	Instances int
+}
+
+// Schedule decides when an instance calls the store. Without a mix of versions it makes no call beyond one read after the start and
+// after each loss of the store. It is not safe for concurrent use.
+type Schedule struct {
+	// readAt and wroteAt are the times of the last read and write, mixedAt the last one with a mix of versions.
+	readAt, wroteAt, mixedAt time.Time
+	// written is set while the object of this instance exists, remains if others may.
+	written, remains bool
+	// blockedUntil is the end of the time without calls after a failed one, backoff its length.
+	blockedUntil time.Time
+	backoff      time.Duration
+	// spread is the part of the time in which all instances read that this one waits first, in [0, 1).
+	spread      float64
+	unreadSince time.Time
+}
+
+// NewSchedule returns a Schedule. spread is a random number in [0, 1), by which the reads of the instances are spread.
+func NewSchedule(spread float64) *Schedule { return &Schedule{spread: spread} }
+
+// readInterval is the shortest time between two reads of an instance of so many.
+func readInterval(instances int) time.Duration {
+	return max(minReadInterval, time.Duration(instances)*time.Second/readsPerSecond)
+}
+
+// Next returns the step that is due.
+func (s *Schedule) Next(now time.Time, in Situation) Step {
+	if in.Mixed {
+		s.mixedAt, s.remains = now, true
+	}
+	if !in.Unread {
+		s.unreadSince = time.Time{}
+	} else if s.unreadSince.IsZero() {
+		s.unreadSince = now
+	}
+	canRead := now.Sub(s.readAt) >= readInterval(in.Instances)
+	canWrite := now.Sub(s.wroteAt) >= max(minWriteInterval, time.Duration(in.Instances)*time.Second/writesPerSecond)
+	spread := time.Duration(s.spread * float64(readInterval(in.Instances)))
+	switch {
+	case now.Before(s.blockedUntil):
+		return StepNone
+	case canWrite && in.Mixed && in.Unwritten:
+		return StepWrite
+	case canRead && (in.Awaited || in.Unread && now.Sub(s.unreadSince) >= spread):
+		return StepRead
+	case canWrite && in.IsCandidate && in.VersionsDiffer:
+		return StepWriteVersions
+	case canWrite && s.written && !in.Mixed:
+		return StepRemove
+	case in.IsCandidate && s.remains && now.Sub(s.mixedAt) >= remainsAge && now.Sub(s.readAt) >= remainsAge:
+		return StepClean
+	default:
+		return StepNone
+	}
+}
+
+// Done records the end of a step. remains is set if objects of other instances were read and not deleted.
+func (s *Schedule) Done(now time.Time, step Step, remains bool, err error) {
+	switch step {
+	case StepRead, StepClean:
+		s.readAt = now
+	default:
+		s.wroteAt = now
+	}
+	if step == StepWrite {
+		s.written = true // a write without an answer may have taken effect
+	}
+	if err != nil {
+		s.backoff = min(max(2*s.backoff, minCallBackoff), maxCallBackoff)
+		s.blockedUntil = now.Add(s.backoff)
+		return
+	}
+	s.backoff = 0
+	switch step {
+	case StepRemove:
+		s.written = false
+	case StepRead:
+		s.remains = s.remains || remains
+	case StepClean:
+		s.remains = remains
+	}
+}
--- /dev/null
+++ b/streamorigin/suite_test.go
@@ -0,0 +1,13 @@
+package streamorigin_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestStreamOrigin(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "streamorigin")
+}
