gossip, fleetstate: messages that state where streams began

An instance that begins a stream has to tell the others which software version began it before a caller takes the stream up there, also while the store is away. No message had a place for it.

Earlier versions of the program decode it as an empty message and drop it. FuzzDecode took each message that is neither a report nor a summary for a digest; it handles the fourth kind now and has it as a seed.

Measured: go test ./gossip ./fleetstate passes, also under the race detector.

--- a/fleetstate/targets_test.go
+++ b/fleetstate/targets_test.go
@@ -241,6 +241,20 @@
 		Expect(nodes[1].Dead(late, since)).To(BeEmpty(), "not the first by rank")
 	})
 
+	// Guards against instances that are not told where streams began, and against messages of one to all in large fleets.
+	ginkgo.It("names all other instances up to a limit, then those of the data centre", func() {
+		near, far := nodesOf("a", 4), nodesOf("b", 3)
+		near[1].list(append(near, far...)...)
+		Expect(names(near[1].Peers(start, 6))).To(Equal([]string{"a-0", "a-2", "a-3", "b-0", "b-1", "b-2"}))
+		Expect(names(near[1].Peers(start, 5))).To(Equal([]string{"a-0", "a-2", "a-3"}))
+		Expect(names(near[1].Peers(start, 2))).To(Equal([]string{"a-2", "a-3"}))
+		newer := newNode("a-9", "a", 1)
+		newer.report(start, near[1])
+		far[0].summarise(start, near[1])
+		near[1].list(near[0])
+		Expect(names(near[1].Peers(start, 6))).To(Equal([]string{"a-0", "a-9", "b-0"}))
+	})
+
 	// Guards against traffic of control that grows with the number of instances: each member sends two reports.
 	ginkgo.It("keeps the number of messages per member constant", func() {
 		for _, size := range []int{5, 60} {
--- a/gossip/decode.go
+++ b/gossip/decode.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"knapweedhoist/fleetstate"
+	"knapweedhoist/streamorigin"
 	"knapweedhoist/wire"
 )
 
@@ -23,11 +24,12 @@
 	maxClockOffsets = 1024
 )
 
-// message is a decoded datagram: one of the three.
+// message is a decoded datagram: one of the four.
 type message struct {
 	report  *fleetstate.Report
 	summary *fleetstate.Summary
 	digest  *fleetstate.Digest
+	origins []streamorigin.Entry
 }
 
 // decode decodes a datagram. Its error wraps errMalformed.
@@ -47,6 +49,8 @@
 		return decodeSummary(decoded.Summary)
 	case decoded.Digest != nil:
 		return decodeDigest(decoded.Digest)
+	case decoded.Origins != nil:
+		return decodeOrigins(decoded.Origins)
 	default:
 		return message{}, fmt.Errorf("%w: empty", errMalformed)
 	}
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"knapweedhoist/enginemodel"
 	"knapweedhoist/fleetstate"
 	"knapweedhoist/quarantine"
+	"knapweedhoist/streamorigin"
 )
 
 func TestGossip(t *testing.T) {
@@ -81,6 +83,24 @@
 		Expect(*decoded.summary).To(Equal(summary))
 	})
 
+	// Guards against streams that go on at another version because their origin was changed on the way.
+	ginkgo.It("state the origins of streams", func() {
+		entries := []streamorigin.Entry{
+			{Key: 1 << 63, Origin: streamorigin.Origin{Service: "s", Version: "v1"}, Remaining: 30 * time.Second},
+			{Key: 2, Origin: streamorigin.Origin{Service: "s", Version: "v2"}, Remaining: time.Millisecond},
+			{Key: 3, Origin: streamorigin.Origin{Service: "s", Version: "v1"}, Remaining: time.Second},
+		}
+		datagram, err := encodeOrigins(entries)
+		Expect(err).NotTo(HaveOccurred())
+		decoded, err := decode(datagram)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decoded.origins).To(Equal(entries))
+		datagram, err = encodeOrigins(slices.Repeat(entries[:1], MaxOrigins+1))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = decode(datagram)
+		Expect(err).To(MatchError(errMalformed))
+	})
+
 	// Guards against a member that subtracts the wrong report of its own from a digest.
 	ginkgo.It("address one encoded digest to each receiver", func() {
 		digest := fleetstate.Digest{
@@ -137,6 +157,11 @@
 		f.Fatal(err)
 	}
 	f.Add(report[checksumBytes:])
+	origins, err := encodeOrigins([]streamorigin.Entry{{Key: 1, Remaining: time.Second}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(origins[checksumBytes:])
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, content []byte) {
 		decoded, err := decode(sealBytes(content))
@@ -153,6 +178,8 @@
 			fleet.ObserveReport(now, *decoded.report)
 		case decoded.summary != nil:
 			fleet.ObserveSummary(now, *decoded.summary)
+		case decoded.origins != nil:
+			streamorigin.NewDirectory(time.Second).Learn(now, decoded.origins)
 		default:
 			fleet.ObserveDigest(now, *decoded.digest)
 		}
--- a/gossip/socket.go
+++ b/gossip/socket.go
@@ -11,6 +11,7 @@
 
 	"knapweedhoist/fleetstate"
 	"knapweedhoist/internal/contain"
+	"knapweedhoist/streamorigin"
 )
 
 // maxDatagramBytes is the size in bytes above which a message is not sent.
@@ -21,6 +22,7 @@
 	Report  func(fleetstate.Report)
 	Summary func(fleetstate.Summary)
 	Digest  func(fleetstate.Digest)
+	Origins func([]streamorigin.Entry)
 }
 
 // Socket sends and receives messages over UDP. It is safe for concurrent use.
@@ -96,6 +98,19 @@
 	return len(encoded)
 }
 
+// SendOrigins sends the origins of at most MaxOrigins streams to each target and returns the size of the message in bytes.
+func (s *Socket) SendOrigins(entries []streamorigin.Entry, targets []fleetstate.Peer) int {
+	datagram, err := encodeOrigins(entries)
+	if err != nil {
+		s.logUnsent("origins", 0, err)
+		return 0
+	}
+	for _, target := range targets {
+		s.send("origins", datagram, target.Address)
+	}
+	return len(datagram)
+}
+
 // send sends a datagram. It logs one that cannot be sent and does not repeat it, since the next message contains the
 // same counts.
 func (s *Socket) send(kind string, datagram []byte, address string) {
@@ -145,6 +160,8 @@
 		handler.Report(*decoded.report)
 	case decoded.summary != nil:
 		handler.Summary(*decoded.summary)
+	case decoded.origins != nil:
+		handler.Origins(decoded.origins)
 	default:
 		handler.Digest(*decoded.digest)
 	}
