entry: share the software versions that began streams between instances

Callers whose streams broke off take them up at another instance, also after all instances were killed at once. That instance could not know which version began the stream.

While several versions of a service count, and only then, each instance sends the streams that it begins to the others (in two messages each, every 100 ms, 512 KB/s at most) and writes them to an object of its boot, at most every max(250 ms, 10 ms times the instances), so that all together stay under 100 writes a second. The object of a former boot stays; a candidate for the duties deletes it once it has been unchanged for 60 s of its own clock, so that no wall clocks are compared. One object names the versions in service and is written when they change: a version that is replaced while all instances are down is noticed. Origins implements forward.Origins; a request waits for an origin for at most 400 ms. forward.Deps gets the field, which nothing reads yet.

Each of four changes that break a part of the rule (no history, no staleness check, the object of versions or those of instances ignored) fails a spec.

--- a/entry/control.go
+++ b/entry/control.go
@@ -52,6 +52,7 @@
 	i.updateOthers(now)
 	i.updateQuarantine(now)
 	i.sendMessages(now)
+	i.updateOrigins(now)
 	i.endpointSink.tick()
 }
 
@@ -190,7 +191,7 @@
 
 // messageHandler returns the functions that apply the messages of other instances.
 func (i *Instance) messageHandler() gossip.Handler {
-	return gossip.Handler{Report: i.handleReport, Summary: i.handleSummary, Digest: i.handleDigest}
+	return gossip.Handler{Report: i.handleReport, Summary: i.handleSummary, Digest: i.handleDigest, Origins: i.origins.learn}
 }
 
 // ageDelayed ages the knowledge in a message by the time for which it was on its way or unread.
--- a/entry/endpoint_sink.go
+++ b/entry/endpoint_sink.go
@@ -8,6 +8,7 @@
 
 	"knapweedhoist/deployment"
 	"knapweedhoist/objectapi"
+	"knapweedhoist/streamorigin"
 )
 
 // reregistrationTimeout is how long an endpoint is kept whose entry expired during an outage of the store. The endpoint
@@ -24,6 +25,10 @@
 	absenceLimit time.Duration
 	// onRestart is called with the ID of an endpoint whose process has restarted under the same ID.
 	onRestart func(id string)
+	// onListed is called with the origins that streams can have at the listed endpoints, onComplete with the latest time at which
+	// these endpoints are known to have been complete. Both may be nil.
+	onListed   func(listed map[streamorigin.Origin]bool)
+	onComplete func(at time.Time)
 }
 
 // endpointSink publishes the endpoints of the store. The goroutine of the watch adds and removes them; the control
@@ -70,8 +75,8 @@
 			s.removeOrKeep(next, id)
 		}
 	}
-	s.completeAt = s.cfg.now()
 	s.publish(next)
+	s.complete(s.cfg.now())
 }
 
 // Apply implements objectwatch.Sink.
@@ -91,8 +96,8 @@
 			s.upsert(next, event.Object)
 		}
 	}
-	s.completeAt = s.cfg.now()
 	s.publish(next)
+	s.complete(s.cfg.now())
 }
 
 // upsert adds or replaces the endpoint of an entry. An entry that cannot be decoded removes the endpoint. The caller
@@ -148,13 +153,29 @@
 func (s *endpointSink) publish(next map[string]*deployment.Endpoint) {
 	s.published = next
 	s.state.SetEndpoints(next)
+	if s.cfg.onListed == nil {
+		return
+	}
+	listed := make(map[streamorigin.Origin]bool)
+	for _, endpoint := range next {
+		listed[streamorigin.Origin{Service: endpoint.Service, Version: endpoint.SoftwareVersion}] = true
+	}
+	s.cfg.onListed(listed)
+}
+
+// complete records that the copy was complete at a time. The caller holds s.mu.
+func (s *endpointSink) complete(at time.Time) {
+	s.completeAt = at
+	if s.cfg.onComplete != nil {
+		s.cfg.onComplete(at)
+	}
 }
 
 // Confirm implements objectwatch.Sink.
 func (s *endpointSink) Confirm(age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.completeAt = s.cfg.now().Add(-age)
+	s.complete(s.cfg.now().Add(-age))
 }
 
 // observeStore records whether any instance reaches the store. The caller holds s.mu.
--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -40,3 +40,6 @@
 		Connections: s.maxCallerConnections() * forward.ConnectionBytes, Bodies: s.maxBodyMemory(), Answers: s.maxAnswerMemory(), Histories: kinds * s.maxHistoryBytes(),
 	}
 }
+
+// OriginsOf returns what an instance knows of the origins of streams.
+func OriginsOf(i *Instance) forward.Origins { return i.origins }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -26,6 +26,7 @@
 	"knapweedhoist/quarantine"
 	"knapweedhoist/retrybudget"
 	"knapweedhoist/sizing"
+	"knapweedhoist/streamorigin"
 	"knapweedhoist/teamlimit"
 	"knapweedhoist/upstream"
 	"knapweedhoist/usage"
@@ -47,10 +48,13 @@
 	// quarantine refuses requests with prompt parts that crash endpoints, quarantineStore keeps its state in the store.
 	quarantine      *quarantine.Guard
 	quarantineStore *quarantineStore
-	pool            *upstream.Pool
-	ledger          *usage.Ledger
-	wall            *walltime.Estimator
-	fleet           *fleetstate.Fleet
+	// origins knows which software versions began streams, originStore keeps them in the store.
+	origins     *origins
+	originStore *originStore
+	pool        *upstream.Pool
+	ledger      *usage.Ledger
+	wall        *walltime.Estimator
+	fleet       *fleetstate.Fleet
 	// localEndpoints holds the endpoints in the data centre of this instance.
 	localEndpoints localEndpoints
 	// wallOffset is the difference in nanoseconds between the estimated true time of day and the decision clock.
@@ -128,9 +132,14 @@
 		onApplied: func(c *deployment.Config) { i.limiter.SetTeams(clock.Now(), c.Teams) },
 	}
 	i.configSink.register(i.registry)
+	i.origins = newOrigins(i.lg, clock.Now, settings.maxConfigAge(), i.registry)
+	i.originStore = newOriginStore(i.lg, adapter.Store, i.origins, i.source, rand.Float64(),
+		func() int { return i.fleet.Total(clock.Now()) }, i.isCandidate, i.registry)
 	i.endpointSink = newEndpointSink(i.lg, adapter, i.state, endpointSinkConfig{
 		now: clock.Now, configAge: func() time.Duration { return i.state.ConfigAge(clock.Now()) },
 		absenceLimit: settings.absenceLimit(), onRestart: i.balancer.Forget,
+		onListed:   func(listed map[streamorigin.Origin]bool) { i.origins.directory.SetListed(clock.Now(), listed) },
+		onComplete: func(at time.Time) { i.origins.directory.Confirm(clock.Now(), at) },
 	})
 	i.quarantineStore = newQuarantineStore(i.lg, adapter.Store, i.quarantine)
 	i.copies, i.freshPeers = i.newCopies(), newFreshPeers()
@@ -141,6 +150,7 @@
 	}, forward.Deps{
 		Log: i.lg, Codec: adapter.Codec, State: i.state, Balancer: i.balancer, Limiter: i.limiter, Budget: i.budget,
 		Pool: i.pool, Quarantine: i.quarantine, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Slot: i.slot, Random: rand.Float64,
+		Origins:     i.origins,
 		Instances:   func() int { return i.fleet.Total(clock.Now()) },
 		Started:     i.started,
 		RecordStart: func(team string) { i.ledger.RecordStart(i.wallNow(), team) },
@@ -192,6 +202,7 @@
 	go i.controlLoop(ctx)
 	go i.awaitStart(ctx)
 	go i.quarantineStore.run(ctx, i.isCandidate)
+	go i.originStore.run(ctx)
 	served := make(chan error, 1)
 	go func() { served <- i.server.Serve(ln) }()
 	select {
--- /dev/null
+++ b/entry/origins_world_test.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"knapweedhoist/fleetstate"
+	"knapweedhoist/objectapi"
+	"knapweedhoist/streamorigin"
+)
+
+// objectStore is an object store without a rate limit. Its methods are not safe for concurrent use.
+type objectStore struct {
+	objects map[string]objectapi.Object
+	version objectapi.Version
+	// away makes all calls fail, listsAway those that read all objects.
+	away, listsAway bool
+	lists, calls    int
+}
+
+// Do implements objectapi.Store.
+func (s *objectStore) Do(_ context.Context, request objectapi.Request) (objectapi.Reply, error) {
+	s.calls++
+	current := s.objects[request.Name]
+	condition := request.Condition
+	switch {
+	case s.away, s.listsAway && request.Op == objectapi.OpList:
+		return objectapi.Reply{}, objectapi.ErrUnavailable
+	case request.Op == objectapi.OpList:
+		s.lists++
+		var reply objectapi.Reply
+		for _, object := range s.objects {
+			reply.Objects = append(reply.Objects, object)
+		}
+		slices.SortFunc(reply.Objects, func(a, b objectapi.Object) int { return cmp.Compare(a.Name, b.Name) })
+		return reply, nil
+	case condition.IfAbsent && current.Version != 0, condition.IfVersion != 0 && condition.IfVersion != current.Version:
+		return objectapi.Reply{Object: current}, objectapi.ErrConflict
+	case request.Op == objectapi.OpDelete:
+		delete(s.objects, request.Name)
+		return objectapi.Reply{}, nil
+	}
+	s.version++
+	s.objects[request.Name] = objectapi.Object{Kind: request.Kind, Name: request.Name, Version: s.version, Value: request.Value}
+	return objectapi.Reply{Object: s.objects[request.Name]}, nil
+}
+
+// originsWorld is a service with endpoints of some versions, a store and instances on a manual clock.
+type originsWorld struct {
+	now       time.Time
+	store     *objectStore
+	listed    map[streamorigin.Origin]bool
+	instances []*originsMember
+	boots     uint64
+	// lose decides whether a message is lost.
+	lose func() bool
+}
+
+// originsMember is one instance. It is nil in originsWorld.instances while it is down.
+type originsMember struct {
+	origins *origins
+	store   *originStore
+	// cut is set while the instance reaches neither the store nor other instances.
+	cut bool
+	// seen holds the origins that the instance sees.
+	seen map[streamorigin.Origin]bool
+}
+
+const originsService = "s"
+
+func newOriginsWorld(instances int) *originsWorld {
+	w := &originsWorld{
+		now: time.Unix(1000, 0), store: &objectStore{objects: make(map[string]objectapi.Object)}, lose: func() bool { return false },
+		instances: make([]*originsMember, instances),
+	}
+	w.list("v1")
+	for n := range instances {
+		w.start(n)
+	}
+	return w
+}
+
+// list sets the versions of the service.
+func (w *originsWorld) list(versions ...string) {
+	w.listed = make(map[streamorigin.Origin]bool)
+	for _, version := range versions {
+		w.listed[streamorigin.Origin{Service: originsService, Version: version}] = true
+	}
+}
+
+// start starts an instance that remembers nothing.
+func (w *originsWorld) start(n int) {
+	w.boots++
+	lg, registry, member := slog.New(slog.DiscardHandler), metrics.NewRegistry(), &originsMember{}
+	member.origins = newOrigins(lg, func() time.Time { return w.now }, 2500*time.Millisecond, registry)
+	self := fleetstate.Source{Instance: fmt.Sprintf("i%d", n), Boot: w.boots}
+	isCandidate := func() bool {
+		first := slices.IndexFunc(w.instances, func(other *originsMember) bool { return other != nil && !other.cut })
+		return first >= 0 && w.instances[first] == member
+	}
+	member.store = newOriginStore(lg, w.store, member.origins, self, 0, func() int { return len(w.instances) }, isCandidate, registry)
+	w.instances[n] = member
+}
+
+// pass lets time pass in steps of originStoreInterval, with a message at every other one.
+func (w *originsWorld) pass(length time.Duration) {
+	for end := w.now.Add(length); w.now.Before(end); {
+		w.now = w.now.Add(originStoreInterval)
+		for _, member := range w.instances {
+			if member != nil && !member.cut {
+				w.step(member)
+			}
+		}
+		for _, member := range w.instances {
+			if member != nil && w.now.UnixNano()%int64(controlInterval) == 0 {
+				w.exchange(member)
+			}
+		}
+	}
+}
+
+// step lets an instance read the endpoints and make the call that is due.
+func (w *originsWorld) step(member *originsMember) {
+	if !w.store.away {
+		member.seen = w.listed
+		member.origins.directory.SetListed(w.now, w.listed)
+		member.origins.directory.Confirm(w.now, w.now)
+	}
+	_ = member.store.sync(context.Background())
+}
+
+// exchange sends the messages of an instance.
+func (w *originsWorld) exchange(member *originsMember) {
+	connected := !slices.ContainsFunc(w.instances, func(other *originsMember) bool { return other == nil || other.cut })
+	entries := member.origins.update(w.now, connected, len(w.instances))
+	if member.cut {
+		return
+	}
+	for _, other := range w.instances {
+		if other != nil && other != member && !other.cut && len(entries) > 0 && !w.lose() {
+			other.origins.learn(entries)
+		}
+	}
+}
+
+// find returns the version at which an instance continues a stream, "" if it does not know.
+func (w *originsWorld) find(n int, id string) string {
+	o := w.instances[n].origins
+	origin, answer := o.directory.Find(w.now, w.now, id, originsService)
+	if answer != streamorigin.Known {
+		return ""
+	}
+	return origin.Version
+}
+
+func (w *originsWorld) record(n int, id, version string) {
+	w.instances[n].origins.Record(id, streamorigin.Origin{Service: originsService, Version: version}, w.now.Add(streamorigin.Lifetime))
+}
+
+// killAll stops all instances, and starts them again after a time.
+func (w *originsWorld) killAll(down time.Duration) {
+	clear(w.instances)
+	w.pass(down)
+	for n := range w.instances {
+		w.start(n)
+	}
+}
--- a/forward/config.go
+++ b/forward/config.go
@@ -70,6 +70,8 @@
 	// RecordStart counts a request of the team as run. It is called at most once per request, when an endpoint's complete
 	// answer or first event was read, and never for a request without a team.
 	RecordStart func(team string)
+	// Origins knows which software version began each stream. All endpoints of a service count as one version if it is nil.
+	Origins Origins
 	// Instances returns the number of entry instances, this one included.
 	Instances func() int
 	// Now returns the time of package clock, which the limits, the retry budget and the configuration's age use.
--- a/objectapi/object.go
+++ b/objectapi/object.go
@@ -18,6 +18,8 @@
 	KindInstance Kind = "instance"
 	// KindQuarantine holds the keys of requests and prompt parts that crash endpoints.
 	KindQuarantine Kind = "quarantine"
+	// KindStreamOrigin holds the software versions that began streams, while several versions of a service can be taken up.
+	KindStreamOrigin Kind = "stream-origin"
 )
 
 // Kinds of objects that others write.
