streamorigin, entry: bound the origins by the memory of the machine

65,536 remembered streams take 4.4 MiB (70.6 bytes each, measured with a trial program; 64 were assumed). On the smallest machines, of 184 MiB, the bounds of all parts left 1.3 MiB: with the origins they would have added up to more than the memory.

The origins get 0.006 of the memory, which is 16,078 streams on 184 MiB.

Measured: go test ./entry ./streamorigin passes, also under the race detector. The sum on 184 MiB is 183.8 MiB.

--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -13,6 +13,7 @@
 type StoreTimes struct {
 	Bound, WatchWait, RelayWait, RelayMargin, SharedGap, ControlInterval, AbsenceLimit time.Duration
 	FirstBackoff, MaxBackoff, SimCallTimeout, SimWatchMargin                           time.Duration
+	FindLimit, OriginStoreInterval                                                     time.Duration
 }
 
 // DefaultStoreTimes returns the times of the default settings, those of the smallest deployments.
@@ -23,12 +24,13 @@
 		SharedGap: s.sharedWatchGap(), ControlInterval: controlInterval, AbsenceLimit: s.absenceLimit(),
 		FirstBackoff: objectwatch.DefaultBackoff, MaxBackoff: objectwatch.DefaultMaxBackoff,
 		SimCallTimeout: simCallTimeout, SimWatchMargin: simWatchMargin,
+		FindLimit: findLimit, OriginStoreInterval: originStoreInterval,
 	}
 }
 
 // MemoryBounds holds what the parts of an instance may hold, in bytes.
 type MemoryBounds struct {
-	Connections, Bodies, Answers, Histories int
+	Connections, Bodies, Answers, Histories, Origins int
 }
 
 // MemoryBoundsOf returns the bounds of an instance on a machine with memoryMB of memory and descriptors without a limit.
@@ -38,6 +40,7 @@
 	kinds := len(New(slog.New(slog.DiscardHandler), s, Adapter{}).copies)
 	return MemoryBounds{
 		Connections: s.maxCallerConnections() * forward.ConnectionBytes, Bodies: s.maxBodyMemory(), Answers: s.maxAnswerMemory(), Histories: kinds * s.maxHistoryBytes(),
+		Origins: s.maxOriginMemory(),
 	}
 }
 
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -132,7 +132,7 @@
 		onApplied: func(c *deployment.Config) { i.limiter.SetTeams(clock.Now(), c.Teams) },
 	}
 	i.configSink.register(i.registry)
-	i.origins = newOrigins(i.lg, clock.Now, settings.maxConfigAge(), i.registry)
+	i.origins = newOrigins(i.lg, clock.Now, settings.maxConfigAge(), settings.maxOriginMemory(), i.registry)
 	i.originStore = newOriginStore(i.lg, adapter.Store, i.origins, i.source, rand.Float64(),
 		func() int { return i.fleet.Total(clock.Now()) }, i.isCandidate, i.registry)
 	i.endpointSink = newEndpointSink(i.lg, adapter, i.state, endpointSinkConfig{
--- a/entry/memory_bounds_test.go
+++ b/entry/memory_bounds_test.go
@@ -39,6 +39,7 @@
 			{"request bodies", b.Bodies},
 			{"answers and events", b.Answers},
 			{"histories", b.Histories},
+			{"origins of streams", b.Origins},
 			{"responses of the store", httpcall.MemoryFactor * platform.MaxReplyBytes},
 			{"responses of relays", (watches + configFetches) * objectrelay.MaxReplyBytes},
 		} {
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -44,10 +44,10 @@
 
 var _ forward.Origins = (*origins)(nil)
 
-// newOrigins returns origins that take the listed endpoints for complete up to the age maxAge.
-func newOrigins(lg *slog.Logger, now func() time.Time, maxAge time.Duration, registry metrics.Registry) *origins {
+// newOrigins returns origins that take the listed endpoints for complete up to the age maxAge, and at most maxMemory bytes.
+func newOrigins(lg *slog.Logger, now func() time.Time, maxAge time.Duration, maxMemory int, registry metrics.Registry) *origins {
 	o := &origins{
-		lg: lg, now: now, directory: streamorigin.NewDirectory(maxAge), wake: make(chan struct{}, 1),
+		lg: lg, now: now, directory: streamorigin.NewDirectory(maxAge, maxMemory), wake: make(chan struct{}, 1),
 		unknown: metrics.NewRegisteredCounter("stream_origins_unknown", registry), learned: make(chan struct{}),
 		pace: newPace(originBytesPerSecond),
 	}
--- a/entry/origins_world_test.go
+++ b/entry/origins_world_test.go
@@ -98,7 +98,7 @@
 func (w *originsWorld) start(n int) {
 	w.boots++
 	lg, registry, member := slog.New(slog.DiscardHandler), metrics.NewRegistry(), &originsMember{}
-	member.origins = newOrigins(lg, func() time.Time { return w.now }, 2500*time.Millisecond, registry)
+	member.origins = newOrigins(lg, func() time.Time { return w.now }, 2500*time.Millisecond, 0, registry)
 	self := fleetstate.Source{Instance: fmt.Sprintf("i%d", n), Boot: w.boots}
 	isCandidate := func() bool {
 		first := slices.IndexFunc(w.instances, func(other *originsMember) bool { return other != nil && !other.cut })
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -14,6 +14,7 @@
 
 	"knapweedhoist/forward"
 	"knapweedhoist/retrybudget"
+	"knapweedhoist/streamorigin"
 	"knapweedhoist/teamlimit"
 )
 
@@ -202,6 +203,14 @@
 	return min(int(historyShare*float64(s.MemoryMB)*(1<<20)), historyLimit)
 }
 
+// originMemoryShare is the share of MemoryMB that the origins of streams may take.
+const originMemoryShare = 0.006
+
+// maxOriginMemory is that share in bytes, 0 for the default.
+func (s Settings) maxOriginMemory() int {
+	return min(int(originMemoryShare*float64(s.MemoryMB)*(1<<20)), streamorigin.MaxEntries*streamorigin.EntryBytes)
+}
+
 const (
 	// reservedDescriptors are left for files, listeners and the connections to the store and other instances.
 	reservedDescriptors = 250
--- a/entry/time_bounds_test.go
+++ b/entry/time_bounds_test.go
@@ -8,6 +8,7 @@
 
 	"knapweedhoist/entry"
 	"knapweedhoist/platform"
+	"knapweedhoist/streamorigin"
 )
 
 // Guards against requests to endpoints that left, and configurations that apply late, because of a constant that is changed
@@ -27,6 +28,7 @@
 		{"silent watch", s.WatchWait + platform.WatchMargin + s.FirstBackoff + answer, s.Bound},
 		{"lost relay", s.RelayWait + s.RelayMargin + s.SharedGap + answer, s.Bound},
 		{"end of a cut", platform.DefaultCallTimeout + s.RelayWait + s.RelayMargin + s.MaxBackoff + answer, contact},
+		{"origin of a stream", s.OriginStoreInterval + streamorigin.MinReadInterval + answer, s.FindLimit},
 		{"sign of an outage", s.AbsenceLimit + s.ControlInterval, s.Bound},
 	} {
 		if row.sum > row.bound {
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -179,7 +179,7 @@
 		case decoded.summary != nil:
 			fleet.ObserveSummary(now, *decoded.summary)
 		case decoded.origins != nil:
-			streamorigin.NewDirectory(time.Second).Learn(now, decoded.origins)
+			streamorigin.NewDirectory(time.Second, 0).Learn(now, decoded.origins)
 		default:
 			fleet.ObserveDigest(now, *decoded.digest)
 		}
--- a/streamorigin/directory.go
+++ b/streamorigin/directory.go
@@ -90,9 +90,14 @@
 	left int
 }
 
-// NewDirectory returns an empty Directory. Endpoints that were not confirmed for maxAge may lack a version.
-func NewDirectory(maxAge time.Duration) *Directory {
-	return &Directory{maxAge: maxAge, memory: newMemory(), history: newHistory(), unread: true, mixed: make(map[string][]string)}
+// NewDirectory returns an empty Directory. Endpoints that were not confirmed for maxAge may lack a version. maxMemory is what the
+// streams may take in bytes; 0 allows MaxEntries.
+func NewDirectory(maxAge time.Duration, maxMemory int) *Directory {
+	limit := MaxEntries
+	if maxMemory > 0 {
+		limit = max(min(maxMemory/EntryBytes, MaxEntries), 1)
+	}
+	return &Directory{maxAge: maxAge, memory: newMemory(limit), history: newHistory(), unread: true, mixed: make(map[string][]string)}
 }
 
 // Record remembers the origin of a stream that begins at this instance.
--- a/streamorigin/directory_test.go
+++ b/streamorigin/directory_test.go
@@ -37,7 +37,7 @@
 		return found.Version
 	}
 	BeforeEach(func() {
-		now, directory = time.Unix(1000, 0), streamorigin.NewDirectory(2*time.Second)
+		now, directory = time.Unix(1000, 0), streamorigin.NewDirectory(2*time.Second, 0)
 		list(directory, "v1")
 	})
 
@@ -45,7 +45,7 @@
 	// versions or loses streams (ORDER, LOST). This is the load pattern of the package comment.
 	It("tells another instance where all streams began that are taken up at once", func() {
 		const streams = 6000
-		other := streamorigin.NewDirectory(2 * time.Second)
+		other := streamorigin.NewDirectory(2*time.Second, 0)
 		list(other, "v1")
 		versionOf := func(n int) string { return fmt.Sprint("v", 1+n%2) }
 		list(directory, "v1", "v2")
@@ -75,6 +75,11 @@
 
 	// Guards against a memory that grows with the number of streams, or of origins.
 	It("forgets the oldest streams beyond its bound", func() {
+		small := streamorigin.NewDirectory(time.Second, 2*streamorigin.EntryBytes)
+		for n := range 3 {
+			small.Record(now, fmt.Sprint(n), origin("v1"), now.Add(streamorigin.Lifetime))
+		}
+		Expect(small.Remembered()).To(Equal(2))
 		for n := range streamorigin.MaxEntries + 10 {
 			directory.Record(now, fmt.Sprint(n), origin("v1"), now.Add(streamorigin.Lifetime))
 		}
--- a/streamorigin/memory.go
+++ b/streamorigin/memory.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	// MaxEntries is the number of streams that an instance remembers. Beyond it the oldest one is forgotten.
+	// MaxEntries is the number of streams that an instance remembers at most.
 	MaxEntries = 1 << 16
 	// MaxOrigins is the number of different origins of remembered streams. A stream with a further one is not remembered.
 	MaxOrigins = 255
-	// EntryBytes is the memory in bytes of one remembered stream, with the share of the hash table that is free.
-	EntryBytes = 64
+	// EntryBytes is the memory in bytes of one remembered stream, with what its tables keep free.
+	EntryBytes = 72
 )
 
 // severalOrigins is the index of streams for which different origins were stated.
@@ -16,6 +16,8 @@
 
 // memory remembers the origins of streams, bounded in number.
 type memory struct {
+	// limit is the number of streams beyond which the oldest one is forgotten.
+	limit int
 	// origins holds the origins by index; severalOrigins has none. indexes is its inverse.
 	origins []Origin
 	indexes map[Origin]uint8
@@ -33,8 +35,8 @@
 	own bool
 }
 
-func newMemory() *memory {
-	return &memory{origins: make([]Origin, 1), indexes: make(map[Origin]uint8), records: make(map[Key]record)}
+func newMemory(limit int) *memory {
+	return &memory{limit: limit, origins: make([]Origin, 1), indexes: make(map[Origin]uint8), records: make(map[Key]record)}
 }
 
 // add remembers a stream for at most Lifetime. It reports whether the stream was unknown and is remembered now.
@@ -59,7 +61,7 @@
 		return false
 	}
 	if !ok {
-		if len(m.records) >= MaxEntries {
+		if len(m.records) >= m.limit {
 			m.pop()
 		}
 		m.queue = append(m.queue, key)
--- a/streamorigin/schedule.go
+++ b/streamorigin/schedule.go
@@ -2,10 +2,12 @@
 
 import "time"
 
+// MinReadInterval is the shortest time between two reads of an instance.
+const MinReadInterval = 100 * time.Millisecond
+
 const (
-	// minWriteInterval is the shortest time between two writes of an instance, minReadInterval between two reads.
+	// minWriteInterval is the shortest time between two writes of an instance.
 	minWriteInterval = 250 * time.Millisecond
-	minReadInterval  = 100 * time.Millisecond
 	// writesPerSecond bounds the writes of all instances together, readsPerSecond their reads.
 	writesPerSecond = 100
 	readsPerSecond  = 500
@@ -69,7 +71,7 @@
 
 // readInterval is the shortest time between two reads of an instance of so many.
 func readInterval(instances int) time.Duration {
-	return max(minReadInterval, time.Duration(instances)*time.Second/readsPerSecond)
+	return max(MinReadInterval, time.Duration(instances)*time.Second/readsPerSecond)
 }
 
 // Next returns the step that is due.
