faultsoak: engines of two software versions, callers that take streams up

Streams held events from two software versions of an endpoint. The run has engines of two versions that name theirs in each event, and callers that take a broken stream up at any daemon with Last-Event-Id and Resumes.

Existing tests: addServer gets the server's answer as an argument and newSoakRun is split; what TestPromisesHold and the others check is the same.

--- a/faultsoak/doc_test.go
+++ b/faultsoak/doc_test.go
@@ -8,6 +8,7 @@
 // refuses, delays or does not answer calls, loses replies, applies writes late and
 // compacts its watch history. Servers send malformed, unsigned, late or truncated
 // responses. Server entries are removed and written again. The configuration and
-// the settings change. Whether a run passes does not depend on how long a step
+// the settings change. Another run has engines of two software versions, and callers
+// that take broken streams up. Whether a run passes does not depend on how long a step
 // takes.
 package faultsoak
--- a/faultsoak/run_test.go
+++ b/faultsoak/run_test.go
@@ -64,33 +64,50 @@
 }
 
 func newSoakRun(seed uint64, binary, dir string) (*soakRun, error) {
-	r := &soakRun{seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), stop: make(chan struct{})}
-	var err error
-	if r.platform, err = platformtest.NewPlatform(); err != nil {
+	r, err := newEmptyRun(seed)
+	if err != nil {
 		return nil, err
 	}
 	for n, service := range []string{
 		platformtest.EngineService, platformtest.EngineService, platformtest.EngineService,
 		platformtest.PlainService, platformtest.PlainService,
 	} {
-		if err := r.addServer(fmt.Sprintf("i-%d", n+1), service); err != nil {
+		if err := r.addServer(fmt.Sprintf("i-%d", n+1), service, defaultResponse(service)); err != nil {
 			return nil, err
 		}
 	}
+	return r, r.addProcesses(binary, dir)
+}
+
+// newEmptyRun returns a run with a platform, but without servers and daemons.
+func newEmptyRun(seed uint64) (*soakRun, error) {
+	platform, err := platformtest.NewPlatform()
+	if err != nil {
+		return nil, err
+	}
+	return &soakRun{seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), platform: platform, stop: make(chan struct{})}, nil
+}
+
+func (r *soakRun) addProcesses(binary, dir string) error {
 	for n := range daemonCount {
 		if err := r.addProcess(fmt.Sprintf("entry-%d", n+1), binary, dir); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return r, nil
+	return nil
 }
 
-func (r *soakRun) addServer(name, service string) error {
-	defaultResponse := platformtest.Response{Body: answerTo("%ID%"), Delay: 5 * time.Millisecond}
+// defaultResponse returns what the servers of a service answer.
+func defaultResponse(service string) platformtest.Response {
 	if service == platformtest.EngineService {
-		defaultResponse = platformtest.Response{Events: events, EventInterval: 15 * time.Millisecond}
+		return platformtest.Response{Events: events, EventInterval: 15 * time.Millisecond}
 	}
-	backend, err := platformtest.NewBackend(defaultResponse)
+	return platformtest.Response{Body: answerTo("%ID%"), Delay: 5 * time.Millisecond}
+}
+
+// addServer starts and registers a server whose entry names the version of response.
+func (r *soakRun) addServer(name, service string, response platformtest.Response) error {
+	backend, err := platformtest.NewBackend(response)
 	if err != nil {
 		return err
 	}
@@ -100,7 +117,7 @@
 	}
 	s := &server{name: name, service: service, backend: backend, link: proxy}
 	r.servers = append(r.servers, s)
-	return r.platform.Register(s.id(), service, proxy.address())
+	return r.platform.RegisterVersion(s.id(), service, proxy.address(), response.Version)
 }
 
 func (r *soakRun) addProcess(name, binary, dir string) error {
