--- a/faultsoak/version_soak_test.go
+++ b/faultsoak/version_soak_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-
-	"knapweedhoist/testutil"
 )
 
 const (
@@ -25,9 +23,6 @@
 // TestVersionsDoNotMix guards against streams that join events of two software versions, in one answer or over the tries of a caller,
 // against gaps and repeats in their event ids, and against take-ups that fail although servers of the version serve.
 func TestVersionsDoNotMix(t *testing.T) {
-	if !testutil.RunsKnownRed() {
-		t.Skip("listed in KNOWN-RED.txt")
-	}
 	binary, err := buildDaemon(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
