rawserver: answers without a final status of three digits, or of another protocol

Callers got an answer whose status was 000. The tests of each place that reads answers covered 000, 001 and 099. The table now holds statuses of another length, with a sign, that are no number, and informational ones that no final one follows, and status lines of another protocol. All were rejected already, by fasthttp or httpconn: the specs pass without a change of the code in platform, backend, engine, hoistctl, objectrelay, cloud, roster, entry and internal/httpcall.

--- a/internal/rawserver/head.go
+++ b/internal/rawserver/head.go
@@ -6,7 +6,8 @@
 )
 
 // ForEachInvalid calls check for invalid answers. Each has this status and body but for one fault: whitespace or a control character in
-// a field name, in the answer or in an informational one before it, a status below 100, or a control character in the reason phrase.
+// a field name, in the answer or in an informational one before it, a status that is not a final one of three digits, another protocol, or
+// a control character in the reason phrase.
 func (s *Server) ForEachInvalid(status, body string, check func(raw string)) {
 	sound := answersWith("X-A: a", status, body)[0]
 	replace := func(old, replacement string) { s.answerAndCheck(strings.Replace(sound, old, replacement, 1), check) }
@@ -19,8 +20,13 @@
 	for _, space := range []string{" ", "\t"} { // before the first field there is none to continue
 		replace("\r\n", "\r\n"+space+"X-A: a\r\n")
 	}
-	for _, code := range []string{"000", "001", "099"} {
-		replace(status[:len(code)], code)
+	for _, code := range []string{
+		"", "0", "00", "000", "001", "099", "0000", "0200", "2000", "+200", "+20", "-01", "2x0", "OK", "0x200", "20", "99", "200,", "100", "101", "199",
+	} {
+		replace(status[:len("200")], code)
+	}
+	for _, version := range []string{"", "HTTP/1.1\t", "HTTP/x.y ", "HTTP 1.1 ", "ICY "} {
+		replace("HTTP/1.1 ", version)
 	}
 	for _, control := range []string{"\x00", "\x01", "\r", "\x1f", "\x7f"} {
 		replace(status[:len("200 ")], status[:len("200 ")]+control)
