upstream: an answer that is reset behind a FIN during its upload is truncated

Callers of the platform's routes got a part of an answer as a complete one with status 200: the answer had neither a length nor chunks, and its server closed the connection while it was reading a long upload.

Cause: such a close sends a FIN, and a reset for the bytes that arrive later. The reads end by the FIN, the write of the request gets a broken pipe, and wasReset took a broken pipe for an orderly end. It also looked before the reset behind the FIN could have arrived.

--- a/internal/rawserver/server.go
+++ b/internal/rawserver/server.go
@@ -25,6 +25,8 @@
 	reset bool
 	// early sends raw without reading the body of the request. The connection ends after pause.
 	early bool
+	// drain reads what has arrived of the body, but not all of it, before the connection ends.
+	drain bool
 	pause time.Duration
 }
 
@@ -57,6 +59,12 @@
 	s.answer.Store(&answer{raw: raw, reset: true, early: true, pause: pause})
 }
 
+// CloseEarly is as AnswerEarly, but the server closes the connection after it has read what has arrived. The kernel then sends a FIN,
+// and a reset for the bytes that arrive later. The body of the request must have UploadBytes.
+func (s *Server) CloseEarly(raw string, pause time.Duration) {
+	s.answer.Store(&answer{raw: raw, early: true, drain: true, pause: pause})
+}
+
 func (s *Server) accept() {
 	for {
 		conn, err := s.listener.Accept()
@@ -79,11 +87,26 @@
 	}
 	_, _ = io.WriteString(conn, answer.raw)
 	time.Sleep(answer.pause)
+	if answer.drain {
+		drain(conn)
+	}
 	if tcp, ok := conn.(*net.TCPConn); ok && answer.reset {
 		_ = tcp.SetLinger(0)
 	}
 }
 
+// drain reads what has arrived, but less than UploadBytes.
+func drain(conn net.Conn) {
+	const idle = time.Millisecond
+	buffer := make([]byte, 64<<10)
+	for range UploadBytes / 2 / len(buffer) {
+		_ = conn.SetReadDeadline(time.Now().Add(idle))
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
 // Cut is an answer that is cut at one of its bytes.
 type Cut struct {
 	// Whole is set if all bytes of the answer were sent, and then a FIN.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -40,7 +40,7 @@
 )
 
 // writeGrace is how long an endpoint that has responded may take to read the rest of the request body before the
-// connection is closed.
+// connection is closed. It is also how long the end of a body that the end of the connection delimits waits for a reset behind it.
 const writeGrace = 100 * time.Millisecond
 
 // Do sends a request and returns the response after reading its header section.
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -5,6 +5,9 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -59,6 +62,22 @@
 		Expect(err).To(MatchError(ErrTruncated))
 	})
 
+	// Guards against a body that was cut and counts as complete: a server that reads an upload while it closes the connection sends a
+	// FIN, and a reset for the bytes that arrive later. The reads end by the FIN and the write gets a broken pipe.
+	It("is truncated if the connection was reset behind a FIN while the request was being written", func() {
+		proceed := make(chan struct{})
+		response := exchange(func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		}, proceed)
+		close(proceed)
+		Eventually(response.writeDone, testTimeout).Should(HaveLen(1))
+		body, err := io.ReadAll(response.Body)
+		Expect(string(body)).To(Equal("half"))
+		Expect(err).To(MatchError(ErrTruncated))
+	})
+
 	// Guards against a complete body that counts as truncated because its endpoint does not read the rest of the request.
 	It("is complete if the endpoint ends its answer by a FIN and does not read the request", func() {
 		proceed := make(chan struct{})
@@ -69,3 +88,17 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 })
+
+// Guards against a body that was cut and counts as complete, because the reset behind the FIN arrives after the end of the reads.
+func TestResetShortlyAfterEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		local, _ := net.Pipe()
+		r := &Response{conn: newConn(local), writeDone: make(chan error, 1)}
+		go func() {
+			time.Sleep(writeGrace / 2)
+			r.writeDone <- syscall.EPIPE
+		}()
+		Expect(r.wasReset()).To(BeTrue())
+	})
+}
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -7,10 +7,11 @@
 	"os"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"knapweedhoist/internal/socket"
 )
 
 // Response is the response of an endpoint. It is not safe for concurrent use.
@@ -48,15 +49,17 @@
 	}
 }
 
-// wasReset reports whether the writing of the request failed by a reset, once reads have come to the end of the connection.
-// The kernel reports an error of a connection once: after a write got it, reads end as after a FIN. Of a request that is
-// still being written, the rest is not sent.
+// wasReset reports whether the connection was reset although reads have come to its end as after a FIN. The kernel reports an error
+// of a connection once, so that a write may have got that of the reset, and it reports none to reads if a FIN came before the reset.
+// The rest of the request gets up to writeGrace to be accepted. Then it is no longer sent.
 func (r *Response) wasReset() bool {
-	_ = r.conn.SetWriteDeadline(time.Unix(1, 0))
+	_ = r.conn.SetWriteDeadline(time.Now().Add(writeGrace))
 	err := <-r.writeDone
 	r.writeDone <- err
-	// EPIPE means that a FIN came before the reset.
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE)
+	if err == nil {
+		err = socket.CheckAccepted(r.conn.Conn, writeGrace)
+	}
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // SetReadDeadline replaces the time at which reads of the body fail.
