httpconn: a response that is reset behind a FIN during its request is truncated

The clients of plain services, of the store, the cloud, relays, engines and of hoistctl took a part of a response as a complete one: it had neither a length nor chunks, and the server closed the connection while it was reading the request.

Cause: such a close sends a FIN, and a reset for the bytes that arrive later. If the kernel had buffered the rest of the request, its write had succeeded, and the reads end by the FIN without an error.

Change: at the end of the reads behind a header section, httpconn.Conn fails with ECONNRESET if the socket was reset; it waits up to 100 ms for that while bytes of the request are not acknowledged. Streams of httpcall wrap the connection in another order, since httpconn.Conn needs the socket.

--- a/internal/httpcall/stream.go
+++ b/internal/httpcall/stream.go
@@ -64,7 +64,7 @@
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	detachContext := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	stream, err := startStream(httpconn.New(idleTimeoutConn{Conn: conn, idleTimeout: idleTimeout}), request, c.cfg)
+	stream, err := startStream(idleTimeoutConn{Conn: httpconn.New(conn), idleTimeout: idleTimeout}, request, c.cfg)
 	if err != nil {
 		detachContext()
 		_ = conn.Close()
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"time"
 
 	"knapweedhoist/internal/socket"
 )
@@ -11,12 +13,16 @@
 // would be taken for the response.
 var ErrStale = errors.New("connection is closed or has unread bytes")
 
+// acceptedWait is how long the end of a connection waits for a reset behind its FIN, while bytes of the request are not acknowledged.
+const acceptedWait = 100 * time.Millisecond
+
 // maxHeadBytes is the size from which on a header section is left to the client, whose own bound is smaller.
 const maxHeadBytes = 32 << 10
 
 // Conn is a connection of an HTTP client that reads the response to one request before it writes the next one. Reads fail with
-// an error that wraps ErrInvalid at the header section of an invalid response, the first write of a later request may
-// fail with ErrStale. It is not safe for concurrent use.
+// an error that wraps ErrInvalid at the header section of an invalid response, and with that of a reset, instead of io.EOF, behind a
+// header section whose connection was reset. The first write of a later request may fail with ErrStale. It is not safe for concurrent
+// use.
 type Conn struct {
 	net.Conn
 	// awaiting is set from the first write of a request until the header section of its response is complete. head then holds
@@ -25,10 +31,12 @@
 	head     []byte
 	// used is set from the first write on.
 	used bool
+	// acceptedWait is the constant of this name.
+	acceptedWait time.Duration
 }
 
 // New returns a Conn for a connection that was just opened.
-func New(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+func New(conn net.Conn) *Conn { return &Conn{Conn: conn, acceptedWait: acceptedWait} }
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -45,6 +53,9 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if !c.awaiting {
+		if errors.Is(err, io.EOF) {
+			err = c.checkEnd()
+		}
 		return n, err
 	}
 	c.head = append(c.head, p[:n]...)
@@ -54,6 +65,14 @@
 	return n, err
 }
 
+// checkEnd returns io.EOF, or the error of a reset that the reads did not get.
+func (c *Conn) checkEnd() error {
+	if err := socket.CheckAccepted(c.Conn, c.acceptedWait); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // checkHeads checks the header sections that are complete. Those of informational responses precede that of the response.
 func (c *Conn) checkHeads() error {
 	for c.awaiting {
