--- a/internal/rawserver/server.go
+++ b/internal/rawserver/server.go
@@ -59,8 +59,8 @@
 	s.answer.Store(&answer{raw: raw, reset: true, early: true, pause: pause})
 }
 
-// CloseEarly is as AnswerEarly, but the server closes the connection after it has read what has arrived. The kernel then sends a FIN,
-// and a reset for the bytes that arrive later. The body of the request must have UploadBytes.
+// CloseEarly is as AnswerEarly, but the server closes the connection after it has read what has arrived. It reads at most
+// half of the body. If it has read all that had arrived, the kernel sends a FIN, and a reset for the bytes that arrive later.
 func (s *Server) CloseEarly(raw string, pause time.Duration) {
 	s.answer.Store(&answer{raw: raw, early: true, drain: true, pause: pause})
 }
@@ -88,20 +88,20 @@
 	_, _ = io.WriteString(conn, answer.raw)
 	time.Sleep(answer.pause)
 	if answer.drain {
-		drain(conn)
+		drain(conn, request.ContentLength/2)
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok && answer.reset {
 		_ = tcp.SetLinger(0)
 	}
 }
 
-// drain reads what has arrived, but less than UploadBytes.
-func drain(conn net.Conn) {
+// drain reads what has arrived, at most limit bytes.
+func drain(conn net.Conn, limit int64) {
 	const idle = time.Millisecond
-	buffer := make([]byte, 64<<10)
-	for range UploadBytes / 2 / len(buffer) {
+	reader := io.LimitReader(conn, limit)
+	for buffer := make([]byte, 64<<10); ; {
 		_ = conn.SetReadDeadline(time.Now().Add(idle))
-		if _, err := conn.Read(buffer); err != nil {
+		if _, err := reader.Read(buffer); err != nil {
 			return
 		}
 	}
