--- a/internal/rawserver/server.go
+++ b/internal/rawserver/server.go
@@ -95,11 +95,14 @@
 	}
 }
 
-// drain reads what has arrived, at most limit bytes.
+// drain reads what has arrived, in a bounded number of reads and at most limit bytes.
 func drain(conn net.Conn, limit int64) {
-	const idle = time.Millisecond
-	reader := io.LimitReader(conn, limit)
-	for buffer := make([]byte, 64<<10); ; {
+	const (
+		idle     = time.Millisecond
+		maxReads = 96
+	)
+	reader, buffer := io.LimitReader(conn, limit), make([]byte, 64<<10)
+	for range maxReads {
 		_ = conn.SetReadDeadline(time.Now().Add(idle))
 		if _, err := reader.Read(buffer); err != nil {
 			return
