socket: an end whose socket tells nothing is no cut

Where the system refuses the state of a socket (a filter of system calls, another kind of socket), the check for a reset behind a FIN failed with that error, so that each answer that ends with its connection counted as cut. Only a reset, or a closed connection, is an error now. The new test fails on the code before with "operation not supported" and passes now; socket, httpconn and upstream pass.

--- a/internal/socket/accepted.go
+++ b/internal/socket/accepted.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -18,8 +19,8 @@
 
 // CheckAccepted returns syscall.ECONNRESET if a TCP connection at the end of its reads was reset. The reads end without an error
 // then if a FIN came before the reset, or if a write got the error. A reset may still be on its way while bytes that were written
-// are not acknowledged: CheckAccepted waits up to wait for that. It returns nil for a connection that gives no access to its socket,
-// and another error if the connection is closed.
+// are not acknowledged: CheckAccepted waits up to wait for that. It returns nil where the socket or the system does not tell, and
+// another error if the connection is closed.
 func CheckAccepted(conn net.Conn, wait time.Duration) error {
 	access, ok := conn.(syscall.Conn)
 	if !ok {
@@ -27,7 +28,10 @@
 	}
 	for end := time.Now().Add(wait); ; time.Sleep(acceptedPoll) {
 		unacknowledged, err := sendQueue(access)
-		if err != nil || unacknowledged == 0 || !time.Now().Before(end) {
+		switch {
+		case isUnsupported(err):
+			return nil
+		case err != nil || unacknowledged == 0 || !time.Now().Before(end):
 			return err
 		}
 	}
@@ -52,3 +56,9 @@
 	})
 	return unacknowledged, errors.Join(controlErr, err)
 }
+
+// isUnsupported reports whether the system refused to tell the state of a socket.
+func isUnsupported(err error) bool {
+	return slices.ContainsFunc([]error{syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.EINVAL, syscall.ENOTTY, syscall.ENOSYS, syscall.EPERM},
+		func(refused error) bool { return errors.Is(err, refused) })
+}
--- a/internal/socket/accepted_test.go
+++ b/internal/socket/accepted_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -69,3 +70,18 @@
 	go func() { _, _ = io.Copy(io.Discard, server) }()
 	Expect(CheckAccepted(client, testWait)).To(Succeed())
 }
+
+// Guards against an answer that is taken for cut because the system does not tell the state of the socket.
+func TestUnsupportedSocket(t *testing.T) {
+	RegisterTestingT(t)
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+	Expect(err).NotTo(HaveOccurred())
+	for _, fd := range fds {
+		file := os.NewFile(uintptr(fd), "socket pair")
+		conn, err := net.FileConn(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(file.Close()).To(Succeed())
+		Expect(CheckAccepted(conn, testWait)).To(Succeed())
+		Expect(conn.Close()).To(Succeed())
+	}
+}
