streamorigin: announce a further software version to all instances

Callers whose streams began at a new version and broke off could go on at the former one, at a connected instance whose own watch of the endpoints is silent (up to 2 s).

Cause: such an instance learns of a further version only from messages about streams. These queue behind all streams begun before, go to 31 instances only in larger fleets, and end with the instance that sends them.

Change: an instance whose own watch lists a further version tells all listed instances in three iterations of the control loop in a row, unless another one has stated the version before; receivers let it count for a lifetime. Messages about streams state the versions in service as well.

Where the origins of streams appear in existing tests, only their type changed.

--- a/entry/origin_store.go
+++ b/entry/origin_store.go
@@ -158,15 +158,15 @@
 func (s *originStore) take(object objectapi.Object) {
 	message := &wire.StreamOrigins{}
 	err := proto.Unmarshal(object.Value, message)
-	var entries []streamorigin.Entry
+	var statement streamorigin.Statement
 	if err == nil {
-		entries, err = streamorigin.Decode(message)
+		statement, err = streamorigin.Decode(message)
 	}
 	if err != nil {
 		s.lg.Warn("stored stream origins ignored", "object", object.Name, "error", err.Error())
 		return
 	}
-	s.origins.directory.Learn(s.origins.now(), entries)
+	s.origins.directory.Learn(s.origins.now(), statement)
 }
 
 // takeVersions takes over the object versionsObject. If changed is set, its versions count as in service until now.
@@ -189,7 +189,7 @@
 // write writes the object of this instance.
 func (s *originStore) write(ctx context.Context, now time.Time) error {
 	entries := s.origins.directory.TakeOwn(now, maxWrittenOrigins)
-	object, err := s.put(ctx, s.name, s.version, streamorigin.Encode(entries))
+	object, err := s.put(ctx, s.name, s.version, streamorigin.Encode(streamorigin.Statement{Entries: entries}))
 	if err == nil || errors.Is(err, objectapi.ErrConflict) {
 		s.version = object.Version
 	}
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -112,15 +113,15 @@
 	o.learned = make(chan struct{})
 }
 
-// learn takes over the entries of another instance.
-func (o *origins) learn(entries []streamorigin.Entry) {
-	o.directory.Learn(o.now(), entries)
+// learn takes over what another instance states.
+func (o *origins) learn(statement streamorigin.Statement) {
+	o.directory.Learn(o.now(), statement)
 	o.signal()
 }
 
-// update logs the services whose versions became several or one, and returns the entries to send to the other instances now.
-// connected states whether this instance is connected to all others, of so many instances.
-func (o *origins) update(now time.Time, connected bool, instances int) []streamorigin.Entry {
+// update logs the services whose versions became several or one. It returns the versions to announce to all other instances, and
+// the streams to state to some, now. connected states whether this instance is connected to all others, of so many instances.
+func (o *origins) update(now time.Time, connected bool, instances int) (announced, stated streamorigin.Statement) {
 	o.directory.ObserveConnection(now, connected, instances)
 	for _, change := range o.directory.Update(now) {
 		message := "service has several software versions"
@@ -129,19 +130,24 @@
 		}
 		o.lg.Info(message, "service", change.Service, "versions", change.Versions)
 	}
-	if !o.pace.due(now) {
-		return nil
+	announced = o.directory.TakeAnnouncement()
+	if o.pace.due(now) {
+		stated = o.directory.TakeUnsent(now, gossip.MaxOrigins)
 	}
-	return o.directory.TakeUnsent(now, gossip.MaxOrigins)
+	return announced, stated
 }
 
 // updateOrigins shares the origins of this instance's streams with the other instances.
 func (i *Instance) updateOrigins(now time.Time) {
 	status := i.fleet.Status(now)
-	entries := i.origins.update(now, status.Live >= status.Total, status.Total)
-	if len(entries) == 0 {
-		return
+	announced, stated := i.origins.update(now, status.Live >= status.Total, status.Total)
+	if !announced.IsEmpty() {
+		targets := i.fleet.Peers(now, math.MaxInt)
+		i.lg.Info("software versions announced", "versions", announced.Versions(), "targets", len(targets))
+		i.socket.SendOrigins(announced, targets)
+	}
+	if !stated.IsEmpty() {
+		targets := i.fleet.Peers(now, originPeers)
+		i.origins.pace.sent(now, len(targets)*i.socket.SendOrigins(stated, targets))
 	}
-	targets := i.fleet.Peers(now, originPeers)
-	i.origins.pace.sent(now, len(targets)*i.socket.SendOrigins(entries, targets))
 }
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -124,6 +124,34 @@
 		Expect(w.find(2, "new")).To(Equal("v2"))
 	})
 
+	// Guards against streams of a new version that go on at the former one at a connected instance whose watch of the endpoints is
+	// silent (ORDER).
+	DescribeTable("are not guessed by a connected instance that has not read the new version's entry",
+		func(instances, behind, ownStreams int, arrange func(*originsWorld)) {
+			w := newOriginsWorld(instances)
+			w.pass(time.Second)
+			for n := range ownStreams {
+				w.record(0, fmt.Sprint("before ", n), "v1")
+			}
+			w.instances[behind].behind = true
+			w.list("v1", "v2")
+			w.pass(2 * controlInterval)
+			w.record(0, "new", "v2")
+			arrange(w)
+			for range 16 {
+				w.pass(controlInterval)
+				Expect(w.find(behind, "new")).NotTo(Equal("v1"))
+			}
+		},
+		Entry("with few streams", 3, 2, 10, func(*originsWorld) {}),
+		Entry("while 6,000 streams begun before wait to be sent", 3, 2, 6000, func(*originsWorld) {}),
+		Entry("that gets no messages about the streams in a large fleet", 40, 35, 10, func(*originsWorld) {}),
+		Entry("of an instance that is killed before its next message", 3, 2, 10, func(w *originsWorld) {
+			w.detection = time.Second
+			w.instances[0] = nil
+		}),
+	)
+
 	// Guards against an instance that knows the endpoints after its start, but not what others shared (ORDER).
 	It("are not guessed before the shared entries were read", func() {
 		w := newOriginsWorld(2)
@@ -237,7 +265,7 @@
 		}()
 		synctest.Wait()
 		origin := streamorigin.Origin{Service: originsService, Version: "v1"}
-		o.learn([]streamorigin.Entry{{Key: streamorigin.KeyOf("a"), Origin: origin, Remaining: time.Second}})
+		o.learn(streamorigin.Statement{Entries: []streamorigin.Entry{{Key: streamorigin.KeyOf("a"), Origin: origin, Remaining: time.Second}}})
 		if got := <-found; got != origin || time.Since(begin) != 0 {
 			t.Errorf("found %v after %v", got, time.Since(begin))
 		}
--- a/entry/origins_world_test.go
+++ b/entry/origins_world_test.go
@@ -60,6 +60,9 @@
 	boots     uint64
 	// lose decides whether a message is lost.
 	lose func() bool
+	// detection is how long an instance that is gone or cut off still counts as connected, apartSince the begin of that time.
+	detection  time.Duration
+	apartSince time.Time
 }
 
 // originsMember is one instance. It is nil in originsWorld.instances while it is down.
@@ -68,6 +71,8 @@
 	store   *originStore
 	// cut is set while the instance reaches neither the store nor other instances.
 	cut bool
+	// behind is set while the watch of the endpoints does not answer, though the instance reaches the store and the others.
+	behind bool
 	// seen holds the origins that the instance sees.
 	seen map[streamorigin.Origin]bool
 }
@@ -127,7 +132,7 @@
 
 // step lets an instance read the endpoints and make the call that is due.
 func (w *originsWorld) step(member *originsMember) {
-	if !w.store.away {
+	if !w.store.away && !member.behind {
 		member.seen = w.listed
 		member.origins.directory.SetListed(w.now, w.listed)
 		member.origins.directory.Confirm(w.now, w.now)
@@ -138,17 +143,31 @@
 // exchange sends the messages of an instance.
 func (w *originsWorld) exchange(member *originsMember) {
 	connected := !slices.ContainsFunc(w.instances, func(other *originsMember) bool { return other == nil || other.cut })
-	entries := member.origins.update(w.now, connected, len(w.instances))
+	if connected {
+		w.apartSince = time.Time{}
+	} else if w.apartSince.IsZero() {
+		w.apartSince = w.now
+	}
+	announced, stated := member.origins.update(w.now, connected || w.now.Sub(w.apartSince) < w.detection, len(w.instances))
 	if member.cut {
 		return
 	}
-	for _, other := range w.instances {
-		if other != nil && other != member && !other.cut && len(entries) > 0 && !w.lose() {
-			other.origins.learn(entries)
+	for n, other := range w.instances {
+		for _, statement := range []streamorigin.Statement{announced, stated} {
+			isTarget := len(w.instances) <= originPeers || len(statement.Entries) == 0 || w.isNear(member, n)
+			if other != nil && other != member && !other.cut && isTarget && !statement.IsEmpty() && !w.lose() {
+				other.origins.learn(statement)
+			}
 		}
 	}
 }
 
+// isNear reports whether an instance is one of those that get the streams of another one in a large fleet.
+func (w *originsWorld) isNear(sender *originsMember, receiver int) bool {
+	distance := receiver - slices.Index(w.instances, sender)
+	return (distance+len(w.instances))%len(w.instances) <= originPeers
+}
+
 // find returns the version at which an instance continues a stream, "" if it does not know.
 func (w *originsWorld) find(n int, id string) string {
 	o := w.instances[n].origins
--- a/gossip/decode.go
+++ b/gossip/decode.go
@@ -29,7 +29,7 @@
 	report  *fleetstate.Report
 	summary *fleetstate.Summary
 	digest  *fleetstate.Digest
-	origins []streamorigin.Entry
+	origins *streamorigin.Statement
 }
 
 // decode decodes a datagram. Its error wraps errMalformed.
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -90,12 +90,13 @@
 			{Key: 2, Origin: streamorigin.Origin{Service: "s", Version: "v2"}, Remaining: time.Millisecond},
 			{Key: 3, Origin: streamorigin.Origin{Service: "s", Version: "v1"}, Remaining: time.Second},
 		}
-		datagram, err := encodeOrigins(entries)
+		statement := streamorigin.Statement{InService: map[streamorigin.Origin]bool{{Service: "s", Version: "v3"}: true, entries[0].Origin: true}, Entries: entries}
+		datagram, err := encodeOrigins(statement)
 		Expect(err).NotTo(HaveOccurred())
 		decoded, err := decode(datagram)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(decoded.origins).To(Equal(entries))
-		datagram, err = encodeOrigins(slices.Repeat(entries[:1], MaxOrigins+1))
+		Expect(decoded.origins).To(HaveValue(Equal(statement)))
+		datagram, err = encodeOrigins(streamorigin.Statement{Entries: slices.Repeat(entries[:1], MaxOrigins+1)})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = decode(datagram)
 		Expect(err).To(MatchError(errMalformed))
@@ -157,7 +158,7 @@
 		f.Fatal(err)
 	}
 	f.Add(report[checksumBytes:])
-	origins, err := encodeOrigins([]streamorigin.Entry{{Key: 1, Remaining: time.Second}})
+	origins, err := encodeOrigins(streamorigin.Statement{Entries: []streamorigin.Entry{{Key: 1, Remaining: time.Second}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -179,7 +180,7 @@
 		case decoded.summary != nil:
 			fleet.ObserveSummary(now, *decoded.summary)
 		case decoded.origins != nil:
-			streamorigin.NewDirectory(time.Second, 0).Learn(now, decoded.origins)
+			streamorigin.NewDirectory(time.Second, 0).Learn(now, *decoded.origins)
 		default:
 			fleet.ObserveDigest(now, *decoded.digest)
 		}
--- a/gossip/socket.go
+++ b/gossip/socket.go
@@ -22,7 +22,7 @@
 	Report  func(fleetstate.Report)
 	Summary func(fleetstate.Summary)
 	Digest  func(fleetstate.Digest)
-	Origins func([]streamorigin.Entry)
+	Origins func(streamorigin.Statement)
 }
 
 // Socket sends and receives messages over UDP. It is safe for concurrent use.
@@ -98,9 +98,10 @@
 	return len(encoded)
 }
 
-// SendOrigins sends the origins of at most MaxOrigins streams to each target and returns the size of the message in bytes.
-func (s *Socket) SendOrigins(entries []streamorigin.Entry, targets []fleetstate.Peer) int {
-	datagram, err := encodeOrigins(entries)
+// SendOrigins sends a statement with the origins of at most MaxOrigins streams to each target and returns the size of the message in
+// bytes.
+func (s *Socket) SendOrigins(statement streamorigin.Statement, targets []fleetstate.Peer) int {
+	datagram, err := encodeOrigins(statement)
 	if err != nil {
 		s.logUnsent("origins", 0, err)
 		return 0
@@ -161,7 +162,7 @@
 	case decoded.summary != nil:
 		handler.Summary(*decoded.summary)
 	case decoded.origins != nil:
-		handler.Origins(decoded.origins)
+		handler.Origins(*decoded.origins)
 	default:
 		handler.Digest(*decoded.digest)
 	}
--- a/streamorigin/directory.go
+++ b/streamorigin/directory.go
@@ -81,6 +81,8 @@
 	mixed map[string][]string
 	// unsent holds the streams to send to other instances and the number of messages that have to name each.
 	unsent []unsentStream
+	// announcements holds the versions to tell all other instances of.
+	announcements announcements
 	// unwritten is set if a stream of a mixed service has begun here since the last TakeOwn.
 	unwritten bool
 }
@@ -121,10 +123,14 @@
 }
 
 // Learn takes over what another instance states.
-func (d *Directory) Learn(now time.Time, entries []Entry) {
+func (d *Directory) Learn(now time.Time, statement Statement) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, entry := range entries {
+	for origin := range statement.InService {
+		d.history.told(now, origin)
+		d.announcements.told(origin)
+	}
+	for _, entry := range statement.Entries {
 		until := now.Add(entry.Remaining)
 		d.memory.add(now, entry.Key, entry.Origin, until, false)
 		d.history.saw(now, entry.Origin, until)
@@ -140,11 +146,13 @@
 	}
 }
 
-// SetListed sets the origins of all listed endpoints.
+// SetListed sets the origins of all listed endpoints. A further version of a service is to be announced to all other instances.
 func (d *Directory) SetListed(now time.Time, listed map[Origin]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.history.setListed(now, listed)
+	for _, origin := range d.history.setListed(now, listed) {
+		d.announcements.add(origin)
+	}
 }
 
 // Confirm records that the listed endpoints were complete at the time at. After a longer time without, versions may have come and
@@ -251,7 +259,7 @@
 		}
 	}
 	if len(d.mixed) == 0 {
-		d.unsent, d.unwritten = nil, false
+		d.unsent, d.unwritten, d.announcements = nil, false, announcements{}
 	}
 	return changes
 }
@@ -287,8 +295,17 @@
 	d.unwritten = true
 }
 
-// TakeUnsent returns the entries for the next message, at most limit. Each stream is returned sendCount times in all.
-func (d *Directory) TakeUnsent(now time.Time, limit int) []Entry {
+// TakeAnnouncement returns the versions to tell all other instances of now, at most maxInService. Each is returned
+// announcementCount times in all, none that another instance has stated before.
+func (d *Directory) TakeAnnouncement() Statement {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Statement{InService: d.announcements.take()}
+}
+
+// TakeUnsent returns the next message: at most limit streams, and the versions in service of their services. Each stream is
+// returned sendCount times in all.
+func (d *Directory) TakeUnsent(now time.Time, limit int) Statement {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := min(limit, len(d.unsent))
@@ -305,7 +322,11 @@
 		}
 	}
 	d.unsent = slices.Concat(d.unsent[n:], again)
-	return entries
+	services := make(map[string]bool)
+	for _, entry := range entries {
+		services[entry.Origin.Service] = true
+	}
+	return Statement{InService: d.history.inService(services, maxInService), Entries: entries}
 }
 
 // Versions returns the origins that streams can have that may be taken up, of services with any stated version, and whether none
--- a/streamorigin/directory_test.go
+++ b/streamorigin/directory_test.go
@@ -54,13 +54,13 @@
 			directory.Record(now, fmt.Sprint(n), origin(versionOf(n)), now.Add(streamorigin.Lifetime))
 		}
 		messages := 0
-		for entries := directory.TakeUnsent(now, 500); len(entries) > 0; entries = directory.TakeUnsent(now, 500) {
+		for statement := directory.TakeUnsent(now, 500); len(statement.Entries) > 0; statement = directory.TakeUnsent(now, 500) {
 			if messages++; messages%3 != 0 { // every third message is lost
-				other.Learn(now, entries)
+				other.Learn(now, statement)
 			}
 		}
 		Expect(messages).To(Equal(2 * streams / 500))
-		other.Learn(now, directory.TakeOwn(now, streams))
+		other.Learn(now, streamorigin.Statement{Entries: directory.TakeOwn(now, streams)})
 		list(other, "v2")
 		for n := range streams {
 			Expect(find(other, fmt.Sprint(n))).To(Equal(versionOf(n)))
@@ -73,6 +73,22 @@
 		Expect(other.Remembered()).To(BeZero())
 	})
 
+	// Guards against a new version that one lost message hides (ORDER), and against messages to all from all instances at once.
+	It("announces a further version three times unless another instance has", func() {
+		other := streamorigin.NewDirectory(2*time.Second, 0)
+		list(other, "v1")
+		Expect(directory.TakeAnnouncement().IsEmpty()).To(BeTrue())
+		list(directory, "v1", "v2")
+		list(other, "v1", "v2")
+		for range 3 {
+			announced := directory.TakeAnnouncement()
+			Expect(announced.InService).To(Equal(map[streamorigin.Origin]bool{origin("v2"): true}))
+			other.Learn(now, announced)
+			Expect(other.TakeAnnouncement().IsEmpty()).To(BeTrue())
+		}
+		Expect(directory.TakeAnnouncement().IsEmpty()).To(BeTrue())
+	})
+
 	// Guards against a memory that grows with the number of streams, or of origins.
 	It("forgets the oldest streams beyond its bound", func() {
 		small := streamorigin.NewDirectory(time.Second, 2*streamorigin.EntryBytes)
@@ -95,7 +111,7 @@
 	// Guards against a stream that goes on at one of two versions that both count as its own.
 	It("does not choose between two origins of one stream", func() {
 		directory.Record(now, "a", origin("v1"), now.Add(streamorigin.Lifetime))
-		directory.Learn(now, []streamorigin.Entry{{Key: streamorigin.KeyOf("a"), Origin: origin("v2"), Remaining: time.Second}})
+		directory.Learn(now, streamorigin.Statement{Entries: []streamorigin.Entry{{Key: streamorigin.KeyOf("a"), Origin: origin("v2"), Remaining: time.Second}}})
 		Expect(find(directory, "a")).To(Equal(streamorigin.Ambiguous.String()))
 	})
 
@@ -110,10 +126,10 @@
 
 	// Guards against messages from another version of the program, or broken ones, that end the process.
 	It("refuses a message whose columns don't fit", func() {
-		message := streamorigin.Encode([]streamorigin.Entry{{Key: 1, Origin: origin("v1"), Remaining: time.Second}})
-		entries, err := streamorigin.Decode(message)
+		message := streamorigin.Encode(streamorigin.Statement{Entries: []streamorigin.Entry{{Key: 1, Origin: origin("v1"), Remaining: time.Second}}})
+		statement, err := streamorigin.Decode(message)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(entries).To(HaveExactElements(streamorigin.Entry{Key: 1, Origin: origin("v1"), Remaining: time.Second}))
+		Expect(statement.Entries).To(HaveExactElements(streamorigin.Entry{Key: 1, Origin: origin("v1"), Remaining: time.Second}))
 		message.Origins[0] = 1
 		_, err = streamorigin.Decode(message)
 		Expect(err).To(HaveOccurred())
--- a/streamorigin/history.go
+++ b/streamorigin/history.go
@@ -21,12 +21,15 @@
 	// listed is set while an endpoint with the version is listed. Otherwise the version counts until a time.
 	listed bool
 	until  time.Time
+	// told is set if another instance has stated the version as in service.
+	told bool
 }
 
 func newHistory() *history { return &history{services: make(map[string]map[string]sighting)} }
 
-// setListed sets the versions of all listed endpoints. Versions that are no longer listed count for Lifetime.
-func (h *history) setListed(now time.Time, listed map[Origin]bool) {
+// setListed sets the versions of all listed endpoints. Versions that are no longer listed count for Lifetime. It returns those of
+// services with several versions that were not listed before and that no other instance has stated.
+func (h *history) setListed(now time.Time, listed map[Origin]bool) (added []Origin) {
 	for service, versions := range h.services {
 		for version, seen := range versions {
 			if seen.listed && !listed[Origin{service, version}] {
@@ -34,9 +37,42 @@
 			}
 		}
 	}
+	var fresh []Origin
 	for origin := range listed {
+		seen := h.services[origin.Service][origin.Version]
+		if !seen.listed && (!seen.told || !now.Before(seen.until)) {
+			fresh = append(fresh, origin)
+		}
 		h.set(origin, sighting{listed: true})
 	}
+	for _, origin := range fresh {
+		if len(h.versions(now, origin.Service)) > 1 {
+			added = append(added, origin)
+		}
+	}
+	return added
+}
+
+// told lets a version that another instance states as in service count for Lifetime.
+func (h *history) told(now time.Time, origin Origin) {
+	h.saw(now, origin, now.Add(Lifetime))
+	if seen, ok := h.services[origin.Service][origin.Version]; ok {
+		seen.told = true
+		h.services[origin.Service][origin.Version] = seen
+	}
+}
+
+// inService returns at most limit listed origins of the given services.
+func (h *history) inService(services map[string]bool, limit int) map[Origin]bool {
+	origins := make(map[Origin]bool)
+	for service := range services {
+		for version, seen := range h.services[service] {
+			if seen.listed && len(origins) < limit {
+				origins[Origin{service, version}] = true
+			}
+		}
+	}
+	return origins
 }
 
 // saw lets a version count until a time, which is at most Lifetime away.
@@ -45,7 +81,7 @@
 		until = latest
 	}
 	if seen := h.services[origin.Service][origin.Version]; !seen.listed && until.After(seen.until) {
-		h.set(origin, sighting{until: until})
+		h.set(origin, sighting{until: until, told: seen.told && now.Before(seen.until)})
 	}
 }
 
--- a/streamorigin/message.go
+++ b/streamorigin/message.go
@@ -11,10 +11,14 @@
 // errMalformed is returned for a message that does not state origins.
 var errMalformed = errors.New("stream origin: malformed message")
 
-// Encode returns the message that states entries.
-func Encode(entries []Entry) *wire.StreamOrigins {
-	message, indexes := &wire.StreamOrigins{}, make(map[Origin]uint32)
-	for _, entry := range entries {
+// Encode returns the message that a Statement makes.
+func Encode(statement Statement) *wire.StreamOrigins {
+	message, indexes := EncodeVersions(statement.InService), make(map[Origin]uint32)
+	message.InService = uint32(len(message.Services))
+	for i, service := range message.Services {
+		indexes[Origin{Service: service, Version: message.Versions[i]}] = uint32(i)
+	}
+	for _, entry := range statement.Entries {
 		index, ok := indexes[entry.Origin]
 		if !ok {
 			index = uint32(len(indexes))
@@ -29,24 +33,31 @@
 	return message
 }
 
-// Decode returns the entries that a message states.
-func Decode(message *wire.StreamOrigins) ([]Entry, error) {
-	n := len(message.Streams)
-	if n > MaxEntries || len(message.Origins) != n || len(message.RemainingMs) != n || len(message.Services) != len(message.Versions) {
-		return nil, fmt.Errorf("%w: columns of different lengths, or %d streams", errMalformed, n)
+// Decode returns the Statement that a message makes.
+func Decode(message *wire.StreamOrigins) (Statement, error) {
+	n, named := len(message.Streams), len(message.Services)
+	if n > MaxEntries || len(message.Origins) != n || len(message.RemainingMs) != n || named != len(message.Versions) {
+		return Statement{}, fmt.Errorf("%w: columns of different lengths, or %d streams", errMalformed, n)
+	}
+	if message.InService > uint32(min(named, maxInService)) {
+		return Statement{}, fmt.Errorf("%w: %d of %d versions in service", errMalformed, message.InService, named)
+	}
+	statement := Statement{InService: make(map[Origin]bool, message.InService)}
+	for i := range message.InService {
+		statement.InService[Origin{Service: message.Services[i], Version: message.Versions[i]}] = true
 	}
-	entries := make([]Entry, 0, n)
+	statement.Entries = make([]Entry, 0, n)
 	for i, stream := range message.Streams {
 		index := message.Origins[i]
-		if int(index) >= len(message.Services) {
-			return nil, fmt.Errorf("%w: origin %d of %d", errMalformed, index, len(message.Services))
+		if int(index) >= named {
+			return Statement{}, fmt.Errorf("%w: origin %d of %d", errMalformed, index, named)
 		}
-		entries = append(entries, Entry{
+		statement.Entries = append(statement.Entries, Entry{
 			Key: Key(stream), Origin: Origin{Service: message.Services[index], Version: message.Versions[index]},
 			Remaining: min(time.Duration(message.RemainingMs[i])*time.Millisecond, Lifetime),
 		})
 	}
-	return entries, nil
+	return statement, nil
 }
 
 // EncodeVersions returns the message that states origins without streams.
