streamorigin: send the newest streams first

Callers whose stream broke off shortly after the begin of a mix were refused at another instance, or went on there at another version.

Cause: streams wait to be sent first in, first out, and the begin of a mix puts all own streams of 30 s in front (6,000 take 12 messages, 1.2 s).

Change: the newest stream goes first, those never sent before repeats.

--- a/streamorigin/directory.go
+++ b/streamorigin/directory.go
@@ -6,18 +6,12 @@
 	"time"
 )
 
-// maxUnsent bounds the streams that wait to be sent to other instances.
-const maxUnsent = 1 << 14
-
 // maxConnectionGap is the longest time between two calls of ObserveConnection without a pause of the process.
 const maxConnectionGap = time.Second
 
 // readPatience is how long a caller waits for the next read. Where reads are rarer, the last one counts for the difference.
 const readPatience = 200 * time.Millisecond
 
-// sendCount is the number of messages that name a stream, since messages are lost.
-const sendCount = 2
-
 // Answer is what a Directory knows of a stream.
 type Answer uint8
 
@@ -79,19 +73,14 @@
 	unread        bool
 	// mixed holds the services with several versions, and their versions, at the last Update.
 	mixed map[string][]string
-	// unsent holds the streams to send to other instances and the number of messages that have to name each.
-	unsent []unsentStream
+	// unsent holds the streams to send to other instances.
+	unsent unsent
 	// announcements holds the versions to tell all other instances of.
 	announcements announcements
 	// unwritten is set if a stream of a mixed service has begun here since the last TakeOwn.
 	unwritten bool
 }
 
-type unsentStream struct {
-	key  Key
-	left int
-}
-
 // NewDirectory returns an empty Directory. Endpoints that were not confirmed for maxAge may lack a version. maxMemory is what the
 // streams may take in bytes; 0 allows MaxEntries.
 func NewDirectory(maxAge time.Duration, maxMemory int) *Directory {
@@ -111,14 +100,7 @@
 	d.history.saw(now, origin, until)
 	if added && len(d.history.versions(now, origin.Service)) > 1 {
 		d.unwritten = true
-		d.enqueue(key)
-	}
-}
-
-// enqueue schedules a stream for the next messages. The caller holds d.mu.
-func (d *Directory) enqueue(key Key) {
-	if len(d.unsent) < maxUnsent {
-		d.unsent = append(d.unsent, unsentStream{key: key, left: sendCount})
+		d.unsent.add(key)
 	}
 }
 
@@ -247,9 +229,9 @@
 		}
 		d.mixed[service] = versions
 		changes = append(changes, Change{Service: service, Versions: versions, Mixed: true})
-		for _, entry := range d.memory.own(now, func(name string) bool { return name == service }) {
+		for _, entry := range slices.Backward(d.memory.own(now, func(name string) bool { return name == service })) {
 			d.unwritten = true
-			d.enqueue(entry.Key)
+			d.unsent.add(entry.Key)
 		}
 	}
 	for service := range d.mixed {
@@ -259,7 +241,7 @@
 		}
 	}
 	if len(d.mixed) == 0 {
-		d.unsent, d.unwritten, d.announcements = nil, false, announcements{}
+		d.unsent, d.unwritten, d.announcements = unsent{}, false, announcements{}
 	}
 	return changes
 }
@@ -303,25 +285,17 @@
 	return Statement{InService: d.announcements.take()}
 }
 
-// TakeUnsent returns the next message: at most limit streams, and the versions in service of their services. Each stream is
-// returned sendCount times in all.
+// TakeUnsent returns the next message: at most limit streams, the newest first, and the versions in service of their services. Each
+// stream is returned twice in all.
 func (d *Directory) TakeUnsent(now time.Time, limit int) Statement {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := min(limit, len(d.unsent))
 	var entries []Entry
-	var again []unsentStream
-	for _, stream := range d.unsent[:n] {
-		entry, ok := d.memory.entry(now, stream.key)
-		if !ok {
-			continue
-		}
-		entries = append(entries, entry)
-		if stream.left--; stream.left > 0 {
-			again = append(again, stream)
+	for _, key := range d.unsent.take(limit) {
+		if entry, ok := d.memory.entry(now, key); ok {
+			entries = append(entries, entry)
 		}
 	}
-	d.unsent = slices.Concat(d.unsent[n:], again)
 	services := make(map[string]bool)
 	for _, entry := range entries {
 		services[entry.Origin.Service] = true
--- a/streamorigin/directory_test.go
+++ b/streamorigin/directory_test.go
@@ -89,6 +89,25 @@
 		Expect(directory.TakeAnnouncement().IsEmpty()).To(BeTrue())
 	})
 
+	// Guards against a take-up that is refused or guessed because its stream waits behind older ones to be sent (ORDER, LOST).
+	It("sends the newest streams first", func() {
+		record := func(name string, n int) {
+			for i := range n {
+				directory.Record(now, fmt.Sprint(name, i), origin("v1"), now.Add(streamorigin.Lifetime))
+			}
+		}
+		record("before", 1000)
+		list(directory, "v1", "v2")
+		directory.Update(now)
+		record("after", 100)
+		sent := directory.TakeUnsent(now, 200).Entries
+		for n := range 100 {
+			key := streamorigin.KeyOf(fmt.Sprint("after", n))
+			Expect(sent).To(ContainElement(HaveField("Key", key)))
+			Expect(sent).To(ContainElement(HaveField("Key", streamorigin.KeyOf(fmt.Sprint("before", 900+n)))))
+		}
+	})
+
 	// Guards against a memory that grows with the number of streams, or of origins.
 	It("forgets the oldest streams beyond its bound", func() {
 		small := streamorigin.NewDirectory(time.Second, 2*streamorigin.EntryBytes)
