streamorigin: endpoints that are too old are not complete while others reach the store

Callers could be joined to the former version at a connected instance whose watch of the endpoints stays silent, also after the 2.5 s within which a change must be in force, if no message about the new version reached it.

Cause: a connected instance counted as complete without a bound on the age of its confirmation, as if nobody read the store.

Change: ObserveConnection also states whether another instance reached the store a moment ago (freshPeers). If one did and the own endpoints were not confirmed for maxAge, the only version is not certain. With the store away for all, take-ups of a service with one version go on as before.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -120,9 +120,9 @@
 }
 
 // update logs the services whose versions became several or one. It returns the versions to announce to all other instances, and
-// the streams to state to some, now. connected states whether this instance is connected to all others, of so many instances.
-func (o *origins) update(now time.Time, connected bool, instances int) (announced, stated streamorigin.Statement) {
-	o.directory.ObserveConnection(now, connected, instances)
+// the streams to state to some, now.
+func (o *origins) update(now time.Time, connection streamorigin.Connection) (announced, stated streamorigin.Statement) {
+	o.directory.ObserveConnection(now, connection)
 	for _, change := range o.directory.Update(now) {
 		message := "service has several software versions"
 		if !change.Mixed {
@@ -140,7 +140,10 @@
 // updateOrigins shares the origins of this instance's streams with the other instances.
 func (i *Instance) updateOrigins(now time.Time) {
 	status := i.fleet.Status(now)
-	announced, stated := i.origins.update(now, status.Live >= status.Total, status.Total)
+	announced, stated := i.origins.update(now, streamorigin.Connection{
+		Complete: status.Live >= status.Total, Instances: status.Total,
+		StoreReached: len(i.freshPeers.addresses(now, i.settings.absenceLimit())) > 0,
+	})
 	if !announced.IsEmpty() {
 		targets := i.fleet.Peers(now, math.MaxInt)
 		i.lg.Info("software versions announced", "versions", announced.Versions(), "targets", len(targets))
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -152,6 +152,29 @@
 		}),
 	)
 
+	// Guards against streams that go on at the former version at a connected instance whose watch stays silent, and to which no
+	// message about the new version gets (ORDER).
+	It("are not guessed by a connected instance whose endpoints are too old", func() {
+		w := newOriginsWorld(3)
+		w.pass(time.Second)
+		w.lose = func() bool { return true }
+		w.instances[2].behind = true
+		w.list("v1", "v2")
+		w.pass(2500 * time.Millisecond)
+		w.record(0, "new", "v2")
+		w.pass(controlInterval)
+		Expect(w.find(2, "new")).To(BeEmpty())
+	})
+
+	// Guards against take-ups that are refused while the store is away for all and there is one version (LOST).
+	It("are known for a service with one version while the store is away", func() {
+		w := newOriginsWorld(3)
+		w.pass(time.Second)
+		w.store.away = true
+		w.pass(5 * time.Second)
+		Expect(w.find(1, "old")).To(Equal("v1"))
+	})
+
 	// Guards against an instance that knows the endpoints after its start, but not what others shared (ORDER).
 	It("are not guessed before the shared entries were read", func() {
 		w := newOriginsWorld(2)
--- a/entry/origins_world_test.go
+++ b/entry/origins_world_test.go
@@ -148,7 +148,12 @@
 	} else if w.apartSince.IsZero() {
 		w.apartSince = w.now
 	}
-	announced, stated := member.origins.update(w.now, connected || w.now.Sub(w.apartSince) < w.detection, len(w.instances))
+	announced, stated := member.origins.update(w.now, streamorigin.Connection{
+		Complete: connected || w.now.Sub(w.apartSince) < w.detection, Instances: len(w.instances),
+		StoreReached: !member.cut && slices.ContainsFunc(w.instances, func(other *originsMember) bool {
+			return other != nil && other != member && !other.cut && !other.behind && !w.store.away
+		}),
+	})
 	if member.cut {
 		return
 	}
--- a/streamorigin/directory.go
+++ b/streamorigin/directory.go
@@ -65,8 +65,8 @@
 	// connectionAt is the time of the last ObserveConnection, apartAt the last time at which this instance was not connected to all
 	// others.
 	connectionAt, apartAt time.Time
-	// instances is the number of instances at the last ObserveConnection.
-	instances int
+	// connection is what the last ObserveConnection stated.
+	connection Connection
 	// gapAt is the end of the last time in which versions can have been missed, unread whether the entries that other instances
 	// share have not been read since. readAt is the begin of the last read.
 	gapAt, readAt time.Time
@@ -191,27 +191,28 @@
 	}
 }
 
-// connectedSinceConfirm reports whether this instance has been connected to all others since the listed endpoints were confirmed last.
-// Then no instance reads the store, and none knows other versions. The caller holds d.mu.
+// connectedSinceConfirm reports whether this instance has been connected to all others since the listed endpoints were confirmed last,
+// and these were confirmed lately or no instance reads the store. Then no other instance knows of a version without having announced
+// it. The caller holds d.mu.
 func (d *Directory) connectedSinceConfirm(now time.Time) bool {
-	return d.apartAt.Before(d.confirmedAt) && now.Sub(d.connectionAt) <= maxConnectionGap
+	isBehind := d.connection.StoreReached && now.Sub(d.confirmedAt) > d.maxAge
+	return d.apartAt.Before(d.confirmedAt) && now.Sub(d.connectionAt) <= maxConnectionGap && !isBehind
 }
 
 // fresh reports whether the listed endpoints were confirmed lately and the shared entries read since a time. The first alone would
 // not do for an instance that has just been cut off. The caller holds d.mu.
 func (d *Directory) fresh(now, since time.Time) bool {
-	return now.Sub(d.confirmedAt) <= d.maxAge && !d.readAt.Before(since.Add(-max(readInterval(d.instances)-readPatience, 0)))
+	return now.Sub(d.confirmedAt) <= d.maxAge && !d.readAt.Before(since.Add(-max(readInterval(d.connection.Instances)-readPatience, 0)))
 }
 
-// ObserveConnection records whether this instance is connected to all others, and the number of instances. A process that was paused
-// has missed a loss.
-func (d *Directory) ObserveConnection(now time.Time, connected bool, instances int) {
+// ObserveConnection records how this instance is connected to the others. A process that was paused has missed a loss.
+func (d *Directory) ObserveConnection(now time.Time, connection Connection) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !connected || now.Sub(d.connectionAt) > maxConnectionGap {
+	if !connection.Complete || now.Sub(d.connectionAt) > maxConnectionGap {
 		d.apartAt = now
 	}
-	d.connectionAt, d.instances = now, instances
+	d.connectionAt, d.connection = now, connection
 }
 
 // Update returns the services whose streams have several versions since the last call, or no longer. The streams that began here
--- a/streamorigin/directory_test.go
+++ b/streamorigin/directory_test.go
@@ -27,7 +27,7 @@
 		d.SetListed(now, listed)
 		d.Confirm(now, now)
 		d.Read(now)
-		d.ObserveConnection(now, true, 2)
+		d.ObserveConnection(now, streamorigin.Connection{Complete: true, Instances: 2})
 	}
 	find := func(d *streamorigin.Directory, id string) string {
 		found, answer := d.Find(now, now, id, service)
