streamorigin: reads of shared origins don't wait for failing writes

Callers who took a stream up at an instance that had just started were refused for as long as the store refused that instance's writes.

Cause: a due write went before a due read, and one back-off covered both, so that a write that kept failing took every turn.

Change: reads that requests wait for, or that are due after a start, go first; reads and writes have back-offs of their own.

--- a/streamorigin/schedule.go
+++ b/streamorigin/schedule.go
@@ -11,9 +11,6 @@
 	// writesPerSecond bounds the writes of all instances together, readsPerSecond their reads.
 	writesPerSecond = 100
 	readsPerSecond  = 500
-	// minCallBackoff is the time without calls after a failed one. It doubles up to maxCallBackoff.
-	minCallBackoff = 250 * time.Millisecond
-	maxCallBackoff = 2 * time.Second
 	// remainsAge is how long an object of another instance has to be unchanged before it is deleted: its streams can no longer be
 	// taken up, also if the object was read late.
 	remainsAge = 2 * Lifetime
@@ -58,9 +55,8 @@
 	readAt, wroteAt, mixedAt time.Time
 	// written is set while the object of this instance exists, remains if others may.
 	written, remains bool
-	// blockedUntil is the end of the time without calls after a failed one, backoff its length.
-	blockedUntil time.Time
-	backoff      time.Duration
+	// reading and writing space the calls after failed ones. A store may refuse writes and answer reads.
+	reading, writing callBackoff
 	// spread is the part of the time in which all instances read that this one waits first, in [0, 1).
 	spread      float64
 	unreadSince time.Time
@@ -87,18 +83,17 @@
 	canRead := now.Sub(s.readAt) >= readInterval(in.Instances)
 	canWrite := now.Sub(s.wroteAt) >= max(minWriteInterval, time.Duration(in.Instances)*time.Second/writesPerSecond)
 	spread := time.Duration(s.spread * float64(readInterval(in.Instances)))
+	canRead, canWrite = canRead && s.reading.allows(now), canWrite && s.writing.allows(now)
 	switch {
-	case now.Before(s.blockedUntil):
-		return StepNone
-	case canWrite && in.Mixed && in.Unwritten:
-		return StepWrite
 	case canRead && (in.Awaited || in.Unread && now.Sub(s.unreadSince) >= spread):
 		return StepRead
+	case canWrite && in.Mixed && in.Unwritten:
+		return StepWrite
 	case canWrite && in.IsCandidate && in.VersionsDiffer:
 		return StepWriteVersions
 	case canWrite && s.written && !in.Mixed:
 		return StepRemove
-	case in.IsCandidate && s.remains && now.Sub(s.mixedAt) >= remainsAge && now.Sub(s.readAt) >= remainsAge:
+	case canRead && canWrite && in.IsCandidate && s.remains && now.Sub(s.mixedAt) >= remainsAge && now.Sub(s.readAt) >= remainsAge:
 		return StepClean
 	default:
 		return StepNone
@@ -108,20 +103,22 @@
 // Done records the end of a step. remains is set if objects of other instances were read and not deleted.
 func (s *Schedule) Done(now time.Time, step Step, remains bool, err error) {
 	switch step {
-	case StepRead, StepClean:
+	case StepRead:
+		s.readAt = now
+		s.reading.done(now, err)
+	case StepClean:
 		s.readAt = now
+		s.writing.done(now, err)
 	default:
 		s.wroteAt = now
+		s.writing.done(now, err)
 	}
 	if step == StepWrite {
 		s.written = true // a write without an answer may have taken effect
 	}
 	if err != nil {
-		s.backoff = min(max(2*s.backoff, minCallBackoff), maxCallBackoff)
-		s.blockedUntil = now.Add(s.backoff)
 		return
 	}
-	s.backoff = 0
 	switch step {
 	case StepRemove:
 		s.written = false
