streamorigin: shared entries age by the time since they were written

After a restart of all instances, take-ups at a service with one version were refused for 30 s although the other version had left 45 s before.

Cause: the remaining times of an object count from its first read, whenever that is, and a former boot's object stays for 60 s and more.

Change: objects state their writer's estimate of the time of day; a reader subtracts the age beyond 10 s, by which estimates may differ, and never adds.

Measured: the spec of the restart fails without the subtraction. Streams stay known with a reader 9 s ahead (fails without the tolerance) and with one an hour behind.

--- a/entry/instance.go
+++ b/entry/instance.go
@@ -137,7 +137,7 @@
 	}
 	i.configSink.register(i.registry)
 	i.origins = newOrigins(i.lg, clock.Now, settings.maxConfigAge(), settings.maxOriginMemory(), i.registry)
-	i.originStore = newOriginStore(i.lg, i.store, i.origins, i.source, rand.Float64(),
+	i.originStore = newOriginStore(i.lg, i.store, i.origins, i.wallNow, i.source, rand.Float64(),
 		func() int { return i.fleet.Total(clock.Now()) }, i.isCandidate, i.registry)
 	i.endpointSink = newEndpointSink(i.lg, adapter, i.state, endpointSinkConfig{
 		now: clock.Now, configAge: func() time.Duration { return i.state.ConfigAge(clock.Now()) },
--- a/entry/origin_store.go
+++ b/entry/origin_store.go
@@ -35,6 +35,8 @@
 	lg      *slog.Logger
 	store   objectapi.Store
 	origins *origins
+	// wallNow returns the estimated true time of day.
+	wallNow func() time.Time
 	// name is the name of this instance's object. That of an earlier boot stays until its streams are too old.
 	name string
 	// instances returns the number of instances, isCandidate whether this one does what one has to do for all.
@@ -51,11 +53,11 @@
 }
 
 func newOriginStore(
-	lg *slog.Logger, store objectapi.Store, o *origins, self fleetstate.Source, spread float64, instances func() int, isCandidate func() bool,
-	registry metrics.Registry,
+	lg *slog.Logger, store objectapi.Store, o *origins, wallNow func() time.Time, self fleetstate.Source, spread float64, instances func() int,
+	isCandidate func() bool, registry metrics.Registry,
 ) *originStore {
 	return &originStore{
-		lg: lg, store: store, origins: o, name: self.Instance + "-" + strconv.FormatUint(self.Boot, 36), instances: instances,
+		lg: lg, store: store, origins: o, wallNow: wallNow, name: self.Instance + "-" + strconv.FormatUint(self.Boot, 36), instances: instances,
 		isCandidate: isCandidate, schedule: streamorigin.NewSchedule(spread),
 		reads:  metrics.NewRegisteredCounter("stream_origin_reads", registry),
 		writes: metrics.NewRegisteredCounter("stream_origin_writes", registry),
@@ -171,7 +173,7 @@
 		s.lg.Warn("stored stream origins ignored", "object", object.Name, "error", err.Error())
 		return
 	}
-	s.origins.directory.Learn(s.origins.now(), statement)
+	s.origins.directory.Learn(s.origins.now(), statement.Aged(s.wallNow()))
 }
 
 // takeVersions takes over the object versionsObject. If changed is set, its versions count as in service until now.
@@ -194,7 +196,7 @@
 // write writes the object of this instance.
 func (s *originStore) write(ctx context.Context, now time.Time) error {
 	entries := s.origins.directory.TakeOwn(now, maxWrittenOrigins)
-	object, err := s.put(ctx, s.name, s.version, streamorigin.Encode(streamorigin.Statement{Entries: entries}))
+	object, err := s.put(ctx, s.name, s.version, streamorigin.Encode(streamorigin.Statement{Entries: entries, WrittenAt: s.wallNow()}))
 	if err == nil || errors.Is(err, objectapi.ErrConflict) {
 		s.version = object.Version
 	}
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -124,6 +124,42 @@
 		Entry("with the old version gone before", []string{"v2"}, []string{"v2"}),
 	)
 
+	// Guards against take-ups that are refused because an object of a former boot lets a version count that left long ago (LOST).
+	It("are known after a restart of all instances long after the end of a mix", func() {
+		w := newOriginsWorld(2)
+		w.list("v1", "v2")
+		w.pass(time.Second)
+		w.record(1, "old", "v1")
+		w.pass(time.Second)
+		w.start(1) // its former boot's object stays
+		w.list("v2")
+		w.pass(streamorigin.Lifetime + 15*time.Second)
+		Expect(w.store.objects).To(HaveKey("i1-2"))
+		w.killAll(2 * time.Second)
+		w.pass(time.Second)
+		Expect(w.find(0, "new")).To(Equal("v2"))
+	})
+
+	// Guards against streams that count as too old because clocks differ (ORDER).
+	DescribeTable("outlive the end of all instances if their clocks differ", func(offset time.Duration) {
+		w := newOriginsWorld(2)
+		w.list("v1", "v2")
+		w.pass(time.Second)
+		w.record(1, "old", "v1")
+		w.pass(time.Second)
+		w.list("v2")
+		w.pass(streamorigin.Lifetime - 10*time.Second)
+		w.killAll(time.Second)
+		w.instances[0].clockOffset = offset
+		w.pass(time.Second)
+		Expect(w.find(0, "old")).To(Equal("v1"))
+		w.pass(streamorigin.Lifetime)
+		Expect(w.find(0, "new")).To(Equal("v2"))
+	},
+		Entry("and the reader is ahead", 9*time.Second),
+		Entry("and the reader is behind", -time.Hour),
+	)
+
 	// Guards against a version that nobody saw leaving, because it was replaced while no instance ran (ORDER).
 	It("are unknown if the version was replaced while all instances were down", func() {
 		w := newOriginsWorld(2)
--- a/entry/origins_world_test.go
+++ b/entry/origins_world_test.go
@@ -73,6 +73,8 @@
 	cut bool
 	// behind is set while the watch of the endpoints does not answer, though the instance reaches the store and the others.
 	behind bool
+	// clockOffset is by how much the instance's time of day is ahead.
+	clockOffset time.Duration
 	// seen holds the origins that the instance sees.
 	seen map[streamorigin.Origin]bool
 }
@@ -109,7 +111,7 @@
 		first := slices.IndexFunc(w.instances, func(other *originsMember) bool { return other != nil && !other.cut })
 		return first >= 0 && w.instances[first] == member
 	}
-	member.store = newOriginStore(lg, w.store, member.origins, self, float64(n)/float64(len(w.instances)), func() int { return len(w.instances) }, isCandidate, registry)
+	member.store = newOriginStore(lg, w.store, member.origins, func() time.Time { return w.now.Add(member.clockOffset) }, self, float64(n)/float64(len(w.instances)), func() int { return len(w.instances) }, isCandidate, registry)
 	w.instances[n] = member
 }
 
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -90,7 +90,7 @@
 			{Key: 2, Origin: streamorigin.Origin{Service: "s", Version: "v2"}, Remaining: time.Millisecond},
 			{Key: 3, Origin: streamorigin.Origin{Service: "s", Version: "v1"}, Remaining: time.Second},
 		}
-		statement := streamorigin.Statement{InService: map[streamorigin.Origin]bool{{Service: "s", Version: "v3"}: true, entries[0].Origin: true}, Entries: entries}
+		statement := streamorigin.Statement{InService: map[streamorigin.Origin]bool{{Service: "s", Version: "v3"}: true, entries[0].Origin: true}, Entries: entries, WrittenAt: time.UnixMilli(1_700_000_000_123)}
 		datagram, err := encodeOrigins(statement)
 		Expect(err).NotTo(HaveOccurred())
 		decoded, err := decode(datagram)
--- a/streamorigin/message.go
+++ b/streamorigin/message.go
@@ -15,6 +15,9 @@
 func Encode(statement Statement) *wire.StreamOrigins {
 	message, indexes := EncodeVersions(statement.InService), make(map[Origin]uint32)
 	message.InService = uint32(len(message.Services))
+	if !statement.WrittenAt.IsZero() {
+		message.WrittenUnixMs = statement.WrittenAt.UnixMilli()
+	}
 	for i, service := range message.Services {
 		indexes[Origin{Service: service, Version: message.Versions[i]}] = uint32(i)
 	}
@@ -43,6 +46,9 @@
 		return Statement{}, fmt.Errorf("%w: %d of %d versions in service", errMalformed, message.InService, named)
 	}
 	statement := Statement{InService: make(map[Origin]bool, message.InService)}
+	if message.WrittenUnixMs != 0 {
+		statement.WrittenAt = time.UnixMilli(message.WrittenUnixMs)
+	}
 	for i := range message.InService {
 		statement.InService[Origin{Service: message.Services[i], Version: message.Versions[i]}] = true
 	}
