streamorigin: a caller's wait covers a read in a fleet of 295 instances

Callers who took a stream up in a large fleet were refused before the next read of the shared origins was due.

Cause: reads of an instance are 2 ms times the number of instances apart, 590 ms at 295, while a request waits 400 ms; the table of time bounds has the smallest deployments only.

Change: 1 ms an instance, a wait of 500 ms, and a row for 295 instances (445 ms). Requests wait there for a read that began after them.

Measured: TestStoreTimesAddUpToLessThanTheirBounds fails with the former read rate (740 ms) and passes now. Not measured: 295 instances on one store.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -17,7 +17,7 @@
 
 const (
 	// findLimit is how long a request waits for the origin of its stream.
-	findLimit = 400 * time.Millisecond
+	findLimit = 500 * time.Millisecond
 	// originPeers is the number of instances that origins are sent to directly. In larger fleets they are sent within the data centre.
 	originPeers = 31
 	// originBytesPerSecond is for the origins that one instance sends to all others.
--- a/entry/time_bounds_test.go
+++ b/entry/time_bounds_test.go
@@ -28,7 +28,8 @@
 		{"silent watch", s.WatchWait + platform.WatchMargin + s.FirstBackoff + answer, s.Bound},
 		{"lost relay", s.RelayWait + s.RelayMargin + s.SharedGap + answer, s.Bound},
 		{"end of a cut", platform.DefaultCallTimeout + s.RelayWait + s.RelayMargin + s.MaxBackoff + answer, contact},
-		{"origin of a stream", s.OriginStoreInterval + streamorigin.MinReadInterval + answer, s.FindLimit},
+		{"origin of a stream", s.OriginStoreInterval + streamorigin.ReadInterval(8) + answer, s.FindLimit},
+		{"origin of a stream, 295 instances", s.OriginStoreInterval + streamorigin.ReadInterval(295) + answer, s.FindLimit},
 		{"sign of an outage", s.AbsenceLimit + s.ControlInterval, s.Bound},
 	} {
 		if row.sum > row.bound {
--- a/streamorigin/directory.go
+++ b/streamorigin/directory.go
@@ -10,7 +10,7 @@
 const maxConnectionGap = time.Second
 
 // readPatience is how long a caller waits for the next read. Where reads are rarer, the last one counts for the difference.
-const readPatience = 200 * time.Millisecond
+const readPatience = 300 * time.Millisecond
 
 // Answer is what a Directory knows of a stream.
 type Answer uint8
@@ -202,7 +202,7 @@
 // fresh reports whether the listed endpoints were confirmed lately and the shared entries read since a time. The first alone would
 // not do for an instance that has just been cut off. The caller holds d.mu.
 func (d *Directory) fresh(now, since time.Time) bool {
-	return now.Sub(d.confirmedAt) <= d.maxAge && !d.readAt.Before(since.Add(-max(readInterval(d.connection.Instances)-readPatience, 0)))
+	return now.Sub(d.confirmedAt) <= d.maxAge && !d.readAt.Before(since.Add(-max(ReadInterval(d.connection.Instances)-readPatience, 0)))
 }
 
 // ObserveConnection records how this instance is connected to the others. A process that was paused has missed a loss.
--- a/streamorigin/schedule.go
+++ b/streamorigin/schedule.go
@@ -2,15 +2,15 @@
 
 import "time"
 
-// MinReadInterval is the shortest time between two reads of an instance.
-const MinReadInterval = 100 * time.Millisecond
+// minReadInterval is the shortest time between two reads of an instance.
+const minReadInterval = 100 * time.Millisecond
 
 const (
 	// minWriteInterval is the shortest time between two writes of an instance.
 	minWriteInterval = 250 * time.Millisecond
 	// writesPerSecond bounds the writes of all instances together, readsPerSecond their reads.
 	writesPerSecond = 100
-	readsPerSecond  = 500
+	readsPerSecond  = 1000
 	// remainsAge is how long an object of another instance has to be unchanged before it is deleted: its streams can no longer be
 	// taken up, also if the object was read late.
 	remainsAge = 2 * Lifetime
@@ -83,9 +83,9 @@
 // NewSchedule returns a Schedule. spread is a random number in [0, 1), by which the calls of the instances are spread.
 func NewSchedule(spread float64) *Schedule { return &Schedule{spread: spread} }
 
-// readInterval is the shortest time between two reads of an instance of so many.
-func readInterval(instances int) time.Duration {
-	return max(MinReadInterval, time.Duration(instances)*time.Second/readsPerSecond)
+// ReadInterval is the shortest time between two reads of an instance of so many.
+func ReadInterval(instances int) time.Duration {
+	return max(minReadInterval, time.Duration(instances)*time.Second/readsPerSecond)
 }
 
 // writeInterval is the shortest time between two writes of an instance of so many.
@@ -109,9 +109,9 @@
 	}
 	observe(now, &s.unreadSince, in.Unread)
 	observe(now, &s.unwrittenSince, in.Mixed && in.Unwritten)
-	canRead := now.Sub(s.readAt) >= readInterval(in.Instances)
+	canRead := now.Sub(s.readAt) >= ReadInterval(in.Instances)
 	canWrite := now.Sub(s.wroteAt) >= writeInterval(in.Instances)
-	readSpread := time.Duration(s.spread * float64(readInterval(in.Instances)))
+	readSpread := time.Duration(s.spread * float64(ReadInterval(in.Instances)))
 	writeSpread := time.Duration(s.spread * float64(writeInterval(in.Instances)))
 	cleanAge := remainsAge
 	if s.remains == RemainderOutdated {
