streamorigin: a 33rd version replaces the one that stops counting first

A caller could be joined to another version of a service that has had more than 32 versions within 30 s.

Cause: beyond 32 versions a further one was dropped, also one that counts longer than those kept; when these ended, the only listed version was certain.

Change: it replaces the version that stops counting first.

Measured: the new spec fails without the replacement and passes with it.

--- a/streamorigin/directory_test.go
+++ b/streamorigin/directory_test.go
@@ -143,6 +143,22 @@
 		Expect(find(directory, "a")).To(BeEmpty())
 	})
 
+	// Guards against a version that is not counted because of many others that end before it (ORDER).
+	It("counts a version after 32 others that end before it", func() {
+		d := streamorigin.NewDirectory(time.Minute, 0)
+		for n := range 32 {
+			d.Record(now, fmt.Sprint(n), origin(fmt.Sprint("a", n)), now.Add(time.Second))
+		}
+		d.Learn(now, streamorigin.Statement{Entries: []streamorigin.Entry{{Key: 1, Origin: origin("old"), Remaining: streamorigin.Lifetime}}})
+		list(d, "new")
+		now = now.Add(streamorigin.Lifetime - time.Second)
+		list(d, "new")
+		Expect(find(d, "another stream of old")).To(Equal(streamorigin.Mixed.String()))
+		now = now.Add(time.Second)
+		list(d, "new")
+		Expect(find(d, "a stream of new")).To(Equal("new"))
+	})
+
 	// Guards against messages from another version of the program, or broken ones, that end the process.
 	It("refuses a message whose columns don't fit", func() {
 		message := streamorigin.Encode(streamorigin.Statement{Entries: []streamorigin.Entry{{Key: 1, Origin: origin("v1"), Remaining: time.Second}}})
--- a/streamorigin/history.go
+++ b/streamorigin/history.go
@@ -91,9 +91,24 @@
 		versions = make(map[string]sighting)
 		h.services[origin.Service] = versions
 	}
-	if _, known := versions[origin.Version]; known || seen.listed || len(versions) < maxVersions {
-		versions[origin.Version] = seen
+	if _, known := versions[origin.Version]; !known && !seen.listed && len(versions) >= maxVersions {
+		first, ok := firstToEnd(versions)
+		if !ok || !versions[first].until.Before(seen.until) {
+			return
+		}
+		delete(versions, first)
+	}
+	versions[origin.Version] = seen
+}
+
+// firstToEnd returns the version that stops counting first, false if all are listed.
+func firstToEnd(versions map[string]sighting) (first string, ok bool) {
+	for version, seen := range versions {
+		if !seen.listed && (!ok || seen.until.Before(versions[first].until)) {
+			first, ok = version, true
+		}
 	}
+	return first, ok
 }
 
 // versions returns the versions of a service that count, sorted.
