entry: a further version is announced when another instance is known

An instance that read the endpoints before the list of the instances would have announced a further version to nobody, and would not have done so again.

Change: versions wait to be announced until another instance is known.

Measured: the new spec fails without the condition and passes with it.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -130,7 +130,9 @@
 		}
 		o.lg.Info(message, "service", change.Service, "versions", change.Versions)
 	}
-	announced = o.directory.TakeAnnouncement()
+	if connection.Instances > 1 {
+		announced = o.directory.TakeAnnouncement()
+	}
 	if o.pace.due(now) {
 		stated = o.directory.TakeUnsent(now, gossip.MaxOrigins)
 	}
--- a/entry/origins_instance_test.go
+++ b/entry/origins_instance_test.go
@@ -30,6 +30,15 @@
 		Expect(first(i.origins.directory.Versions(now))).To(Equal(map[streamorigin.Origin]bool{origin: true, {Service: "t", Version: "v2"}: true}))
 	})
 
+	// Guards against a version that is announced to nobody, since the endpoints were read before the list of the instances (ORDER).
+	It("announces a further version when it knows another instance", func() {
+		i, now := newInstance(), clock.Now()
+		alone, pair := streamorigin.Connection{Complete: true, Instances: 1}, streamorigin.Connection{Instances: 2}
+		i.origins.directory.SetListed(now, map[streamorigin.Origin]bool{origin: true, {Service: originsService, Version: "v2"}: true})
+		Expect(first(i.origins.update(now, alone)).IsEmpty()).To(BeTrue())
+		Expect(first(i.origins.update(now, pair)).Versions()).To(Equal([]string{"s/v1", "s/v2"}))
+	})
+
 	// Guards against streams of a new version that go on at the former one at an instance that is cut off or behind (ORDER), and against
 	// refusals otherwise (LOST).
 	DescribeTable("is certain of the only version", func(arrange func(*Instance, time.Time), answer streamorigin.Answer) {
