streamorigin: a version that returns within its lifetime is not announced again

Endpoints of a new version that crash and come back one at a time would have caused three messages to all instances at each return.

Cause: a version that is not listed for a moment was new when it returned, although it still counts at the others.

Change: a version that was listed here counts as known to the others until its lifetime has ended.

--- a/streamorigin/directory_test.go
+++ b/streamorigin/directory_test.go
@@ -87,6 +87,14 @@
 			Expect(other.TakeAnnouncement().IsEmpty()).To(BeTrue())
 		}
 		Expect(directory.TakeAnnouncement().IsEmpty()).To(BeTrue())
+		list(directory, "v1")
+		now = now.Add(streamorigin.Lifetime - time.Second)
+		list(directory, "v1", "v2") // an endpoint that restarts
+		Expect(directory.TakeAnnouncement().IsEmpty()).To(BeTrue())
+		list(directory, "v1")
+		now = now.Add(streamorigin.Lifetime)
+		list(directory, "v1", "v2")
+		Expect(directory.TakeAnnouncement().IsEmpty()).To(BeFalse())
 	})
 
 	// Guards against a take-up that is refused or guessed because its stream waits behind older ones to be sent (ORDER, LOST).
--- a/streamorigin/history.go
+++ b/streamorigin/history.go
@@ -21,19 +21,19 @@
 	// listed is set while an endpoint with the version is listed. Otherwise the version counts until a time.
 	listed bool
 	until  time.Time
-	// told is set if another instance has stated the version as in service.
+	// told is set if the other instances know the version: one of them has stated it as in service, or it was listed here before.
 	told bool
 }
 
 func newHistory() *history { return &history{services: make(map[string]map[string]sighting)} }
 
 // setListed sets the versions of all listed endpoints. Versions that are no longer listed count for Lifetime. It returns those of
-// services with several versions that were not listed before and that no other instance has stated.
+// services with several versions that the other instances may not know.
 func (h *history) setListed(now time.Time, listed map[Origin]bool) (added []Origin) {
 	for service, versions := range h.services {
 		for version, seen := range versions {
 			if seen.listed && !listed[Origin{service, version}] {
-				versions[version] = sighting{until: now.Add(Lifetime)}
+				versions[version] = sighting{until: now.Add(Lifetime), told: true}
 			}
 		}
 	}
