--- a/entry/origin_store.go
+++ b/entry/origin_store.go
@@ -35,6 +35,8 @@
 	lg      *slog.Logger
 	store   objectapi.Store
 	origins *origins
+	// wallNow returns the estimated true time of day.
+	wallNow func() time.Time
 	// name is the name of this instance's object. That of an earlier boot stays until its streams are too old.
 	name string
 	// instances returns the number of instances, isCandidate whether this one does what one has to do for all.
@@ -51,11 +53,11 @@
 }
 
 func newOriginStore(
-	lg *slog.Logger, store objectapi.Store, o *origins, self fleetstate.Source, spread float64, instances func() int, isCandidate func() bool,
-	registry metrics.Registry,
+	lg *slog.Logger, store objectapi.Store, o *origins, wallNow func() time.Time, self fleetstate.Source, spread float64, instances func() int,
+	isCandidate func() bool, registry metrics.Registry,
 ) *originStore {
 	return &originStore{
-		lg: lg, store: store, origins: o, name: self.Instance + "-" + strconv.FormatUint(self.Boot, 36), instances: instances,
+		lg: lg, store: store, origins: o, wallNow: wallNow, name: self.Instance + "-" + strconv.FormatUint(self.Boot, 36), instances: instances,
 		isCandidate: isCandidate, schedule: streamorigin.NewSchedule(spread),
 		reads:  metrics.NewRegisteredCounter("stream_origin_reads", registry),
 		writes: metrics.NewRegisteredCounter("stream_origin_writes", registry),
@@ -90,7 +92,7 @@
 		VersionsDiffer: complete && len(current) > 0 && !maps.Equal(current, s.versions), IsCandidate: s.isCandidate(), Instances: s.instances(),
 	})
 	var err error
-	remains := false
+	remains := streamorigin.RemainderNone
 	switch step {
 	case streamorigin.StepNone:
 		return nil
@@ -110,15 +112,15 @@
 	return err
 }
 
-// read learns what the objects of other instances state. It reports whether there are any that were not deleted. If clean is set,
-// it deletes those that have been unchanged for a long time.
-func (s *originStore) read(ctx context.Context, begin time.Time, clean bool) (remains bool, err error) {
+// read learns what the objects of other instances state. It tells which of them were not deleted. If clean is set, it deletes
+// streamorigin.MaxCleanDeletes of those that have been unchanged for a long time.
+func (s *originStore) read(ctx context.Context, begin time.Time, clean bool) (remains streamorigin.Remainder, err error) {
 	s.reads.Inc(1)
 	hashes, values := make(map[string]uint64), make(map[string]objectapi.Object)
 	for after := ""; ; {
 		reply, err := s.store.Do(ctx, objectapi.Request{Op: objectapi.OpList, Kind: objectapi.KindStreamOrigin, After: after})
 		if err != nil {
-			return false, oops.With("step", "list stream origins").Wrap(err)
+			return remains, oops.With("step", "list stream origins").Wrap(err)
 		}
 		for _, object := range reply.Objects {
 			if object.Name != s.name {
@@ -141,13 +143,18 @@
 	}
 	s.origins.directory.Read(begin)
 	s.origins.signal()
+	deleted := 0
 	for name, object := range values {
 		if !clean || !outdated[name] {
-			remains = true
+			remains = max(remains, streamorigin.RemainderYoung)
 			continue
 		}
+		if deleted++; deleted > streamorigin.MaxCleanDeletes {
+			remains = streamorigin.RemainderOutdated
+			break
+		}
 		if err := s.remove(ctx, name, object.Version); err != nil {
-			return true, err
+			return streamorigin.RemainderOutdated, err
 		}
 		s.lg.Info("stream origins of a former boot deleted", "object", name)
 	}
@@ -158,15 +165,15 @@
 func (s *originStore) take(object objectapi.Object) {
 	message := &wire.StreamOrigins{}
 	err := proto.Unmarshal(object.Value, message)
-	var entries []streamorigin.Entry
+	var statement streamorigin.Statement
 	if err == nil {
-		entries, err = streamorigin.Decode(message)
+		statement, err = streamorigin.Decode(message)
 	}
 	if err != nil {
 		s.lg.Warn("stored stream origins ignored", "object", object.Name, "error", err.Error())
 		return
 	}
-	s.origins.directory.Learn(s.origins.now(), entries)
+	s.origins.directory.Learn(s.origins.now(), statement.Aged(s.wallNow()))
 }
 
 // takeVersions takes over the object versionsObject. If changed is set, its versions count as in service until now.
@@ -189,7 +196,7 @@
 // write writes the object of this instance.
 func (s *originStore) write(ctx context.Context, now time.Time) error {
 	entries := s.origins.directory.TakeOwn(now, maxWrittenOrigins)
-	object, err := s.put(ctx, s.name, s.version, streamorigin.Encode(entries))
+	object, err := s.put(ctx, s.name, s.version, streamorigin.Encode(streamorigin.Statement{Entries: entries, WrittenAt: s.wallNow()}))
 	if err == nil || errors.Is(err, objectapi.ErrConflict) {
 		s.version = object.Version
 	}
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"log/slog"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -90,17 +92,29 @@
 			{Key: 2, Origin: streamorigin.Origin{Service: "s", Version: "v2"}, Remaining: time.Millisecond},
 			{Key: 3, Origin: streamorigin.Origin{Service: "s", Version: "v1"}, Remaining: time.Second},
 		}
-		datagram, err := encodeOrigins(entries)
+		statement := streamorigin.Statement{InService: map[streamorigin.Origin]bool{{Service: "s", Version: "v3"}: true, entries[0].Origin: true}, Entries: entries, WrittenAt: time.UnixMilli(1_700_000_000_123)}
+		datagram, err := encodeOrigins(statement)
 		Expect(err).NotTo(HaveOccurred())
 		decoded, err := decode(datagram)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(decoded.origins).To(Equal(entries))
-		datagram, err = encodeOrigins(slices.Repeat(entries[:1], MaxOrigins+1))
+		Expect(decoded.origins).To(HaveValue(Equal(statement)))
+		datagram, err = encodeOrigins(streamorigin.Statement{Entries: slices.Repeat(entries[:1], MaxOrigins+1)})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = decode(datagram)
 		Expect(err).To(MatchError(errMalformed))
 	})
 
+	// Guards against origins of streams that are received and dropped.
+	ginkgo.It("reach the handler of origins", func() {
+		statement := streamorigin.Statement{InService: map[streamorigin.Origin]bool{{Service: "s", Version: "v1"}: true}, Entries: []streamorigin.Entry{}}
+		datagram, err := encodeOrigins(statement)
+		Expect(err).NotTo(HaveOccurred())
+		var handled []streamorigin.Statement
+		socket := &Socket{lg: slog.New(slog.DiscardHandler)}
+		socket.handle(datagram, netip.AddrPort{}, Handler{Origins: func(s streamorigin.Statement) { handled = append(handled, s) }})
+		Expect(handled).To(Equal([]streamorigin.Statement{statement}))
+	})
+
 	// Guards against a member that subtracts the wrong report of its own from a digest.
 	ginkgo.It("address one encoded digest to each receiver", func() {
 		digest := fleetstate.Digest{
@@ -157,7 +171,7 @@
 		f.Fatal(err)
 	}
 	f.Add(report[checksumBytes:])
-	origins, err := encodeOrigins([]streamorigin.Entry{{Key: 1, Remaining: time.Second}})
+	origins, err := encodeOrigins(streamorigin.Statement{Entries: []streamorigin.Entry{{Key: 1, Remaining: time.Second}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -179,7 +193,7 @@
 		case decoded.summary != nil:
 			fleet.ObserveSummary(now, *decoded.summary)
 		case decoded.origins != nil:
-			streamorigin.NewDirectory(time.Second, 0).Learn(now, decoded.origins)
+			streamorigin.NewDirectory(time.Second, 0).Learn(now, *decoded.origins)
 		default:
 			fleet.ObserveDigest(now, *decoded.digest)
 		}
--- a/streamorigin/directory.go
+++ b/streamorigin/directory.go
@@ -6,17 +6,11 @@
 	"time"
 )
 
-// maxUnsent bounds the streams that wait to be sent to other instances.
-const maxUnsent = 1 << 14
-
 // maxConnectionGap is the longest time between two calls of ObserveConnection without a pause of the process.
 const maxConnectionGap = time.Second
 
 // readPatience is how long a caller waits for the next read. Where reads are rarer, the last one counts for the difference.
-const readPatience = 200 * time.Millisecond
-
-// sendCount is the number of messages that name a stream, since messages are lost.
-const sendCount = 2
+const readPatience = 300 * time.Millisecond
 
 // Answer is what a Directory knows of a stream.
 type Answer uint8
@@ -71,25 +65,22 @@
 	// connectionAt is the time of the last ObserveConnection, apartAt the last time at which this instance was not connected to all
 	// others.
 	connectionAt, apartAt time.Time
-	// instances is the number of instances at the last ObserveConnection.
-	instances int
+	// connection is what the last ObserveConnection stated.
+	connection Connection
 	// gapAt is the end of the last time in which versions can have been missed, unread whether the entries that other instances
 	// share have not been read since. readAt is the begin of the last read.
 	gapAt, readAt time.Time
 	unread        bool
 	// mixed holds the services with several versions, and their versions, at the last Update.
 	mixed map[string][]string
-	// unsent holds the streams to send to other instances and the number of messages that have to name each.
-	unsent []unsentStream
+	// unsent holds the streams to send to other instances.
+	unsent unsent
+	// announcements holds the versions to tell all other instances of.
+	announcements announcements
 	// unwritten is set if a stream of a mixed service has begun here since the last TakeOwn.
 	unwritten bool
 }
 
-type unsentStream struct {
-	key  Key
-	left int
-}
-
 // NewDirectory returns an empty Directory. Endpoints that were not confirmed for maxAge may lack a version. maxMemory is what the
 // streams may take in bytes; 0 allows MaxEntries.
 func NewDirectory(maxAge time.Duration, maxMemory int) *Directory {
@@ -109,22 +100,19 @@
 	d.history.saw(now, origin, until)
 	if added && len(d.history.versions(now, origin.Service)) > 1 {
 		d.unwritten = true
-		d.enqueue(key)
-	}
-}
-
-// enqueue schedules a stream for the next messages. The caller holds d.mu.
-func (d *Directory) enqueue(key Key) {
-	if len(d.unsent) < maxUnsent {
-		d.unsent = append(d.unsent, unsentStream{key: key, left: sendCount})
+		d.unsent.add(key)
 	}
 }
 
 // Learn takes over what another instance states.
-func (d *Directory) Learn(now time.Time, entries []Entry) {
+func (d *Directory) Learn(now time.Time, statement Statement) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, entry := range entries {
+	for origin := range statement.InService {
+		d.history.told(now, origin)
+		d.announcements.told(origin)
+	}
+	for _, entry := range statement.Entries {
 		until := now.Add(entry.Remaining)
 		d.memory.add(now, entry.Key, entry.Origin, until, false)
 		d.history.saw(now, entry.Origin, until)
@@ -140,11 +128,13 @@
 	}
 }
 
-// SetListed sets the origins of all listed endpoints.
+// SetListed sets the origins of all listed endpoints. A further version of a service is to be announced to all other instances.
 func (d *Directory) SetListed(now time.Time, listed map[Origin]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.history.setListed(now, listed)
+	for _, origin := range d.history.setListed(now, listed) {
+		d.announcements.add(origin)
+	}
 }
 
 // Confirm records that the listed endpoints were complete at the time at. After a longer time without, versions may have come and
@@ -201,27 +191,28 @@
 	}
 }
 
-// connectedSinceConfirm reports whether this instance has been connected to all others since the listed endpoints were confirmed last.
-// Then no instance reads the store, and none knows other versions. The caller holds d.mu.
+// connectedSinceConfirm reports whether this instance has been connected to all others since the listed endpoints were confirmed last,
+// and these were confirmed lately or no instance reads the store. Then no other instance knows of a version without having announced
+// it. The caller holds d.mu.
 func (d *Directory) connectedSinceConfirm(now time.Time) bool {
-	return d.apartAt.Before(d.confirmedAt) && now.Sub(d.connectionAt) <= maxConnectionGap
+	isBehind := d.connection.StoreReached && now.Sub(d.confirmedAt) > d.maxAge
+	return d.apartAt.Before(d.confirmedAt) && now.Sub(d.connectionAt) <= maxConnectionGap && !isBehind
 }
 
 // fresh reports whether the listed endpoints were confirmed lately and the shared entries read since a time. The first alone would
 // not do for an instance that has just been cut off. The caller holds d.mu.
 func (d *Directory) fresh(now, since time.Time) bool {
-	return now.Sub(d.confirmedAt) <= d.maxAge && !d.readAt.Before(since.Add(-max(readInterval(d.instances)-readPatience, 0)))
+	return now.Sub(d.confirmedAt) <= d.maxAge && !d.readAt.Before(since.Add(-max(ReadInterval(d.connection.Instances)-readPatience, 0)))
 }
 
-// ObserveConnection records whether this instance is connected to all others, and the number of instances. A process that was paused
-// has missed a loss.
-func (d *Directory) ObserveConnection(now time.Time, connected bool, instances int) {
+// ObserveConnection records how this instance is connected to the others. A process that was paused has missed a loss.
+func (d *Directory) ObserveConnection(now time.Time, connection Connection) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !connected || now.Sub(d.connectionAt) > maxConnectionGap {
+	if !connection.Complete || now.Sub(d.connectionAt) > maxConnectionGap {
 		d.apartAt = now
 	}
-	d.connectionAt, d.instances = now, instances
+	d.connectionAt, d.connection = now, connection
 }
 
 // Update returns the services whose streams have several versions since the last call, or no longer. The streams that began here
@@ -239,9 +230,9 @@
 		}
 		d.mixed[service] = versions
 		changes = append(changes, Change{Service: service, Versions: versions, Mixed: true})
-		for _, entry := range d.memory.own(now, func(name string) bool { return name == service }) {
+		for _, entry := range slices.Backward(d.memory.own(now, func(name string) bool { return name == service })) {
 			d.unwritten = true
-			d.enqueue(entry.Key)
+			d.unsent.add(entry.Key)
 		}
 	}
 	for service := range d.mixed {
@@ -251,7 +242,7 @@
 		}
 	}
 	if len(d.mixed) == 0 {
-		d.unsent, d.unwritten = nil, false
+		d.unsent, d.unwritten, d.announcements = unsent{}, false, announcements{}
 	}
 	return changes
 }
@@ -287,25 +278,30 @@
 	d.unwritten = true
 }
 
-// TakeUnsent returns the entries for the next message, at most limit. Each stream is returned sendCount times in all.
-func (d *Directory) TakeUnsent(now time.Time, limit int) []Entry {
+// TakeAnnouncement returns the versions to tell all other instances of now, at most maxInService. Each is returned
+// announcementCount times in all, none that another instance has stated before.
+func (d *Directory) TakeAnnouncement() Statement {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Statement{InService: d.announcements.take()}
+}
+
+// TakeUnsent returns the next message: at most limit streams, the newest first, and the versions in service of their services. Each
+// stream is returned twice in all.
+func (d *Directory) TakeUnsent(now time.Time, limit int) Statement {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := min(limit, len(d.unsent))
 	var entries []Entry
-	var again []unsentStream
-	for _, stream := range d.unsent[:n] {
-		entry, ok := d.memory.entry(now, stream.key)
-		if !ok {
-			continue
-		}
-		entries = append(entries, entry)
-		if stream.left--; stream.left > 0 {
-			again = append(again, stream)
+	for _, key := range d.unsent.take(limit) {
+		if entry, ok := d.memory.entry(now, key); ok {
+			entries = append(entries, entry)
 		}
 	}
-	d.unsent = slices.Concat(d.unsent[n:], again)
-	return entries
+	services := make(map[string]bool)
+	for _, entry := range entries {
+		services[entry.Origin.Service] = true
+	}
+	return Statement{InService: d.history.inService(services, maxInService), Entries: entries}
 }
 
 // Versions returns the origins that streams can have that may be taken up, of services with any stated version, and whether none
--- a/streamorigin/directory_test.go
+++ b/streamorigin/directory_test.go
@@ -27,7 +27,7 @@
 		d.SetListed(now, listed)
 		d.Confirm(now, now)
 		d.Read(now)
-		d.ObserveConnection(now, true, 2)
+		d.ObserveConnection(now, streamorigin.Connection{Complete: true, Instances: 2})
 	}
 	find := func(d *streamorigin.Directory, id string) string {
 		found, answer := d.Find(now, now, id, service)
@@ -54,13 +54,13 @@
 			directory.Record(now, fmt.Sprint(n), origin(versionOf(n)), now.Add(streamorigin.Lifetime))
 		}
 		messages := 0
-		for entries := directory.TakeUnsent(now, 500); len(entries) > 0; entries = directory.TakeUnsent(now, 500) {
+		for statement := directory.TakeUnsent(now, 500); len(statement.Entries) > 0; statement = directory.TakeUnsent(now, 500) {
 			if messages++; messages%3 != 0 { // every third message is lost
-				other.Learn(now, entries)
+				other.Learn(now, statement)
 			}
 		}
 		Expect(messages).To(Equal(2 * streams / 500))
-		other.Learn(now, directory.TakeOwn(now, streams))
+		other.Learn(now, streamorigin.Statement{Entries: directory.TakeOwn(now, streams)})
 		list(other, "v2")
 		for n := range streams {
 			Expect(find(other, fmt.Sprint(n))).To(Equal(versionOf(n)))
@@ -73,6 +73,49 @@
 		Expect(other.Remembered()).To(BeZero())
 	})
 
+	// Guards against a new version that one lost message hides (ORDER), and against messages to all from all instances at once.
+	It("announces a further version three times unless another instance has", func() {
+		other := streamorigin.NewDirectory(2*time.Second, 0)
+		list(other, "v1")
+		Expect(directory.TakeAnnouncement().IsEmpty()).To(BeTrue())
+		list(directory, "v1", "v2")
+		list(other, "v1", "v2")
+		for range 3 {
+			announced := directory.TakeAnnouncement()
+			Expect(announced.InService).To(Equal(map[streamorigin.Origin]bool{origin("v2"): true}))
+			other.Learn(now, announced)
+			Expect(other.TakeAnnouncement().IsEmpty()).To(BeTrue())
+		}
+		Expect(directory.TakeAnnouncement().IsEmpty()).To(BeTrue())
+		list(directory, "v1")
+		now = now.Add(streamorigin.Lifetime - time.Second)
+		list(directory, "v1", "v2") // an endpoint that restarts
+		Expect(directory.TakeAnnouncement().IsEmpty()).To(BeTrue())
+		list(directory, "v1")
+		now = now.Add(streamorigin.Lifetime)
+		list(directory, "v1", "v2")
+		Expect(directory.TakeAnnouncement().IsEmpty()).To(BeFalse())
+	})
+
+	// Guards against a take-up that is refused or guessed because its stream waits behind older ones to be sent (ORDER, LOST).
+	It("sends the newest streams first", func() {
+		record := func(name string, n int) {
+			for i := range n {
+				directory.Record(now, fmt.Sprint(name, i), origin("v1"), now.Add(streamorigin.Lifetime))
+			}
+		}
+		record("before", 1000)
+		list(directory, "v1", "v2")
+		directory.Update(now)
+		record("after", 100)
+		sent := directory.TakeUnsent(now, 200).Entries
+		for n := range 100 {
+			key := streamorigin.KeyOf(fmt.Sprint("after", n))
+			Expect(sent).To(ContainElement(HaveField("Key", key)))
+			Expect(sent).To(ContainElement(HaveField("Key", streamorigin.KeyOf(fmt.Sprint("before", 900+n)))))
+		}
+	})
+
 	// Guards against a memory that grows with the number of streams, or of origins.
 	It("forgets the oldest streams beyond its bound", func() {
 		small := streamorigin.NewDirectory(time.Second, 2*streamorigin.EntryBytes)
@@ -95,7 +138,7 @@
 	// Guards against a stream that goes on at one of two versions that both count as its own.
 	It("does not choose between two origins of one stream", func() {
 		directory.Record(now, "a", origin("v1"), now.Add(streamorigin.Lifetime))
-		directory.Learn(now, []streamorigin.Entry{{Key: streamorigin.KeyOf("a"), Origin: origin("v2"), Remaining: time.Second}})
+		directory.Learn(now, streamorigin.Statement{Entries: []streamorigin.Entry{{Key: streamorigin.KeyOf("a"), Origin: origin("v2"), Remaining: time.Second}}})
 		Expect(find(directory, "a")).To(Equal(streamorigin.Ambiguous.String()))
 	})
 
@@ -108,12 +151,50 @@
 		Expect(find(directory, "a")).To(BeEmpty())
 	})
 
+	// Guards against a version that is not counted because of many others that end before it (ORDER).
+	It("counts a version after 32 others that end before it", func() {
+		d := streamorigin.NewDirectory(time.Minute, 0)
+		for n := range 32 {
+			d.Record(now, fmt.Sprint(n), origin(fmt.Sprint("a", n)), now.Add(time.Second))
+		}
+		d.Learn(now, streamorigin.Statement{Entries: []streamorigin.Entry{{Key: 1, Origin: origin("old"), Remaining: streamorigin.Lifetime}}})
+		list(d, "new")
+		now = now.Add(streamorigin.Lifetime - time.Second)
+		list(d, "new")
+		Expect(find(d, "another stream of old")).To(Equal(streamorigin.Mixed.String()))
+		now = now.Add(time.Second)
+		list(d, "new")
+		Expect(find(d, "a stream of new")).To(Equal("new"))
+	})
+
+	// Guards against a version that is known from the streams of others only, and not counted (ORDER).
+	It("counts the versions of the streams that others state", func() {
+		directory.Learn(now, streamorigin.Statement{Entries: []streamorigin.Entry{{Key: 1, Origin: origin("v2"), Remaining: 5 * time.Second}}})
+		Expect(find(directory, "another stream of v2")).To(Equal(streamorigin.Mixed.String()))
+		now = now.Add(5 * time.Second)
+		list(directory, "v1")
+		Expect(find(directory, "a stream of v1")).To(Equal("v1"))
+	})
+
+	// Guards against endpoints that count as confirmed lately because the news of it is new (ORDER).
+	It("counts the age of a confirmation", func() {
+		begin := now
+		now = now.Add(3 * time.Second)
+		directory.ObserveConnection(now, streamorigin.Connection{Instances: 2})
+		directory.Confirm(now, begin)
+		directory.Read(now)
+		Expect(find(directory, "a")).To(Equal(streamorigin.Incomplete.String()))
+		directory.Confirm(now, now.Add(-time.Second))
+		directory.Read(now)
+		Expect(find(directory, "a")).To(Equal("v1"))
+	})
+
 	// Guards against messages from another version of the program, or broken ones, that end the process.
 	It("refuses a message whose columns don't fit", func() {
-		message := streamorigin.Encode([]streamorigin.Entry{{Key: 1, Origin: origin("v1"), Remaining: time.Second}})
-		entries, err := streamorigin.Decode(message)
+		message := streamorigin.Encode(streamorigin.Statement{Entries: []streamorigin.Entry{{Key: 1, Origin: origin("v1"), Remaining: time.Second}}})
+		statement, err := streamorigin.Decode(message)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(entries).To(HaveExactElements(streamorigin.Entry{Key: 1, Origin: origin("v1"), Remaining: time.Second}))
+		Expect(statement.Entries).To(HaveExactElements(streamorigin.Entry{Key: 1, Origin: origin("v1"), Remaining: time.Second}))
 		message.Origins[0] = 1
 		_, err = streamorigin.Decode(message)
 		Expect(err).To(HaveOccurred())
