entry: write stream origins again after a return of the store

Seen by the review (no caller saw it): an instance takes for stored what it has written, also after the store has returned from a copy without it. After a kill of all instances nobody then knew where streams began or which versions had served, and a caller's continuation could join two versions (ORDER).

At a rise of the era an instance forgets what it knows of its objects and of the versions in the store, and writes both again.

The new spec fails without the change (v2 for a stream of v1) and passes with it; go test of entry passes.

--- a/entry/origin_store.go
+++ b/entry/origin_store.go
@@ -30,10 +30,19 @@
 	maxWrittenOrigins = 1 << 14
 )
 
+// eraStore is a store that may return from an older copy.
+type eraStore interface {
+	objectapi.Store
+	// Era returns the highest era that an answer has named, 0 for none.
+	Era() objectapi.Era
+}
+
 // originStore keeps origins of streams in the store. Only its loop uses it.
 type originStore struct {
-	lg      *slog.Logger
-	store   objectapi.Store
+	lg    *slog.Logger
+	store eraStore
+	// era is the era of the store in which version and versionsVersion were read.
+	era     objectapi.Era
 	origins *origins
 	// wallNow returns the estimated true time of day.
 	wallNow func() time.Time
@@ -53,7 +62,7 @@
 }
 
 func newOriginStore(
-	lg *slog.Logger, store objectapi.Store, o *origins, wallNow func() time.Time, self fleetstate.Source, spread float64, instances func() int,
+	lg *slog.Logger, store eraStore, o *origins, wallNow func() time.Time, self fleetstate.Source, spread float64, instances func() int,
 	isCandidate func() bool, registry metrics.Registry,
 ) *originStore {
 	return &originStore{
@@ -86,6 +95,7 @@
 func (s *originStore) sync(ctx context.Context) error {
 	now := s.origins.now()
 	directory := s.origins.directory
+	s.observeEra()
 	current, complete := directory.Versions(now)
 	step := s.schedule.Next(now, streamorigin.Situation{
 		Unread: directory.Unread(), Awaited: s.origins.awaited.Load() > 0, Mixed: directory.Mixed(), Unwritten: directory.Unwritten(),
@@ -112,6 +122,16 @@
 	return err
 }
 
+// observeEra makes this instance write its objects again after a return of the store, which may have lost them.
+func (s *originStore) observeEra() {
+	era := s.store.Era()
+	if era == s.era {
+		return
+	}
+	s.era, s.version, s.versions, s.versionsVersion = era, 0, nil, 0
+	s.origins.directory.MarkUnwritten()
+}
+
 // read learns what the objects of other instances state. It tells which of them were not deleted. If clean is set, it deletes
 // streamorigin.MaxCleanDeletes of those that have been unchanged for a long time.
 func (s *originStore) read(ctx context.Context, begin time.Time, clean bool) (remains streamorigin.Remainder, err error) {
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -33,6 +33,25 @@
 		Expect(w.find(0, "of another instance")).To(Equal("v1"))
 	})
 
+	// Guards against streams that join two versions because the store has returned from a copy without what instances shared, and all
+	// instances are killed after that.
+	It("are written again after a return of the store", func() {
+		w := newOriginsWorld(2)
+		w.list("v1", "v2")
+		w.pass(time.Second)
+		w.record(0, "begun", "v1")
+		w.pass(time.Second)
+		w.store.restore()
+		w.pass(time.Second)
+		w.list("v2")
+		for n := range w.instances {
+			w.start(n)
+		}
+		w.pass(time.Second)
+		Expect(w.find(1, "begun")).To(Equal("v1"))
+		Expect(w.find(1, "of nobody")).To(BeEmpty())
+	})
+
 	// Guards against writes that take the store's rate from the duties while versions are mixed in a large fleet.
 	It("cost at most a hundred writes a second while versions are mixed", func() {
 		w := newOriginsWorld(40)
--- a/entry/origins_world_test.go
+++ b/entry/origins_world_test.go
@@ -22,6 +22,16 @@
 	// away makes all calls fail, listsAway those that read all objects, writesAway those that change one.
 	away, listsAway, writesAway bool
 	lists, calls                int
+	era                         objectapi.Era
+}
+
+// Era implements eraStore.
+func (s *objectStore) Era() objectapi.Era { return s.era }
+
+// restore lets the store return from a copy without objects.
+func (s *objectStore) restore() {
+	s.era++
+	s.objects, s.version = make(map[string]objectapi.Object), 0
 }
 
 // Do implements objectapi.Store.
