--- a/faultsoak/doc_test.go
+++ b/faultsoak/doc_test.go
@@ -6,7 +6,7 @@
 // overlap. Processes are paused, killed, stopped and restarted. Loopback proxies
 // delay or reset connections, or drop bytes in one or both directions. The store
 // refuses, delays or does not answer calls, loses replies, applies writes late and
-// compacts its watch history. Servers send malformed, unsigned, late or truncated
+// compacts its watch history, and in a test of its own returns from older copies. Servers send malformed, unsigned, late or truncated
 // responses. Server entries are removed and written again. The configuration and
 // the settings change. Whether a run passes does not depend on how long a step
 // takes.
