duty: compute the first new window of an era at each use

Cause: the first window that ended in the present era was computed once, from the time of day when the era was first seen. It was too early for good when the machine's clock was behind then (at a start, before the estimate is corrected), or when the instance was paused between the readings of the time of day and of the era. The record handed the value to the next holders, who took the lower one, so that one wrong clock misled them too.

Change: the duty keeps the time of the first sight on the decision clock, read after the era, and computes the window at each use from the present time of day less the time since. The value corrects itself with the estimate. The record says for how long its writer had seen the era, a duration of the decision clock; a reader takes its own time of reading less this duration, which is later than the writer's first sight whatever the time of day was.

One spec of the duration in the record. The calls of existing specs pass readings of three clocks instead of a time; their expectations are unchanged.

Cost: the value from the record is later than the writer's first sight by the age of the record, so that a process that started after the return may leave out a window that ended in between, in the first windows after a return.

--- a/duty/runner.go
+++ b/duty/runner.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"knapweedhoist/clock"
 	"knapweedhoist/internal/contain"
 	"knapweedhoist/lease"
 	"knapweedhoist/objectapi"
@@ -51,7 +52,7 @@
 		lg: lg, cfg: cfg, deps: deps, leaseRunner: leaseRunner, startedAt: time.Now(),
 		usageDuty: &usageDuty{
 			lg: lg, cfg: cfg, store: deps.Store, cloud: deps.Cloud, ledger: deps.Ledger, completeUntil: deps.CompleteUntil,
-			storeEra: deps.StoreEra,
+			now: clock.Now,
 		},
 		sizeDuty: newSizeDuty(lg, deps.Cloud, cfg.ChecksFence, leaseRunner.raiseFence),
 	}
@@ -107,7 +108,8 @@
 // runDuties runs each enabled duty once, or discards the state of the duties when the lease is not held. It does
 // nothing while calls of the former holder may be in flight to a cloud that ignores fencing tokens.
 func (r *Runner) runDuties(ctx context.Context) {
-	r.usageDuty.observeEra(r.deps.WallTime(), time.Now().Round(0))
+	r.usageDuty.observeEra(r.deps.StoreEra())
+	clocks := r.readClocks()
 	holder, err := r.permit()
 	if err != nil {
 		if errors.Is(err, lease.ErrNotHeld) {
@@ -117,7 +119,7 @@
 		return
 	}
 	if r.cfg.ReportsUsage {
-		err := r.usageDuty.runOnce(ctx, r.deps.WallTime(), r.permit)
+		err := r.usageDuty.runOnce(ctx, clocks, r.permit)
 		r.handleRefusedFence(err, holder.Fence)
 		r.logFailure("usage", err)
 	}
@@ -126,6 +128,12 @@
 	}
 }
 
+// readClocks returns the present times of the clocks.
+func (r *Runner) readClocks() reading {
+	now := clock.Now()
+	return reading{now: now, wall: r.deps.WallTime(), local: time.Now().Round(0)}
+}
+
 func (r *Runner) logFailure(step string, err error) {
 	if err != nil {
 		r.lg.Warn("duty failed", "step", step, "error", err.Error())
--- a/duty/usage_duty.go
+++ b/duty/usage_duty.go
@@ -20,12 +20,13 @@
 	ledger *usage.Ledger
 	// completeUntil returns the time of day up to which the counts of all connected instances have arrived.
 	completeUntil func() time.Time
-	// storeEra returns the highest era that any answer of store has named, 0 for none.
-	storeEra func() objectapi.Era
+	// now returns the time of the decision clock.
+	now func() time.Time
 
-	// era is the last result of storeEra, newFrom the first window that ended after this instance saw it, 0 for the era 0.
-	era     objectapi.Era
-	newFrom int64
+	// era is the highest era that any answer of store has named, 0 for none. seenAt is a time of the decision clock at which it
+	// had begun: when this instance, or one that wrote the record, saw it first.
+	era    objectapi.Era
+	seenAt time.Time
 	// known has the reports that this process has read or stored and that may still be due. They stay correct over returns of
 	// the store: a window is stored once, except by those who know its report.
 	known map[int64]usage.Counts
@@ -43,25 +44,15 @@
 }
 
 // observeEra must be called before each runOnce, and while the lease is not held: windows that ended before the present era was
-// seen may have been reported, although the store has lost the report. local is the wall clock of this machine: the estimate wall
-// may lag behind the former holder's, which would let this one report its windows again.
-func (d *usageDuty) observeEra(wall, local time.Time) {
-	era := d.storeEra()
+// seen may have been reported, although the store has lost the report.
+func (d *usageDuty) observeEra(era objectapi.Era) {
 	if era == d.era {
 		return
 	}
-	seen := wall
-	if local.After(wall) {
-		seen = wall.Add(min(local.Sub(wall), maxEstimateLag))
-	}
-	d.era, d.newFrom = era, d.ledger.Window(seen)
+	d.era, d.seenAt = era, d.now()
 	d.reset()
 }
 
-// maxEstimateLag bounds the lag of the estimated time of day that is taken into account, since the wall clock of this machine may be
-// far ahead, and no window before it is reported.
-const maxEstimateLag = 10 * time.Second
-
 // remember keeps a report that is stored, and drops those that are no longer due.
 func (d *usageDuty) remember(report usageReport, wall time.Time) {
 	if d.known == nil {
@@ -71,29 +62,30 @@
 	d.known[report.Window] = report.Counts
 }
 
-// firstNew returns the first window that ended in the present era, for all holders of this era that have written the record.
-func (d *usageDuty) firstNew() int64 {
-	if d.record.Era == d.era {
-		return min(d.newFrom, d.record.NewFrom)
+// firstNew returns the first window that ended after the present era was seen, 0 for the era 0. It is computed at each use, since
+// the time of day may have been wrong when the era was seen.
+func (d *usageDuty) firstNew(clocks reading) int64 {
+	if d.era == 0 {
+		return 0
 	}
-	return d.newFrom
+	return d.ledger.Window(clocks.wallAt(d.seenAt))
 }
 
 // runOnce does one of three things: it loads the record, stores the next report, or sends one stored report or drops it
 // if it is no longer due. permit returns the holder for one call to the cloud.
-func (d *usageDuty) runOnce(ctx context.Context, wall time.Time, permit func() (Holder, error)) error {
+func (d *usageDuty) runOnce(ctx context.Context, clocks reading, permit func() (Holder, error)) error {
 	if !d.loaded {
-		return d.loadRecord(ctx, wall)
+		return d.loadRecord(ctx, clocks.wall)
 	}
 	if len(d.unsent) == 0 {
-		return d.storeNextReport(ctx, wall)
+		return d.storeNextReport(ctx, clocks)
 	}
 	holder, err := permit()
 	if err != nil {
 		return err
 	}
 	report := d.unsent[0]
-	if d.expired(report.Window, wall) {
+	if d.expired(report.Window, clocks.wall) {
 		d.unsent = d.unsent[1:]
 		d.lg.Warn("usage report is past its due time and is not sent", "window", report.Window)
 		return nil
@@ -114,6 +106,12 @@
 		return err
 	}
 	d.record, d.loaded = record, true
+	if record.Era == d.era && record.SeenForMS > 0 {
+		// The record was written before now, so that the time since then makes this later than the writer's first sight.
+		if seenAt := d.now().Add(-time.Duration(record.SeenForMS) * time.Millisecond); seenAt.Before(d.seenAt) {
+			d.seenAt = seenAt
+		}
+	}
 	for _, report := range record.Reports {
 		if d.expired(report.Window, wall) {
 			continue
@@ -134,9 +132,10 @@
 
 // storeNextReport stores the report of the oldest unreported window whose counts have arrived and whose report is still
 // due, if there is one.
-func (d *usageDuty) storeNextReport(ctx context.Context, wall time.Time) error {
+func (d *usageDuty) storeNextReport(ctx context.Context, clocks reading) error {
+	wall := clocks.wall
 	window := max(d.record.lastWindow()+1, d.ledger.Window(wall.Add(-d.cfg.UsageDueWithin)))
-	firstNew := d.firstNew()
+	firstNew := d.firstNew(clocks)
 	counts, known := d.known[window]
 	for ; window < firstNew && !known; counts, known = d.known[window] {
 		window++
@@ -148,7 +147,7 @@
 		counts = d.ledger.Total(window)
 	}
 	report := usageReport{Window: window, Counts: counts}
-	record, err := d.record.appendReport(ctx, d.store, report, d.era, firstNew)
+	record, err := d.record.appendReport(ctx, d.store, report, d.era, clocks.now.Sub(d.seenAt))
 	if err != nil {
 		d.reset()
 		return err
--- a/duty/usage_duty_test.go
+++ b/duty/usage_duty_test.go
@@ -75,23 +75,29 @@
 	)
 	at := func(s float64) time.Time { return time.Unix(0, int64(s*1e9)) }
 	permit := func() (Holder, error) { return Holder{Name: "a", Fence: 1}, nil }
+	// now is the time of the decision clock and, where a spec says nothing else, the time of day.
+	var now time.Time
 	// completeUntil is the time of day up to which the counts of the other instances have arrived.
 	var completeUntil time.Time
 	newDuty := func(counts map[int64]map[string]float64) *usageDuty {
 		ledger := usage.NewLedger(5*time.Second, func(window int64) map[string]float64 { return counts[window] })
 		return &usageDuty{
 			lg: slog.New(slog.DiscardHandler), cfg: Config{}.withDefaults(), store: store, cloud: cloud, ledger: ledger,
-			completeUntil: func() time.Time { return completeUntil }, storeEra: func() objectapi.Era { return store.era },
+			completeUntil: func() time.Time { return completeUntil }, now: func() time.Time { return now },
 		}
 	}
-	runSteps := func(d *usageDuty, wall time.Time, n int) {
+	runStepsWith := func(d *usageDuty, clocks reading, n int) {
+		now = clocks.now
 		for range n {
-			d.observeEra(wall, wall)
-			if err := d.runOnce(ctx, wall, permit); err != nil {
+			d.observeEra(store.era)
+			if err := d.runOnce(ctx, clocks, permit); err != nil {
 				Expect(err).To(Or(MatchError(ErrUnavailable), MatchError(objectapi.ErrUnavailable), MatchError(objectapi.ErrConflict)))
 			}
 		}
 	}
+	runSteps := func(d *usageDuty, wall time.Time, n int) {
+		runStepsWith(d, reading{now: wall, wall: wall, local: wall}, n)
+	}
 
 	BeforeEach(func() {
 		store, cloud = &memoryStore{}, &strictCloud{reports: make(map[int64]usage.Counts)}
@@ -158,7 +164,7 @@
 	It("sends no report while the lease is not held", func() {
 		d := newDuty(map[int64]map[string]float64{2: {"t": 4}})
 		for range 6 {
-			if err := d.runOnce(ctx, at(16.6), func() (Holder, error) { return Holder{}, errors.New("not held") }); err != nil {
+			if err := d.runOnce(ctx, reading{now: at(16.6), wall: at(16.6), local: at(16.6)}, func() (Holder, error) { return Holder{}, errors.New("not held") }); err != nil {
 				Expect(err).To(MatchError("not held"))
 			}
 		}
@@ -218,11 +224,55 @@
 			returnStore()
 			counts[2] = map[string]float64{"t": 9}
 			next := newDuty(counts)
-			next.observeEra(at(10), at(17))
-			runSteps(next, at(16.7), 8)
+			now = at(17)
+			next.observeEra(store.era)
+			runStepsWith(next, reading{now: at(23.7), wall: at(16.7), local: at(23.7)}, 8)
+			Expect(cloud.reports[2]).To(Equal(usage.Counts{"t": 4}))
+			runStepsWith(next, reading{now: at(28.7), wall: at(21.7), local: at(28.7)}, 8)
+			Expect(cloud.reports).To(HaveKeyWithValue(int64(3), usage.Counts{"t": 5}))
+		})
+
+		// Guards against two different reports of one window from an instance whose clocks were behind when it saw the era, or that
+		// was paused between the reading of the clocks and that of the era.
+		It("does not report a window that ended before by the corrected time of day", func() {
+			counts := map[int64]map[string]float64{2: {"t": 4}, 3: {"t": 5}}
+			runSteps(newDuty(counts), at(15.4), 6)
+			returnStore()
+			counts[2] = map[string]float64{"t": 9}
+			next := newDuty(counts)
+			runStepsWith(next, reading{now: at(16), wall: at(10), local: at(10)}, 1)
+			runSteps(next, at(20.5), 8)
 			Expect(cloud.reports[2]).To(Equal(usage.Counts{"t": 4}))
-			runSteps(next, at(21.7), 8)
 			Expect(cloud.reports).To(HaveKeyWithValue(int64(3), usage.Counts{"t": 5}))
 		})
+
+		// Guards against two different reports of one window from the successor of a holder whose clocks were behind.
+		It("does not take windows for new by the former holder's time of day", func() {
+			counts := map[int64]map[string]float64{1: {"t": 3}, 2: {"t": 4}, 3: {"t": 5}}
+			first := newDuty(counts)
+			runSteps(first, at(16.6), 8)
+			Expect(cloud.reports).To(HaveLen(2))
+			returnStore()
+			runStepsWith(first, reading{now: at(17), wall: at(12), local: at(12)}, 2) // stores the report of window 1 again
+			counts[2] = map[string]float64{"t": 9}
+			next := newDuty(counts)
+			now = at(18)
+			next.observeEra(store.era)
+			runSteps(next, at(20.5), 8)
+			Expect(cloud.reports[2]).To(Equal(usage.Counts{"t": 4}))
+			Expect(cloud.reports).To(HaveKeyWithValue(int64(3), usage.Counts{"t": 5}))
+		})
+
+		// Guards against windows left out by a successor that saw the era late, and against a first sight that the time since the
+		// write makes earlier than that of the writer.
+		It("takes the first sight of the era from the record, later by the age of the record", func() {
+			first := newDuty(nil)
+			store.era, now = 1, at(17)
+			first.observeEra(1)
+			runSteps(first, at(20.6), 2)
+			next := newDuty(nil)
+			runSteps(next, at(24), 1)
+			Expect(next.seenAt).To(Equal(at(20.4)))
+		})
 	})
 })
--- a/duty/usage_record.go
+++ b/duty/usage_record.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"knapweedhoist/objectapi"
 	"knapweedhoist/usage"
@@ -18,10 +19,11 @@
 // usageRecord is the stored list of reports, oldest window first.
 type usageRecord struct {
 	Reports []usageReport `json:"reports"`
-	// Era is the era of the store in which the record was written, 0 if the store named none. Then NewFrom is the first window
-	// that ended in this era: the reports of earlier windows that are not in the record may be lost.
-	Era     objectapi.Era `json:"era,omitempty"`
-	NewFrom int64         `json:"new_from,omitempty"`
+	// Era is the era of the store in which the record was written, 0 if the store named none. SeenForMS is how long the holders of
+	// this era had seen it then, in milliseconds of their decision clocks: the reports of windows that ended before and are not in
+	// the record may be lost. A duration does not depend on the time of day of the writer.
+	Era       objectapi.Era `json:"era,omitempty"`
+	SeenForMS int64         `json:"seen_for_ms,omitempty"`
 
 	version objectapi.Version
 }
@@ -65,13 +67,16 @@
 	return r.Reports[len(r.Reports)-1].Window
 }
 
-// appendReport stores one more report in the given era, of which newFrom is the first window that ended in it. It returns
+// appendReport stores one more report in the given era, which the holders have seen for the time seenFor. It returns
 // objectapi.ErrConflict when another holder has stored one meanwhile, and errOtherEra when the write may have taken effect
 // in another era.
 func (r usageRecord) appendReport(
-	ctx context.Context, store objectapi.Store, report usageReport, era objectapi.Era, newFrom int64,
+	ctx context.Context, store objectapi.Store, report usageReport, era objectapi.Era, seenFor time.Duration,
 ) (usageRecord, error) {
-	next := usageRecord{Reports: append(append([]usageReport(nil), r.Reports...), report), Era: era, NewFrom: newFrom}
+	next := usageRecord{Reports: append(append([]usageReport(nil), r.Reports...), report), Era: era}
+	if era != 0 {
+		next.SeenForMS = max(0, seenFor.Milliseconds())
+	}
 	if len(next.Reports) > maxReports {
 		next.Reports = next.Reports[len(next.Reports)-maxReports:]
 	}
