duty: store the usage record of each era in an object of its own

Cause: the record was one object for all eras. After a return the store gives versions out again, so that the condition of a write that is still on its way can be met by the record of the new era. The write then replaces it; the next holder does not find a report that was sent, counts the window again and sends other counts.

Change: the object has the era in its name, "usage" as before where the store names none. A write of an earlier era only changes that era's object, which nobody reads any more, so the record needs no field for the era. A holder in a new era starts with the reports that its process knows.

Cost: a report that the store still has in the former era's object, but that no living instance knows and nobody sent, is left out: that object can't be trusted after a return. Objects of former eras stay, one for each return.

The store of the specs keeps objects by name now; other specs read the object of the present era. The log line of windows that are left out also covers those before the first record of an era.

--- a/duty/usage_duty.go
+++ b/duty/usage_duty.go
@@ -106,7 +106,7 @@
 		return err
 	}
 	d.record, d.loaded = record, true
-	if record.Era == d.era && record.SeenForMS > 0 {
+	if record.SeenForMS > 0 {
 		// The record was written before now, so that the time since then makes this later than the writer's first sight.
 		if seenAt := d.now().Add(-time.Duration(record.SeenForMS) * time.Millisecond); seenAt.Before(d.seenAt) {
 			d.seenAt = seenAt
@@ -135,7 +135,7 @@
 func (d *usageDuty) storeNextReport(ctx context.Context, clocks reading) error {
 	wall := clocks.wall
 	window := max(d.record.lastWindow()+1, d.ledger.Window(wall.Add(-d.cfg.UsageDueWithin)))
-	firstNew := d.firstNew(clocks)
+	due, firstNew := window, d.firstNew(clocks)
 	counts, known := d.known[window]
 	for ; window < firstNew && !known; counts, known = d.known[window] {
 		window++
@@ -152,8 +152,11 @@
 		d.reset()
 		return err
 	}
-	if skipped := window - d.record.lastWindow() - 1; d.record.lastWindow() != 0 && skipped > 0 && d.era != 0 {
-		d.lg.Warn("windows are not reported", "from", d.record.lastWindow()+1, "count", skipped, "era", d.era, "first_new", firstNew)
+	if last := d.record.lastWindow(); last != 0 {
+		due = last + 1
+	}
+	if window > due && d.era != 0 {
+		d.lg.Warn("windows are not reported", "from", due, "count", window-due, "era", d.era, "first_new", firstNew)
 	}
 	d.record = record
 	d.remember(report, wall)
--- a/duty/usage_duty_test.go
+++ b/duty/usage_duty_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,9 +15,9 @@
 	"knapweedhoist/usage"
 )
 
-// memoryStore is an in-memory store of one object.
+// memoryStore is an in-memory store of the objects of one kind, by name.
 type memoryStore struct {
-	object objectapi.Object
+	objects map[string]objectapi.Object
 	// loseNextReply makes the next write take effect and return ErrUnavailable.
 	loseNextReply bool
 	// era is that of the answers.
@@ -31,21 +32,23 @@
 }
 
 func (s *memoryStore) do(_ context.Context, request objectapi.Request) (objectapi.Reply, error) {
+	object := s.objects[request.Name]
 	switch {
-	case request.Op == objectapi.OpGet && s.object.Version == 0:
+	case request.Op == objectapi.OpGet && object.Version == 0:
 		return objectapi.Reply{}, objectapi.ErrNotFound
 	case request.Op == objectapi.OpGet:
-		return objectapi.Reply{Object: s.object}, nil
-	case request.Condition.IfAbsent && s.object.Version != 0,
-		request.Condition.IfVersion != 0 && request.Condition.IfVersion != s.object.Version:
-		return objectapi.Reply{Object: s.object}, objectapi.ErrConflict
+		return objectapi.Reply{Object: object}, nil
+	case request.Condition.IfAbsent && object.Version != 0,
+		request.Condition.IfVersion != 0 && request.Condition.IfVersion != object.Version:
+		return objectapi.Reply{Object: object}, objectapi.ErrConflict
 	}
-	s.object = objectapi.Object{Version: s.object.Version + 1, Value: request.Value}
+	object = objectapi.Object{Version: object.Version + 1, Value: request.Value}
+	s.objects[request.Name] = object
 	if s.loseNextReply {
 		s.loseNextReply = false
 		return objectapi.Reply{}, objectapi.ErrUnavailable
 	}
-	return objectapi.Reply{Object: s.object}, nil
+	return objectapi.Reply{Object: object}, nil
 }
 
 // strictCloud fails the test when two reports of the same window differ.
@@ -100,7 +103,7 @@
 	}
 
 	BeforeEach(func() {
-		store, cloud = &memoryStore{}, &strictCloud{reports: make(map[int64]usage.Counts)}
+		store, cloud = &memoryStore{objects: make(map[string]objectapi.Object)}, &strictCloud{reports: make(map[int64]usage.Counts)}
 		completeUntil = at(1000)
 	})
 
@@ -143,7 +146,7 @@
 		counts[1], counts[2] = map[string]float64{"t": 1}, map[string]float64{"t": 5}
 		runSteps(d, at(16.7), 8)
 		var stored usageRecord
-		stored, err := decodeUsageRecord(store.object)
+		stored, err := decodeUsageRecord(store.objects[usageObjectName(store.era)])
 		Expect(err).NotTo(HaveOccurred())
 		for _, report := range stored.Reports {
 			Expect(cloud.reports[report.Window]).To(Equal(report.Counts))
@@ -172,7 +175,7 @@
 	})
 
 	Context("after a return of the store from a copy that lacks a report", func() {
-		returnStore := func() { store.object, store.era = objectapi.Object{}, store.era+1 }
+		returnStore := func() { store.objects, store.era = make(map[string]objectapi.Object), store.era+1 }
 
 		// Guards against two different reports of one window: counts of other instances arrive after the first report.
 		It("repeats the report that it has sent", func() {
@@ -183,7 +186,7 @@
 			returnStore()
 			counts[2] = map[string]float64{"t": 9}
 			runSteps(d, at(17), 8) // strictCloud fails if the counts differ
-			stored, err := decodeUsageRecord(store.object)
+			stored, err := decodeUsageRecord(store.objects[usageObjectName(store.era)])
 			Expect(err).NotTo(HaveOccurred())
 			Expect(stored.Reports).To(ContainElement(usageReport{Window: 2, Counts: usage.Counts{"t": 4}}))
 		})
@@ -274,5 +277,26 @@
 			runSteps(next, at(24), 1)
 			Expect(next.seenAt).To(Equal(at(20.4)))
 		})
+
+		// Guards against two different reports of one window: a late write of an earlier era has the version of a write of this one.
+		It("does not report a window again whose report a late write of an earlier era would replace", func() {
+			counts := map[int64]map[string]float64{1: {"t": 1}, 2: {"t": 4}, 3: {"t": 5}, 4: {"t": 6}}
+			store.era, now = 1, at(9)
+			first, second, third := newDuty(counts), newDuty(counts), newDuty(counts)
+			first.observeEra(1)
+			runSteps(first, at(10.4), 6)
+			copied := maps.Clone(store.objects)
+			runSteps(first, at(15.4), 4)
+			runSteps(first, at(20.4), 1) // this write takes effect late
+			late := maps.Clone(store.objects)
+			store.objects, store.era, now = copied, 2, at(20.7)
+			second.observeEra(2)
+			third.observeEra(2)
+			runSteps(second, at(25.6), 4)
+			Expect(cloud.reports).To(HaveKey(int64(4)))
+			maps.Copy(store.objects, late)
+			counts[4] = map[string]float64{"t": 9}
+			runSteps(third, at(27), 8) // strictCloud fails if the counts differ
+		})
 	})
 })
--- a/duty/usage_record.go
+++ b/duty/usage_record.go
@@ -4,14 +4,21 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
 	"time"
 
 	"knapweedhoist/objectapi"
 	"knapweedhoist/usage"
 )
 
-// usageObjectName is the name of the object, of kind objectapi.KindDuty, that stores the usage record.
-const usageObjectName = "usage"
+// usageObjectName returns the name of the object, of kind objectapi.KindDuty, that stores the usage record of an era of the store.
+// Each era has its own: a late write of an earlier era could replace a shared one, since the store gives versions out again.
+func usageObjectName(era objectapi.Era) string {
+	if era == 0 {
+		return "usage"
+	}
+	return "usage-" + strconv.FormatUint(uint64(era), 10)
+}
 
 // maxReports bounds the reports in the record: older windows are no longer due.
 const maxReports = 3
@@ -19,11 +26,10 @@
 // usageRecord is the stored list of reports, oldest window first.
 type usageRecord struct {
 	Reports []usageReport `json:"reports"`
-	// Era is the era of the store in which the record was written, 0 if the store named none. SeenForMS is how long the holders of
-	// this era had seen it then, in milliseconds of their decision clocks: the reports of windows that ended before and are not in
-	// the record may be lost. A duration does not depend on the time of day of the writer.
-	Era       objectapi.Era `json:"era,omitempty"`
-	SeenForMS int64         `json:"seen_for_ms,omitempty"`
+	// SeenForMS is how long the holders of the era had seen it when they wrote the record, in milliseconds of their decision clocks,
+	// 0 for the era 0: the reports of windows that ended before and are not in the record may be lost. A duration does not depend on
+	// the time of day of the writer.
+	SeenForMS int64 `json:"seen_for_ms,omitempty"`
 
 	version objectapi.Version
 }
@@ -37,10 +43,10 @@
 	Counts usage.Counts `json:"counts"`
 }
 
-// loadUsageRecord reads the record from the store. An absent object is an empty record. It returns errOtherEra for an answer
-// of another era than the given one.
+// loadUsageRecord reads the record of the given era. An absent object is an empty record. It returns errOtherEra for an answer
+// of another era.
 func loadUsageRecord(ctx context.Context, store objectapi.Store, era objectapi.Era) (usageRecord, error) {
-	reply, err := store.Do(ctx, objectapi.Get(objectapi.KindDuty, usageObjectName))
+	reply, err := store.Do(ctx, objectapi.Get(objectapi.KindDuty, usageObjectName(era)))
 	absent := errors.Is(err, objectapi.ErrNotFound)
 	switch {
 	case err != nil && !absent:
@@ -73,7 +79,7 @@
 func (r usageRecord) appendReport(
 	ctx context.Context, store objectapi.Store, report usageReport, era objectapi.Era, seenFor time.Duration,
 ) (usageRecord, error) {
-	next := usageRecord{Reports: append(append([]usageReport(nil), r.Reports...), report), Era: era}
+	next := usageRecord{Reports: append(append([]usageReport(nil), r.Reports...), report)}
 	if era != 0 {
 		next.SeenForMS = max(0, seenFor.Milliseconds())
 	}
@@ -84,9 +90,9 @@
 	if err != nil {
 		return r, err
 	}
-	request := objectapi.Create(objectapi.KindDuty, usageObjectName, value)
+	request := objectapi.Create(objectapi.KindDuty, usageObjectName(era), value)
 	if r.version != 0 {
-		request = objectapi.Update(objectapi.KindDuty, usageObjectName, r.version, value)
+		request = objectapi.Update(objectapi.KindDuty, usageObjectName(era), r.version, value)
 	}
 	reply, err := store.Do(ctx, request)
 	if err != nil {
