lease: take over when the wait ends, not at the next read after it

Cause: a contender reads the lease at every third of the duration, counted from its first read, and only noticed at such a read that the wait had ended.

Change: the next call of a contender is not later than the end of its wait. The waits, and the condition of the write, are unchanged; a live holder renews before the end, so that no call is added while there is one.

Not changed: a new deployment waits too if the store names an era at the first answer. Config.NewDeployment can't show that no instance has held the lease, since a process that restarts may find it still set, and the lease may be absent because the store returned.

--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -220,6 +220,7 @@
 	if k.shouldCallNow(now, rose || completed.op == objectapi.OpGet, err) {
 		k.issueCall(now, &out)
 	}
+	k.callAtTakeover(now)
 	return out
 }
 
@@ -232,6 +233,16 @@
 	return done.Err
 }
 
+// callAtTakeover brings the next call of a contender forward to the time from which it may take the lease over.
+func (k *Keeper) callAtTakeover(now time.Time) {
+	if k.inFlight != nil || !k.objectRead || k.ownsRecord || !k.contends(now) {
+		return
+	}
+	if from := k.takeoverFrom(now); from.After(now) && from.Before(k.nextCallAt) {
+		k.nextCallAt = from
+	}
+}
+
 // shouldCallNow reports whether the state just read requires a call before the next period. wasRead reports whether the state
 // was not known before.
 func (k *Keeper) shouldCallNow(now time.Time, wasRead bool, err error) bool {
@@ -270,22 +281,28 @@
 	}
 }
 
-// canTakeOver reports whether the observed lease may be taken over: it is absent, released or expired for a margin, and so is
-// one that a return of the store may have taken back.
-func (k *Keeper) canTakeOver(now time.Time) bool {
+// canTakeOver reports whether the observed lease may be taken over.
+func (k *Keeper) canTakeOver(now time.Time) bool { return !now.Before(k.takeoverFrom(now)) }
+
+// takeoverFrom returns the time from which the observed lease may be taken over: now if it is absent or released, else when it has
+// been expired for a margin. The same wait holds for a lease that a return of the store may have taken back.
+func (k *Keeper) takeoverFrom(now time.Time) time.Time {
 	free := k.version == 0 || k.record.Released
 	if k.era == 0 || k.version != 0 && k.ofEra(k.record) {
-		return free || now.Sub(k.versionReadAt) >= k.record.duration()+k.cfg.Margin
+		if free {
+			return now
+		}
+		return k.versionReadAt.Add(k.record.duration() + k.cfg.Margin)
 	}
 	if now.Before(k.retakeUntil) {
-		return true
+		return now
 	}
 	// The record, released or not, may be a late write of an earlier era that has replaced the lease of this one.
 	since := k.versionReadAt
 	if k.version == 0 {
 		since = k.eraSeenAt
 	}
-	return now.Sub(since) >= max(k.cfg.Duration, k.record.duration())+k.cfg.Margin
+	return since.Add(max(k.cfg.Duration, k.record.duration()) + k.cfg.Margin)
 }
 
 // renewedRecord returns the record that a renewal stores.
--- a/lease/return_test.go
+++ b/lease/return_test.go
@@ -115,6 +115,21 @@
 		}
 	})
 
+	It("guards against a takeover up to one period of reads after the lease may be taken", func() {
+		k := newKeeper("b")
+		written := time.Duration(0)
+		for at := time.Duration(0); written == 0 && at < time.Minute; at += 100 * time.Millisecond {
+			calls := k.Tick(now.Add(at)).Calls
+			for len(calls) > 0 && calls[0].Request.Op == objectapi.OpGet {
+				calls = k.Done(now.Add(at), absent(calls[0], 3)).Calls
+			}
+			if len(calls) > 0 {
+				written = at
+			}
+		}
+		Expect(written).To(Equal(DefaultDuration + DefaultMargin))
+	})
+
 	It("guards against a takeover while the holder of a lost lease may act", func() {
 		k := newKeeper("b")
 		Expect(k.Done(now, absent(k.Tick(now).Calls[0], 3)).Calls).To(BeEmpty())
