--- a/duty/usage_duty_test.go
+++ b/duty/usage_duty_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,9 +15,9 @@
 	"knapweedhoist/usage"
 )
 
-// memoryStore is an in-memory store of one object.
+// memoryStore is an in-memory store of the objects of one kind, by name.
 type memoryStore struct {
-	object objectapi.Object
+	objects map[string]objectapi.Object
 	// loseNextReply makes the next write take effect and return ErrUnavailable.
 	loseNextReply bool
 	// era is that of the answers.
@@ -31,21 +32,23 @@
 }
 
 func (s *memoryStore) do(_ context.Context, request objectapi.Request) (objectapi.Reply, error) {
+	object := s.objects[request.Name]
 	switch {
-	case request.Op == objectapi.OpGet && s.object.Version == 0:
+	case request.Op == objectapi.OpGet && object.Version == 0:
 		return objectapi.Reply{}, objectapi.ErrNotFound
 	case request.Op == objectapi.OpGet:
-		return objectapi.Reply{Object: s.object}, nil
-	case request.Condition.IfAbsent && s.object.Version != 0,
-		request.Condition.IfVersion != 0 && request.Condition.IfVersion != s.object.Version:
-		return objectapi.Reply{Object: s.object}, objectapi.ErrConflict
+		return objectapi.Reply{Object: object}, nil
+	case request.Condition.IfAbsent && object.Version != 0,
+		request.Condition.IfVersion != 0 && request.Condition.IfVersion != object.Version:
+		return objectapi.Reply{Object: object}, objectapi.ErrConflict
 	}
-	s.object = objectapi.Object{Version: s.object.Version + 1, Value: request.Value}
+	object = objectapi.Object{Version: object.Version + 1, Value: request.Value}
+	s.objects[request.Name] = object
 	if s.loseNextReply {
 		s.loseNextReply = false
 		return objectapi.Reply{}, objectapi.ErrUnavailable
 	}
-	return objectapi.Reply{Object: s.object}, nil
+	return objectapi.Reply{Object: object}, nil
 }
 
 // strictCloud fails the test when two reports of the same window differ.
@@ -75,26 +78,32 @@
 	)
 	at := func(s float64) time.Time { return time.Unix(0, int64(s*1e9)) }
 	permit := func() (Holder, error) { return Holder{Name: "a", Fence: 1}, nil }
+	// now is the time of the decision clock and, where a spec says nothing else, the time of day.
+	var now time.Time
 	// completeUntil is the time of day up to which the counts of the other instances have arrived.
 	var completeUntil time.Time
 	newDuty := func(counts map[int64]map[string]float64) *usageDuty {
 		ledger := usage.NewLedger(5*time.Second, func(window int64) map[string]float64 { return counts[window] })
 		return &usageDuty{
 			lg: slog.New(slog.DiscardHandler), cfg: Config{}.withDefaults(), store: store, cloud: cloud, ledger: ledger,
-			completeUntil: func() time.Time { return completeUntil }, storeEra: func() objectapi.Era { return store.era },
+			completeUntil: func() time.Time { return completeUntil }, now: func() time.Time { return now },
 		}
 	}
-	runSteps := func(d *usageDuty, wall time.Time, n int) {
+	runStepsWith := func(d *usageDuty, clocks reading, n int) {
+		now = clocks.now
 		for range n {
-			d.observeEra(wall, wall)
-			if err := d.runOnce(ctx, wall, permit); err != nil {
+			d.observeEra(store.era)
+			if err := d.runOnce(ctx, clocks, permit); err != nil {
 				Expect(err).To(Or(MatchError(ErrUnavailable), MatchError(objectapi.ErrUnavailable), MatchError(objectapi.ErrConflict)))
 			}
 		}
 	}
+	runSteps := func(d *usageDuty, wall time.Time, n int) {
+		runStepsWith(d, reading{now: wall, wall: wall, local: wall}, n)
+	}
 
 	BeforeEach(func() {
-		store, cloud = &memoryStore{}, &strictCloud{reports: make(map[int64]usage.Counts)}
+		store, cloud = &memoryStore{objects: make(map[string]objectapi.Object)}, &strictCloud{reports: make(map[int64]usage.Counts)}
 		completeUntil = at(1000)
 	})
 
@@ -137,7 +146,7 @@
 		counts[1], counts[2] = map[string]float64{"t": 1}, map[string]float64{"t": 5}
 		runSteps(d, at(16.7), 8)
 		var stored usageRecord
-		stored, err := decodeUsageRecord(store.object)
+		stored, err := decodeUsageRecord(store.objects[usageObjectName(store.era)])
 		Expect(err).NotTo(HaveOccurred())
 		for _, report := range stored.Reports {
 			Expect(cloud.reports[report.Window]).To(Equal(report.Counts))
@@ -158,7 +167,7 @@
 	It("sends no report while the lease is not held", func() {
 		d := newDuty(map[int64]map[string]float64{2: {"t": 4}})
 		for range 6 {
-			if err := d.runOnce(ctx, at(16.6), func() (Holder, error) { return Holder{}, errors.New("not held") }); err != nil {
+			if err := d.runOnce(ctx, reading{now: at(16.6), wall: at(16.6), local: at(16.6)}, func() (Holder, error) { return Holder{}, errors.New("not held") }); err != nil {
 				Expect(err).To(MatchError("not held"))
 			}
 		}
@@ -166,7 +175,7 @@
 	})
 
 	Context("after a return of the store from a copy that lacks a report", func() {
-		returnStore := func() { store.object, store.era = objectapi.Object{}, store.era+1 }
+		returnStore := func() { store.objects, store.era = make(map[string]objectapi.Object), store.era+1 }
 
 		// Guards against two different reports of one window: counts of other instances arrive after the first report.
 		It("repeats the report that it has sent", func() {
@@ -177,7 +186,7 @@
 			returnStore()
 			counts[2] = map[string]float64{"t": 9}
 			runSteps(d, at(17), 8) // strictCloud fails if the counts differ
-			stored, err := decodeUsageRecord(store.object)
+			stored, err := decodeUsageRecord(store.objects[usageObjectName(store.era)])
 			Expect(err).NotTo(HaveOccurred())
 			Expect(stored.Reports).To(ContainElement(usageReport{Window: 2, Counts: usage.Counts{"t": 4}}))
 		})
@@ -218,11 +227,76 @@
 			returnStore()
 			counts[2] = map[string]float64{"t": 9}
 			next := newDuty(counts)
-			next.observeEra(at(10), at(17))
-			runSteps(next, at(16.7), 8)
+			now = at(17)
+			next.observeEra(store.era)
+			runStepsWith(next, reading{now: at(23.7), wall: at(16.7), local: at(23.7)}, 8)
 			Expect(cloud.reports[2]).To(Equal(usage.Counts{"t": 4}))
-			runSteps(next, at(21.7), 8)
+			runStepsWith(next, reading{now: at(28.7), wall: at(21.7), local: at(28.7)}, 8)
 			Expect(cloud.reports).To(HaveKeyWithValue(int64(3), usage.Counts{"t": 5}))
 		})
+
+		// Guards against two different reports of one window from an instance whose clocks were behind when it saw the era, or that
+		// was paused between the reading of the clocks and that of the era.
+		It("does not report a window that ended before by the corrected time of day", func() {
+			counts := map[int64]map[string]float64{2: {"t": 4}, 3: {"t": 5}}
+			runSteps(newDuty(counts), at(15.4), 6)
+			returnStore()
+			counts[2] = map[string]float64{"t": 9}
+			next := newDuty(counts)
+			runStepsWith(next, reading{now: at(16), wall: at(10), local: at(10)}, 1)
+			runSteps(next, at(20.5), 8)
+			Expect(cloud.reports[2]).To(Equal(usage.Counts{"t": 4}))
+			Expect(cloud.reports).To(HaveKeyWithValue(int64(3), usage.Counts{"t": 5}))
+		})
+
+		// Guards against two different reports of one window from the successor of a holder whose clocks were behind.
+		It("does not take windows for new by the former holder's time of day", func() {
+			counts := map[int64]map[string]float64{1: {"t": 3}, 2: {"t": 4}, 3: {"t": 5}}
+			first := newDuty(counts)
+			runSteps(first, at(16.6), 8)
+			Expect(cloud.reports).To(HaveLen(2))
+			returnStore()
+			runStepsWith(first, reading{now: at(17), wall: at(12), local: at(12)}, 2) // stores the report of window 1 again
+			counts[2] = map[string]float64{"t": 9}
+			next := newDuty(counts)
+			now = at(18)
+			next.observeEra(store.era)
+			runSteps(next, at(20.5), 8)
+			Expect(cloud.reports[2]).To(Equal(usage.Counts{"t": 4}))
+			Expect(cloud.reports).To(HaveKeyWithValue(int64(3), usage.Counts{"t": 5}))
+		})
+
+		// Guards against windows left out by a successor that saw the era late, and against a first sight that the time since the
+		// write makes earlier than that of the writer.
+		It("takes the first sight of the era from the record, later by the age of the record", func() {
+			first := newDuty(nil)
+			store.era, now = 1, at(17)
+			first.observeEra(1)
+			runSteps(first, at(20.6), 2)
+			next := newDuty(nil)
+			runSteps(next, at(24), 1)
+			Expect(next.seenAt).To(Equal(at(20.4)))
+		})
+
+		// Guards against two different reports of one window: a late write of an earlier era has the version of a write of this one.
+		It("does not report a window again whose report a late write of an earlier era would replace", func() {
+			counts := map[int64]map[string]float64{1: {"t": 1}, 2: {"t": 4}, 3: {"t": 5}, 4: {"t": 6}}
+			store.era, now = 1, at(9)
+			first, second, third := newDuty(counts), newDuty(counts), newDuty(counts)
+			first.observeEra(1)
+			runSteps(first, at(10.4), 6)
+			copied := maps.Clone(store.objects)
+			runSteps(first, at(15.4), 4)
+			runSteps(first, at(20.4), 1) // this write takes effect late
+			late := maps.Clone(store.objects)
+			store.objects, store.era, now = copied, 2, at(20.7)
+			second.observeEra(2)
+			third.observeEra(2)
+			runSteps(second, at(25.6), 4)
+			Expect(cloud.reports).To(HaveKey(int64(4)))
+			maps.Copy(store.objects, late)
+			counts[4] = map[string]float64{"t": 9}
+			runSteps(third, at(27), 8) // strictCloud fails if the counts differ
+		})
 	})
 })
