streamorigin: plainer names for the other instances' objects and for versions

Remains, Remainder and told said little to a reader: ObjectAges, OtherObjects, learn, cancel and announced now. No behaviour changes; go test of streamorigin, entry and gossip passes.

--- a/entry/origin_store.go
+++ b/entry/origin_store.go
@@ -52,7 +52,7 @@
 	instances   func() int
 	isCandidate func() bool
 	schedule    *streamorigin.Schedule
-	remains     streamorigin.Remains
+	ages        streamorigin.ObjectAges
 	// version is the version of the own object, 0 if it does not exist.
 	version objectapi.Version
 	// versions holds what the object versionsObject names, versionsVersion its version, 0 if it does not exist.
@@ -102,12 +102,12 @@
 		VersionsDiffer: complete && len(current) > 0 && !maps.Equal(current, s.versions), IsCandidate: s.isCandidate(), Instances: s.instances(),
 	})
 	var err error
-	remains := streamorigin.RemainderNone
+	others := streamorigin.NoOtherObjects
 	switch step {
 	case streamorigin.StepNone:
 		return nil
 	case streamorigin.StepRead, streamorigin.StepClean:
-		remains, err = s.read(ctx, now, step == streamorigin.StepClean)
+		others, err = s.read(ctx, now, step == streamorigin.StepClean)
 	case streamorigin.StepWrite:
 		err = s.write(ctx, now)
 	case streamorigin.StepWriteVersions:
@@ -118,7 +118,7 @@
 			s.version = 0
 		}
 	}
-	s.schedule.Done(s.origins.now(), step, remains, err)
+	s.schedule.Done(s.origins.now(), step, others, err)
 	return err
 }
 
@@ -134,13 +134,13 @@
 
 // read learns what the objects of other instances state. It tells which of them were not deleted. If clean is set, it deletes
 // streamorigin.MaxCleanDeletes of those that have been unchanged for a long time.
-func (s *originStore) read(ctx context.Context, begin time.Time, clean bool) (remains streamorigin.Remainder, err error) {
+func (s *originStore) read(ctx context.Context, begin time.Time, clean bool) (others streamorigin.OtherObjects, err error) {
 	s.reads.Inc(1)
 	hashes, values := make(map[string]uint64), make(map[string]objectapi.Object)
 	for after := ""; ; {
 		reply, err := s.store.Do(ctx, objectapi.Request{Op: objectapi.OpList, Kind: objectapi.KindStreamOrigin, After: after})
 		if err != nil {
-			return remains, oops.With("step", "list stream origins").Wrap(err)
+			return others, oops.With("step", "list stream origins").Wrap(err)
 		}
 		for _, object := range reply.Objects {
 			if object.Name != s.name {
@@ -151,7 +151,7 @@
 			break
 		}
 	}
-	changed, outdated := s.remains.Observe(s.origins.now(), hashes)
+	changed, outdated := s.ages.Observe(s.origins.now(), hashes)
 	if object, ok := values[versionsObject]; ok {
 		delete(values, versionsObject)
 		s.takeVersions(object, changed[versionsObject])
@@ -166,19 +166,19 @@
 	deleted := 0
 	for name, object := range values {
 		if !clean || !outdated[name] {
-			remains = max(remains, streamorigin.RemainderYoung)
+			others = max(others, streamorigin.YoungOtherObjects)
 			continue
 		}
 		if deleted++; deleted > streamorigin.MaxCleanDeletes {
-			remains = streamorigin.RemainderOutdated
+			others = streamorigin.OutdatedOtherObjects
 			break
 		}
 		if err := s.remove(ctx, name, object.Version); err != nil {
-			return streamorigin.RemainderOutdated, err
+			return streamorigin.OutdatedOtherObjects, err
 		}
 		s.lg.Info("stream origins of a former boot deleted", "object", name)
 	}
-	return remains, nil
+	return others, nil
 }
 
 // take learns the entries of another instance's object.
--- a/streamorigin/announcements.go
+++ b/streamorigin/announcements.go
@@ -26,8 +26,8 @@
 	a.pending = append(a.pending, announcement{origin: origin, left: announcementCount})
 }
 
-// told drops a version that another instance announces, unless this one has begun to.
-func (a *announcements) told(origin Origin) {
+// cancel drops a version that another instance announces, unless this one has begun to.
+func (a *announcements) cancel(origin Origin) {
 	a.pending = slices.DeleteFunc(a.pending, func(p announcement) bool { return p.origin == origin && p.left == announcementCount })
 }
 
--- a/streamorigin/directory.go
+++ b/streamorigin/directory.go
@@ -109,8 +109,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for origin := range statement.InService {
-		d.history.told(now, origin)
-		d.announcements.told(origin)
+		d.history.learn(now, origin)
+		d.announcements.cancel(origin)
 	}
 	for _, entry := range statement.Entries {
 		until := now.Add(entry.Remaining)
--- a/streamorigin/history.go
+++ b/streamorigin/history.go
@@ -13,19 +13,19 @@
 // history knows which versions of each service streams can have begun at that are not yet too old to be taken up.
 type history struct {
 	// services holds the versions by service.
-	services map[string]map[string]sighting
+	services map[string]map[string]versionState
 }
 
-// sighting tells how long a version counts.
-type sighting struct {
+// versionState tells how long a version counts.
+type versionState struct {
 	// listed is set while an endpoint with the version is listed. Otherwise the version counts until a time.
 	listed bool
 	until  time.Time
-	// told is set if the other instances know the version: one of them has stated it as in service, or it was listed here before.
-	told bool
+	// announced is set if the other instances know the version: one of them has stated it as in service, or it was listed here before.
+	announced bool
 }
 
-func newHistory() *history { return &history{services: make(map[string]map[string]sighting)} }
+func newHistory() *history { return &history{services: make(map[string]map[string]versionState)} }
 
 // setListed sets the versions of all listed endpoints. Versions that are no longer listed count for Lifetime. It returns those of
 // services with several versions that the other instances may not know.
@@ -33,17 +33,17 @@
 	for service, versions := range h.services {
 		for version, seen := range versions {
 			if seen.listed && !listed[Origin{service, version}] {
-				versions[version] = sighting{until: now.Add(Lifetime), told: true}
+				versions[version] = versionState{until: now.Add(Lifetime), announced: true}
 			}
 		}
 	}
 	var fresh []Origin
 	for origin := range listed {
 		seen := h.services[origin.Service][origin.Version]
-		if !seen.listed && (!seen.told || !now.Before(seen.until)) {
+		if !seen.listed && (!seen.announced || !now.Before(seen.until)) {
 			fresh = append(fresh, origin)
 		}
-		h.set(origin, sighting{listed: true})
+		h.set(origin, versionState{listed: true})
 	}
 	for _, origin := range fresh {
 		if len(h.versions(now, origin.Service)) > 1 {
@@ -53,11 +53,11 @@
 	return added
 }
 
-// told lets a version that another instance states as in service count for Lifetime.
-func (h *history) told(now time.Time, origin Origin) {
+// learn lets a version that another instance states as in service count for Lifetime.
+func (h *history) learn(now time.Time, origin Origin) {
 	h.saw(now, origin, now.Add(Lifetime))
 	if seen, ok := h.services[origin.Service][origin.Version]; ok {
-		seen.told = true
+		seen.announced = true
 		h.services[origin.Service][origin.Version] = seen
 	}
 }
@@ -81,14 +81,14 @@
 		until = latest
 	}
 	if seen := h.services[origin.Service][origin.Version]; !seen.listed && until.After(seen.until) {
-		h.set(origin, sighting{until: until, told: seen.told && now.Before(seen.until)})
+		h.set(origin, versionState{until: until, announced: seen.announced && now.Before(seen.until)})
 	}
 }
 
-func (h *history) set(origin Origin, seen sighting) {
+func (h *history) set(origin Origin, seen versionState) {
 	versions := h.services[origin.Service]
 	if versions == nil {
-		versions = make(map[string]sighting)
+		versions = make(map[string]versionState)
 		h.services[origin.Service] = versions
 	}
 	if _, known := versions[origin.Version]; !known && !seen.listed && len(versions) >= maxVersions {
@@ -102,7 +102,7 @@
 }
 
 // firstToEnd returns the version that stops counting first, false if all are listed.
-func firstToEnd(versions map[string]sighting) (first string, ok bool) {
+func firstToEnd(versions map[string]versionState) (first string, ok bool) {
 	for version, seen := range versions {
 		if !seen.listed && (!ok || seen.until.Before(versions[first].until)) {
 			first, ok = version, true
@@ -126,7 +126,7 @@
 // forget removes the versions that no longer count.
 func (h *history) forget(now time.Time) {
 	for service, versions := range h.services {
-		maps.DeleteFunc(versions, func(_ string, seen sighting) bool { return !seen.listed && !now.Before(seen.until) })
+		maps.DeleteFunc(versions, func(_ string, seen versionState) bool { return !seen.listed && !now.Before(seen.until) })
 		if len(versions) == 0 {
 			delete(h.services, service)
 		}
--- a/streamorigin/schedule.go
+++ b/streamorigin/schedule.go
@@ -11,24 +11,24 @@
 	// writesPerSecond bounds the writes of all instances together, readsPerSecond their reads.
 	writesPerSecond = 100
 	readsPerSecond  = 1000
-	// remainsAge is how long an object of another instance has to be unchanged before it is deleted: its streams can no longer be
+	// outdatedAge is how long an object of another instance has to be unchanged before it is deleted: its streams can no longer be
 	// taken up, also if the object was read late.
-	remainsAge = 2 * Lifetime
+	outdatedAge = 2 * Lifetime
 	// MaxCleanDeletes is the number of objects that one clean-up deletes at most, cleanInterval the time to the next one if there are
 	// more.
 	MaxCleanDeletes = 10
 	cleanInterval   = time.Second
 )
 
-// Remainder tells which objects of other instances there are after a read.
-type Remainder uint8
+// OtherObjects tells which objects of other instances there are after a read.
+type OtherObjects uint8
 
-// Remainders of a read.
+// Values of OtherObjects.
 const (
-	RemainderNone Remainder = iota
-	// RemainderYoung means that there are some that may be needed, RemainderOutdated that there are some to be deleted.
-	RemainderYoung
-	RemainderOutdated
+	NoOtherObjects OtherObjects = iota
+	// YoungOtherObjects means that there are some that may be needed, OutdatedOtherObjects that there are some to be deleted.
+	YoungOtherObjects
+	OutdatedOtherObjects
 )
 
 // Step is what an instance has to do about the entries in the store.
@@ -70,8 +70,8 @@
 	readAt, wroteAt, mixedAt time.Time
 	// written is set while the object of this instance exists.
 	written bool
-	// remains tells which objects of other instances there may be.
-	remains Remainder
+	// others tells which objects of other instances there may be.
+	others OtherObjects
 	// reading and writing space the calls after failed ones. A store may refuse writes and answer reads.
 	reading, writing callBackoff
 	// spread is the part of the time in which all instances make one call that this one waits first, in [0, 1).
@@ -105,7 +105,7 @@
 // Next returns the step that is due.
 func (s *Schedule) Next(now time.Time, in Situation) Step {
 	if in.Mixed {
-		s.mixedAt, s.remains = now, max(s.remains, RemainderYoung)
+		s.mixedAt, s.others = now, max(s.others, YoungOtherObjects)
 	}
 	observe(now, &s.unreadSince, in.Unread)
 	observe(now, &s.unwrittenSince, in.Mixed && in.Unwritten)
@@ -113,8 +113,8 @@
 	canWrite := now.Sub(s.wroteAt) >= writeInterval(in.Instances)
 	readSpread := time.Duration(s.spread * float64(ReadInterval(in.Instances)))
 	writeSpread := time.Duration(s.spread * float64(writeInterval(in.Instances)))
-	cleanAge := remainsAge
-	if s.remains == RemainderOutdated {
+	cleanAge := outdatedAge
+	if s.others == OutdatedOtherObjects {
 		cleanAge = cleanInterval
 	}
 	canRead, canWrite = canRead && s.reading.allows(now), canWrite && s.writing.allows(now)
@@ -127,15 +127,15 @@
 		return StepWriteVersions
 	case canWrite && s.written && !in.Mixed && now.Sub(s.mixedAt) >= writeSpread:
 		return StepRemove
-	case canRead && canWrite && in.IsCandidate && s.remains > RemainderNone && now.Sub(s.mixedAt) >= remainsAge && now.Sub(s.readAt) >= cleanAge:
+	case canRead && canWrite && in.IsCandidate && s.others > NoOtherObjects && now.Sub(s.mixedAt) >= outdatedAge && now.Sub(s.readAt) >= cleanAge:
 		return StepClean
 	default:
 		return StepNone
 	}
 }
 
-// Done records the end of a step. remains tells which objects of other instances were read and not deleted.
-func (s *Schedule) Done(now time.Time, step Step, remains Remainder, err error) {
+// Done records the end of a step. others tells which objects of other instances were read and not deleted.
+func (s *Schedule) Done(now time.Time, step Step, others OtherObjects, err error) {
 	switch step {
 	case StepRead:
 		s.readAt = now
@@ -157,8 +157,8 @@
 	case StepRemove:
 		s.written = false
 	case StepRead:
-		s.remains = max(s.remains, remains)
+		s.others = max(s.others, others)
 	case StepClean:
-		s.remains = remains
+		s.others = others
 	}
 }
--- a/streamorigin/schedule_test.go
+++ b/streamorigin/schedule_test.go
@@ -26,7 +26,7 @@
 			if fails(step) {
 				err = errRefused
 			}
-			schedule.Done(at, step, streamorigin.RemainderYoung, err)
+			schedule.Done(at, step, streamorigin.YoungOtherObjects, err)
 		}
 		return calls
 	}
