--- a/entry/endpoint_sink_test.go
+++ b/entry/endpoint_sink_test.go
@@ -67,6 +67,14 @@
 		sink.Confirm(0)
 	})
 
+	// Guards against an old copy that counts as complete, in which an instance misses a software version (ORDER).
+	It("tells when the copy was complete", func() {
+		var completeAt time.Time
+		sink.cfg.onComplete = func(at time.Time) { completeAt = at }
+		sink.Confirm(700 * time.Millisecond)
+		Expect(completeAt).To(Equal(now.Add(-700 * time.Millisecond)))
+	})
+
 	// Guards against requests to an endpoint that was deleted right after an outage of the store: the sink took the
 	// deletion for an expired entry, and a request was sent 2454 ms after the deletion (fleetbench zapateo-ops scale-2,
 	// DRAIN).
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -160,6 +160,21 @@
 		Entry("and the reader is behind", -time.Hour),
 	)
 
+	// Guards against streams that are missing in the store for good because a write failed (LOST).
+	It("are written again if the store refused them", func() {
+		w := newOriginsWorld(2)
+		w.list("v1", "v2")
+		w.pass(time.Second)
+		w.store.writesAway = true
+		w.record(0, "old", "v1")
+		w.pass(time.Second)
+		w.store.writesAway = false
+		w.pass(2 * time.Second)
+		w.killAll(time.Second)
+		w.pass(200 * time.Millisecond)
+		Expect(w.find(1, "old")).To(Equal("v1"))
+	})
+
 	// Guards against a version that nobody saw leaving, because it was replaced while no instance ran (ORDER).
 	It("are unknown if the version was replaced while all instances were down", func() {
 		w := newOriginsWorld(2)
--- a/forward/stream_versions_test.go
+++ b/forward/stream_versions_test.go
@@ -239,6 +239,14 @@
 		},
 		Entry("if no endpoint of the version is listed", func(f *versionsFixture) { f.list("2") }, "forward_stream_version_gone", 8.0),
 		Entry("if those of the version leave", func(f *versionsFixture) { f.list("1 leaving", "2") }, "forward_stream_version_gone", 8.0),
+		Entry("if those of the version have stated in an answer that they leave", func(f *versionsFixture) {
+			f.list("1")
+			f.backends["1"].RespondWith(func() platformtest.Response {
+				return platformtest.Response{Events: eventCount, Fields: "Server-Leaving: 1\r\n"}
+			})
+			f.ask("told")
+			f.list("1", "2")
+		}, "forward_stream_version_gone", 8.0),
 		Entry("if the version is unknown", func(f *versionsFixture) { delete(f.origins.known, "begun") },
 			"forward_stream_origin_unknown", 0.1),
 		Entry("if the route leads to another service", func(f *versionsFixture) { f.route("other") }, "forward_stream_version_gone", 8.0),
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"log/slog"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -102,6 +104,17 @@
 		Expect(err).To(MatchError(errMalformed))
 	})
 
+	// Guards against origins of streams that are received and dropped.
+	ginkgo.It("reach the handler of origins", func() {
+		statement := streamorigin.Statement{InService: map[streamorigin.Origin]bool{{Service: "s", Version: "v1"}: true}, Entries: []streamorigin.Entry{}}
+		datagram, err := encodeOrigins(statement)
+		Expect(err).NotTo(HaveOccurred())
+		var handled []streamorigin.Statement
+		socket := &Socket{lg: slog.New(slog.DiscardHandler)}
+		socket.handle(datagram, netip.AddrPort{}, Handler{Origins: func(s streamorigin.Statement) { handled = append(handled, s) }})
+		Expect(handled).To(Equal([]streamorigin.Statement{statement}))
+	})
+
 	// Guards against a member that subtracts the wrong report of its own from a digest.
 	ginkgo.It("address one encoded digest to each receiver", func() {
 		digest := fleetstate.Digest{
--- a/streamorigin/directory_test.go
+++ b/streamorigin/directory_test.go
@@ -159,6 +159,28 @@
 		Expect(find(d, "a stream of new")).To(Equal("new"))
 	})
 
+	// Guards against a version that is known from the streams of others only, and not counted (ORDER).
+	It("counts the versions of the streams that others state", func() {
+		directory.Learn(now, streamorigin.Statement{Entries: []streamorigin.Entry{{Key: 1, Origin: origin("v2"), Remaining: 5 * time.Second}}})
+		Expect(find(directory, "another stream of v2")).To(Equal(streamorigin.Mixed.String()))
+		now = now.Add(5 * time.Second)
+		list(directory, "v1")
+		Expect(find(directory, "a stream of v1")).To(Equal("v1"))
+	})
+
+	// Guards against endpoints that count as confirmed lately because the news of it is new (ORDER).
+	It("counts the age of a confirmation", func() {
+		begin := now
+		now = now.Add(3 * time.Second)
+		directory.ObserveConnection(now, streamorigin.Connection{Instances: 2})
+		directory.Confirm(now, begin)
+		directory.Read(now)
+		Expect(find(directory, "a")).To(Equal(streamorigin.Incomplete.String()))
+		directory.Confirm(now, now.Add(-time.Second))
+		directory.Read(now)
+		Expect(find(directory, "a")).To(Equal("v1"))
+	})
+
 	// Guards against messages from another version of the program, or broken ones, that end the process.
 	It("refuses a message whose columns don't fit", func() {
 		message := streamorigin.Encode(streamorigin.Statement{Entries: []streamorigin.Entry{{Key: 1, Origin: origin("v1"), Remaining: time.Second}}})
