objectwatch, entry: log lists and the store's revision of a configuration

Cause: not known yet. Change: 'objects listed' names the version of a list and of the copy before it, 'configuration applied' the store's revision, so that the log shows whether a watch went on from a former history (hypothesis 1), was found late (2) or got an older document (3). Measured: go test ./objectwatch ./entry passes; no behaviour changes.

--- a/entry/config_sink.go
+++ b/entry/config_sink.go
@@ -81,7 +81,7 @@
 	value := append([]byte(nil), object.Value...)
 	s.raw.Store(&value)
 	s.publish()
-	s.lg.Info("configuration applied", "version", config.Version, "source", source,
+	s.lg.Info("configuration applied", "version", config.Version, "revision", uint64(object.Version), "source", source,
 		"services", len(config.Services), "teams", len(config.Teams))
 }
 
--- a/objectwatch/watcher.go
+++ b/objectwatch/watcher.go
@@ -115,6 +115,7 @@
 			break
 		}
 	}
+	w.lg.Info("objects listed", "count", len(objects), "version", uint64(first.Version), "former_version", uint64(w.version))
 	w.version, w.listed = first.Version, true
 	w.sink.Replace(objects, first.Version)
 	return first, nil
