deployment: order versions of the configuration by era and version

Callers would see: an API key that an invalid version had withdrawn is accepted again while the store, back from an older copy, shows an older document; or stays valid because the operator's next change has a lower version of the store than one read before. Change: positions with the era order the versions within an era. After a return a withdrawal ends only with a valid document whose own version is higher than all read before, or with the list of a newer rejected one; a list without a version is combined with the former one.

--- a/deployment/key_list.go
+++ b/deployment/key_list.go
@@ -13,6 +13,23 @@
 	return listed && (name == team || name == "")
 }
 
+// intersect returns the list of the keys that both lists hold for the same team.
+func (l *KeyList) intersect(other *KeyList) *KeyList {
+	switch {
+	case l.Access == OpenToAll:
+		return other
+	case other.Access == OpenToAll:
+		return l
+	}
+	both := &KeyList{Access: l.Access, TeamNames: make(map[string]string)}
+	for key, name := range l.TeamNames {
+		if otherName, listed := other.TeamNames[key]; listed && (name == otherName || name == "" || otherName == "") {
+			both.TeamNames[key] = max(name, otherName) // the name that can be read
+		}
+	}
+	return both
+}
+
 // Withdraw returns c without the API keys that list does not hold for the same team, or c itself if list holds them all. Nothing else
 // changes, but for a configuration that is open to all: if the list requires keys, only its keys are valid then, each for a team without
 // a limit.
--- a/entry/config_fetch.go
+++ b/entry/config_fetch.go
@@ -51,7 +51,7 @@
 		i.lg.Warn("configuration not fetched from another instance", "peer", sender.Source.Instance, "version", sender.ConfigVersion, "error", err.Error())
 		return
 	}
-	i.configSink.applyObject(objectapi.Object{Name: i.adapter.ConfigName, Value: value}, sender.Source.Instance)
+	i.configSink.applyObject(objectapi.Object{Name: i.adapter.ConfigName, Value: value}, 0, sender.Source.Instance)
 }
 
 // fetchConfig returns the encoded configuration of the instance at address.
--- a/entry/config_sink.go
+++ b/entry/config_sink.go
@@ -35,17 +35,17 @@
 }
 
 // Replace implements objectwatch.Sink.
-func (s *configSink) Replace(objects []objectapi.Object, _ objectapi.Position) {
+func (s *configSink) Replace(objects []objectapi.Object, position objectapi.Position) {
 	for _, object := range objects {
-		s.applyObject(object, "store")
+		s.applyObject(object, position.Era, "store")
 	}
 }
 
 // Apply implements objectwatch.Sink.
-func (s *configSink) Apply(events []objectapi.WatchEvent, _ objectapi.Position) {
+func (s *configSink) Apply(events []objectapi.WatchEvent, position objectapi.Position) {
 	for _, event := range events {
 		if !event.Deleted {
-			s.applyObject(event.Object, "store")
+			s.applyObject(event.Object, position.Era, "store")
 		}
 	}
 }
@@ -62,40 +62,41 @@
 func (s *configSink) WatchRegained() { s.lg.Info("configuration watch regained") }
 
 // applyObject puts the configuration of an object in force if it is newer than the current one. A version that cannot be
-// decoded only withdraws API keys. source is "store" or the name of the instance that it was fetched from, and the object has no
-// version then.
-func (s *configSink) applyObject(object objectapi.Object, source string) {
+// decoded only withdraws API keys. era is that of the object's version. source is "store" or the name of the instance that it was
+// fetched from; the object has no version and no era then.
+func (s *configSink) applyObject(object objectapi.Object, era objectapi.Era, source string) {
 	if object.Name != s.adapter.ConfigName {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	position := objectapi.Position{Era: era, Version: object.Version}
 	config, err := s.adapter.DecodeConfig(object.Value)
 	if err != nil {
-		s.refuse(object, source, err)
+		s.refuse(object, position, source, err)
 		return
 	}
-	if !s.versions.Accept(config, uint64(object.Version)) {
+	if !s.versions.Accept(config, position) {
 		return
 	}
 	value := append([]byte(nil), object.Value...)
 	s.raw.Store(&value)
 	s.publish()
-	s.lg.Info("configuration applied", "version", config.Version, "revision", uint64(object.Version), "source", source,
+	s.lg.Info("configuration applied", "version", config.Version, "revision", uint64(object.Version), "era", uint64(era), "source", source,
 		"services", len(config.Services), "teams", len(config.Teams))
 }
 
 // refuse withdraws the API keys that a version which cannot be decoded no longer holds, and logs it once. The caller holds s.mu.
-func (s *configSink) refuse(object objectapi.Object, source string, err error) {
+func (s *configSink) refuse(object objectapi.Object, position objectapi.Position, source string, err error) {
 	rejected := s.adapter.ReadRejectedConfig(object.Value)
-	if s.versions.Reject(rejected, uint64(object.Version)) {
+	if s.versions.Reject(rejected, position) {
 		s.publish()
 	}
 	if hash := xxh3.Hash(object.Value); hash != s.lastRefused {
 		s.lastRefused = hash
 		s.refused.Inc(1)
 		s.lg.Error("configuration cannot be decoded", "version", rejected.Version, "in_force", s.inForce(),
-			"revision", uint64(object.Version), "source", source, "withdraws_keys", s.versions.Withdraws(), "error", err.Error())
+			"revision", uint64(object.Version), "era", uint64(position.Era), "source", source, "withdraws_keys", s.versions.Withdraws(), "error", err.Error())
 	}
 }
 
