--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"context"
 	"log/slog"
 	"math"
+	"net"
 	"time"
 
 	"knapweedhoist/forward"
 	"knapweedhoist/objectwatch"
+	"knapweedhoist/upstream"
 )
 
 // StoreTimes holds the times of the chain from a change of the store to an instance that reads it.
@@ -44,5 +47,12 @@
 	}
 }
 
+// NewWithDial returns an instance that opens connections to endpoints with dial.
+func NewWithDial(
+	lg *slog.Logger, settings Settings, adapter Adapter, dial func(ctx context.Context, address string) (net.Conn, error),
+) *Instance {
+	return newInstance(lg, settings, adapter, upstream.Config{Dial: dial})
+}
+
 // OriginsOf returns what an instance knows of the origins of streams.
 func OriginsOf(i *Instance) forward.Origins { return i.origins }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -99,6 +99,11 @@
 
 // New returns an Instance that opens no listener and makes no call before Run.
 func New(lg *slog.Logger, settings Settings, adapter Adapter) *Instance {
+	return newInstance(lg, settings, adapter, upstream.Config{})
+}
+
+// newInstance returns an Instance that opens connections to endpoints as endpoints says.
+func newInstance(lg *slog.Logger, settings Settings, adapter Adapter, endpoints upstream.Config) *Instance {
 	now, learner := clock.Now(), enginemodel.NewLearner()
 	i := &Instance{
 		lg: lg.With("instance", settings.Instance), settings: settings, adapter: adapter,
@@ -107,7 +112,7 @@
 		learner:       learner,
 		balancer:      dispatch.NewBalancer(dispatch.Config{DataCentre: settings.DataCentre}, learner),
 		limiter:       teamlimit.NewLimiter(settings.Limits.config(settings.NewDeployment, rand.Float64())),
-		pool:          upstream.NewPool(upstream.Config{}),
+		pool:          upstream.NewPool(endpoints),
 		wall:          walltime.NewEstimator(settings.Instance),
 		rateEstimator: sizing.NewRateEstimator(),
 		inFlight:      make(sizing.Averages),
--- /dev/null
+++ b/entry/lost_endpoints_test.go
@@ -0,0 +1,162 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"knapweedhoist/entry"
+	"knapweedhoist/platform"
+	"knapweedhoist/platform/platformtest"
+	"knapweedhoist/testutil"
+)
+
+// endpointPath is the path of one instance to all endpoints.
+type endpointPath struct {
+	// cut is set while no bytes pass. refuses is set if new connections are refused then, instead of getting no answer.
+	cut     atomic.Bool
+	refuses bool
+}
+
+func (p *endpointPath) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.cut.Load() {
+		if p.refuses {
+			return nil, syscall.ECONNREFUSED
+		}
+		<-ctx.Done()
+		return nil, os.ErrDeadlineExceeded
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &pathConn{Conn: conn, path: p}, nil
+}
+
+// pathConn is a connection on an endpointPath. While the path is cut, it is silent.
+type pathConn struct {
+	net.Conn
+	path *endpointPath
+}
+
+func (c *pathConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.path.cut.Load() {
+			return n, err
+		}
+	}
+}
+
+func (c *pathConn) Write(b []byte) (int, error) {
+	if c.path.cut.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// lostEndpointsFleet is a fleet of which each instance has an endpointPath of its own.
+type lostEndpointsFleet struct {
+	*originsFleet
+	paths    [2]endpointPath
+	callers  [2]string
+	backends []*platformtest.Backend
+}
+
+func startLostEndpointsFleet() *lostEndpointsFleet {
+	f := &lostEndpointsFleet{originsFleet: newOriginsFleet()}
+	for n, service := range []string{
+		platformtest.EngineService, platformtest.EngineService, platformtest.EngineService,
+		platformtest.PlainService, platformtest.PlainService, platformtest.PlainService,
+	} {
+		response := platformtest.Response{Body: "booked"}
+		if service == platformtest.EngineService {
+			response = platformtest.Response{Events: 8, EventInterval: 5 * time.Millisecond}
+		}
+		backend, err := platformtest.NewBackend(response)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(backend.Close)
+		f.backends = append(f.backends, backend)
+		Expect(f.platform.Register(fmt.Sprintf("i-%d", n+1), service, backend.Address())).To(Succeed())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel, f.done = cancel, make(chan error, len(f.instances))
+	for n := range f.instances {
+		settings := f.settings(n)
+		f.callers[n] = settings.Listen.Callers
+		f.instances[n] = entry.NewWithDial(slog.New(slog.DiscardHandler), settings, platform.NewAdapter(settings.Store, settings.Cloud), f.paths[n].dial)
+		go func() { f.done <- f.instances[n].Run(ctx) }()
+	}
+	DeferCleanup(f.kill)
+	for n := range f.instances {
+		Eventually(func() int { return f.request(n, platformtest.LookupPath, fmt.Sprintf("start-%d", n)).Status }, originsWait).Should(Equal(http.StatusOK))
+	}
+	return f
+}
+
+// request sends a request to an instance on a new connection. The status is 0 without an answer.
+func (f *lostEndpointsFleet) request(n int, path, id string) platformtest.Outcome {
+	caller, err := platformtest.Dial(f.callers[n], originsWait)
+	if err != nil {
+		return platformtest.Outcome{}
+	}
+	defer caller.Close()
+	return caller.Do(http.MethodPost, path, id, originsWait)
+}
+
+// runs returns how often the endpoints ran the request.
+func (f *lostEndpointsFleet) runs(id string) int {
+	count := 0
+	for _, backend := range f.backends {
+		for _, received := range backend.Received() {
+			if received.ID == id {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+var _ = Describe("An instance that has lost its paths to all endpoints", func() {
+	// Guards against callers of cut instances that are served far worse than those of the others (RECOVER).
+	DescribeTable("serves through another instance", func(refuses bool) {
+		if !testutil.RunsKnownRed() {
+			Skip("listed in KNOWN-RED.txt")
+		}
+		f := startLostEndpointsFleet()
+		f.paths[0].refuses = refuses
+		f.paths[0].cut.Store(true)
+		paths := []string{platformtest.BookingPath, platformtest.LookupPath, platformtest.DraftPath}
+		tries := 0
+		Eventually(func() int { // connections that were open before the cut may hang until the requests on them end
+			tries++
+			return f.request(0, platformtest.LookupPath, fmt.Sprintf("try-%d", tries)).Status
+		}, originsWait).Should(Equal(http.StatusOK))
+		for n := range 12 {
+			id, path := fmt.Sprintf("cut-%d", n), paths[n%len(paths)]
+			outcome := f.request(0, path, id)
+			Expect(outcome.Status).To(Equal(http.StatusOK), path)
+			Expect(outcome.Complete).To(BeTrue(), path)
+			Expect(outcome.ID).To(Equal(id))
+			Expect(outcome.Signature).To(Equal(platformtest.Signature(id)))
+			Expect(f.runs(id)).To(Equal(1))
+			if path == platformtest.DraftPath {
+				Expect(platformtest.EventIDs(outcome.Body)).To(HaveLen(8))
+			}
+		}
+		f.paths[0].cut.Store(false)
+		Expect(f.request(0, platformtest.BookingPath, "after").Status).To(Equal(http.StatusOK))
+	},
+		Entry("if new connections get no answer", false),
+		Entry("if new connections are refused", true),
+	)
+})
