reach, forward, entry: pass requests on through another instance when no endpoint is reached

Cause: such an instance had no way to endpoints but its own connections, and tried one endpoint after another until the time was over. Change: package reach decides by the answers of endpoints whether an instance has lost its paths, and which other instances have theirs. The request goes to one of them over a connection that its server for instances hands over to the server for callers; it charges the team, chooses endpoints and repeats. A request that did not reach two endpoints which answer others is passed on as well.

--- a/dispatch/balancer.go
+++ b/dispatch/balancer.go
@@ -236,6 +236,17 @@
 	return merged
 }
 
+// ServedElsewhere reports whether an endpoint has answered other instances in the last seconds, and mostly so.
+func (b *Balancer) ServedElsewhere(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	others := b.otherLoads[fleetstate.EndpointKey(id)]
+	return others.Served >= minServedElsewhere && others.Served > others.Failed
+}
+
+// minServedElsewhere is the decayed number of answers below which an endpoint may have failed for all instances.
+const minServedElsewhere = 1.0
+
 // Sweep deletes expired prompt parts, and the state of endpoints that are not listed in endpoints, have no requests in
 // flight and were last used more than idleStateTTL ago. It returns the IDs of the endpoints that are no longer avoided.
 func (b *Balancer) Sweep(now time.Time, endpoints map[string]*deployment.Endpoint) (usedAgain []string) {
--- a/entry/control.go
+++ b/entry/control.go
@@ -53,16 +53,19 @@
 	i.updateQuarantine(now)
 	i.sendMessages(now)
 	i.updateOrigins(now)
+	i.updateReach()
 	i.endpointSink.tick()
 }
 
 // sweep closes idle connections and deletes the outdated state of endpoints.
 func (i *Instance) sweep() {
 	i.pool.Sweep(time.Now())
+	i.peerPool.Sweep(time.Now())
 	i.server.Sweep(time.Now())
 	for _, id := range i.balancer.Sweep(time.Now(), i.state.View().Endpoints) {
 		i.lg.Info("endpoint used again", "endpoint", id)
 	}
+	i.updatePeers()
 	i.sweepRateLimits()
 	i.localEndpoints.set(i.state.View().Endpoints)
 }
--- a/entry/instance.go
+++ b/entry/instance.go
@@ -25,6 +25,7 @@
 	"knapweedhoist/objectrelay"
 	"knapweedhoist/objectwatch"
 	"knapweedhoist/quarantine"
+	"knapweedhoist/reach"
 	"knapweedhoist/retrybudget"
 	"knapweedhoist/sizing"
 	"knapweedhoist/streamorigin"
@@ -55,9 +56,16 @@
 	origins     *origins
 	originStore *originStore
 	pool        *upstream.Pool
-	ledger      *usage.Ledger
-	wall        *walltime.Estimator
-	fleet       *fleetstate.Fleet
+	// reach and peers decide when requests are passed on through another instance, and through which; peerPool has the connections to
+	// them. pathsLost is what was last logged of reach, probedAt when an endpoint was last probed. Both belong to the control loop.
+	reach     *reach.Monitor
+	peers     *reach.Peers
+	peerPool  *upstream.Pool
+	pathsLost bool
+	probedAt  time.Time
+	ledger    *usage.Ledger
+	wall      *walltime.Estimator
+	fleet     *fleetstate.Fleet
 	// localEndpoints holds the endpoints in the data centre of this instance.
 	localEndpoints localEndpoints
 	// wallOffset is the difference in nanoseconds between the estimated true time of day and the decision clock.
@@ -113,6 +121,9 @@
 		balancer:      dispatch.NewBalancer(dispatch.Config{DataCentre: settings.DataCentre}, learner),
 		limiter:       teamlimit.NewLimiter(settings.Limits.config(settings.NewDeployment, rand.Float64())),
 		pool:          upstream.NewPool(endpoints),
+		reach:         reach.NewMonitor(reach.Config{}),
+		peers:         reach.NewPeers(),
+		peerPool:      upstream.NewPool(upstream.Config{Dial: upstream.DialUpgraded(passOnPath, passOnProtocol)}),
 		wall:          walltime.NewEstimator(settings.Instance),
 		rateEstimator: sizing.NewRateEstimator(),
 		inFlight:      make(sizing.Averages),
@@ -158,7 +169,7 @@
 		MaxConnections: settings.maxCallerConnections(),
 	}, forward.Deps{
 		Log: i.lg, Codec: adapter.Codec, State: i.state, Balancer: i.balancer, Limiter: i.limiter, Budget: i.budget,
-		Pool: i.pool, Quarantine: i.quarantine, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Slot: i.slot, Random: rand.Float64,
+		Pool: i.pool, Reach: i.reach, Peers: i.peers, PeerPool: i.peerPool, Quarantine: i.quarantine, Metrics: forward.NewMetrics(i.registry), Now: clock.Now, Slot: i.slot, Random: rand.Float64,
 		Origins:     i.origins,
 		Instances:   func() int { return i.fleet.Total(clock.Now()) },
 		Started:     i.started,
--- a/entry/internal_http.go
+++ b/entry/internal_http.go
@@ -81,6 +81,10 @@
 		objectrelay.Serve(ctx, i.copies)
 		return
 	}
+	if string(ctx.Path()) == passOnPath {
+		i.acceptPeer(ctx)
+		return
+	}
 	value := i.configSink.raw.Load()
 	if string(ctx.Path()) != configPath || value == nil {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
--- a/entry/lost_endpoints_test.go
+++ b/entry/lost_endpoints_test.go
@@ -17,7 +17,6 @@
 	"knapweedhoist/entry"
 	"knapweedhoist/platform"
 	"knapweedhoist/platform/platformtest"
-	"knapweedhoist/testutil"
 )
 
 // endpointPath is the path of one instance to all endpoints.
@@ -129,9 +128,6 @@
 var _ = Describe("An instance that has lost its paths to all endpoints", func() {
 	// Guards against callers of cut instances that are served far worse than those of the others (RECOVER).
 	DescribeTable("serves through another instance", func(refuses bool) {
-		if !testutil.RunsKnownRed() {
-			Skip("listed in KNOWN-RED.txt")
-		}
 		f := startLostEndpointsFleet()
 		f.paths[0].refuses = refuses
 		f.paths[0].cut.Store(true)
@@ -159,4 +155,24 @@
 		Entry("if new connections get no answer", false),
 		Entry("if new connections are refused", true),
 	)
+
+	// Guards against requests that instances pass on to each other in turn, and against an answer that says less than that the
+	// request has not run.
+	It("refuses if the others have lost theirs as well", func() {
+		f := startLostEndpointsFleet()
+		for n := range f.paths {
+			f.paths[n].refuses = true
+			f.paths[n].cut.Store(true)
+		}
+		tries := 0
+		Eventually(func() int { // connections that were open before the cut hang
+			tries++
+			return f.request(0, platformtest.LookupPath, fmt.Sprintf("try-%d", tries)).Status
+		}, originsWait).Should(Equal(http.StatusServiceUnavailable))
+		for n := range 6 {
+			outcome := f.request(n%2, platformtest.BookingPath, fmt.Sprintf("lost-%d", n))
+			Expect(outcome.Status).To(Equal(http.StatusServiceUnavailable))
+			Expect(outcome.ID).To(Equal(fmt.Sprintf("lost-%d", n)))
+		}
+	})
 })
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -14,6 +14,8 @@
 	status     int
 	reason     string        // body of the answer
 	retryAfter time.Duration // 0 sends no Retry-After field
+	// notPassedOn is set if the request of another instance was not tried.
+	notPassedOn bool
 }
 
 // Values of the Retry-After field of refusals.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -27,11 +27,18 @@
 	header *fasthttp.ResponseHeader
 	body   []byte
 	stream *eventStream // nil for a buffered answer
+	// passedOn is the stream of another instance, nil if this instance has sent the request to an endpoint.
+	passedOn *passedOnStream
 }
 
 // sendWithRetries sends the request to one endpoint after another until one
 // answers or the request must not be sent again. The error is a *failure.
 func (e *exchange) sendWithRetries() (*endpointAnswer, error) {
+	if e.server.lostEndpoints() {
+		if answer, passed, err := e.passOn("paths to endpoints lost"); passed {
+			return answer, err
+		}
+	}
 	if failed := e.findOrigin(); failed != nil {
 		return nil, failed
 	}
@@ -44,6 +51,11 @@
 		if err == nil {
 			return answer, nil
 		}
+		if e.othersReach(err) {
+			if answer, passed, err := e.passOn(err.Error()); passed {
+				return answer, err
+			}
+		}
 		if !e.allowRetry(err) {
 			if answer != nil {
 				return answer, nil
@@ -136,6 +148,7 @@
 		Sent:      e.onSent,
 		IdleLimit: e.idleLimit(),
 	})
+	e.recordReach(err)
 	if !errors.Is(err, upstream.ErrNotSent) {
 		e.retryTakenAt = time.Time{}
 	}
--- a/forward/client_conn.go
+++ b/forward/client_conn.go
@@ -19,6 +19,8 @@
 	net.Conn
 	// readTimeout is Config.ReadTimeout, for the rest of a request that arrives while closeIdle waits.
 	readTimeout time.Duration
+	// fromPeer is set if the caller is another instance.
+	fromPeer bool
 	// ending is set while closeIdle interrupts the wait for the next request.
 	ending atomic.Bool
 	// received is set while a part of a request may have been read, until the connection waits for the next one.
--- a/forward/config.go
+++ b/forward/config.go
@@ -8,6 +8,7 @@
 	"knapweedhoist/dispatch"
 	"knapweedhoist/internal/defaults"
 	"knapweedhoist/quarantine"
+	"knapweedhoist/reach"
 	"knapweedhoist/retrybudget"
 	"knapweedhoist/teamlimit"
 	"knapweedhoist/upstream"
@@ -61,6 +62,11 @@
 	Limiter  *teamlimit.Limiter
 	Budget   *retrybudget.Budget
 	Pool     *upstream.Pool
+	// Reach follows whether the endpoints answer this instance, Peers which other instances pass requests on meanwhile. PeerPool
+	// has the connections to them. Requests are not passed on if they are nil.
+	Reach    *reach.Monitor
+	Peers    *reach.Peers
+	PeerPool *upstream.Pool
 	// Quarantine refuses requests, and prompt parts, that crash endpoints.
 	Quarantine *quarantine.Guard
 	Metrics    *Metrics
@@ -81,3 +87,10 @@
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
+
+func (d Deps) withDefaults() Deps {
+	if d.Reach == nil || d.Peers == nil || d.PeerPool == nil {
+		d.Reach, d.Peers = reach.NewMonitor(reach.Config{}), reach.NewPeers()
+	}
+	return d
+}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -31,6 +31,7 @@
 // observeEvents notes that the endpoint delivered events of its stream.
 func (e *exchange) observeEvents(now time.Time) {
 	e.lastEventAt = now
+	e.server.deps.Reach.Heard(now)
 	switch {
 	case e.firstEventAt.IsZero():
 		e.firstEventAt = now
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -73,6 +73,12 @@
 	buffer *boundedbuffer.Buffer
 	// lastEventAt is the time of the last event read for the caller, zero before the first one.
 	lastEventAt time.Time
+	// fromPeer is set if another instance has passed the request on. peer is the instance that this one has passed it on to, "" for
+	// none.
+	fromPeer bool
+	peer     string
+	// unreached counts the endpoints that this instance did not reach although they answer others.
+	unreached   int
 	watchedConn *clientConn
 }
 
--- a/forward/header_codec.go
+++ b/forward/header_codec.go
@@ -16,6 +16,9 @@
 	// EncodeAttempt writes the request header for an endpoint: the caller's header with the fields of attempt, and
 	// without fields that only the system may set.
 	EncodeAttempt(dst, caller *fasthttp.RequestHeader, attempt Attempt)
+	// EncodePassedOn writes the request header for another instance: the caller's header without its hop-by-hop fields, and with
+	// the time until the deadline of the request.
+	EncodePassedOn(dst, caller *fasthttp.RequestHeader, remaining time.Duration)
 	// DecodeAnswer decodes the header of an endpoint's answer.
 	DecodeAnswer(*fasthttp.ResponseHeader) AnswerHeader
 	// EncodeAnswer writes the answer header for the caller: the endpoint's header without its hop-by-hop fields.
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -25,6 +25,8 @@
 	// Resumed counts the continuations of a broken stream by a further send. Repeated counts the other retries of failed
 	// requests; a retry sends nothing if no endpoint is available.
 	Resumed, Repeated metrics.Counter
+	// PassedOn counts the requests whose answer came from another instance because this one did not reach the endpoints.
+	PassedOn metrics.Counter
 	// Quarantined counts the requests that were refused, or not sent again, because of a quarantined key. Held counts the waits of requests
 	// that were in progress at a crash a moment ago.
 	Quarantined, Held metrics.Counter
@@ -71,6 +73,7 @@
 		RateLimitWaits: counter("forward_rate_limit_waits"), RateLimited: counter("forward_rate_limited"),
 		OriginUnknown: counter("forward_stream_origin_unknown"), VersionGone: counter("forward_stream_version_gone"),
 		Crashes:     counter("forward_endpoint_crashes"),
+		PassedOn:    counter("forward_passed_on"),
 		Quarantined: counter("forward_quarantined"), Held: counter("forward_held"),
 		Oversized: counter("forward_oversized"), BodiesRefused: counter("forward_bodies_refused"),
 		InProgress:  counter("forward_in_progress"),
--- a/forward/respond.go
+++ b/forward/respond.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"time"
 
@@ -46,13 +47,13 @@
 	e.buffer = nil
 }
 
-// respondStream passes an endpoint's events on to the caller as they arrive.
-func (e *exchange) respondStream(answer *endpointAnswer) {
+// respondStream passes a stream on to the caller as it arrives.
+func (e *exchange) respondStream(answer *endpointAnswer, body io.ReadCloser) {
 	e.closeIfDraining()
 	e.server.deps.Codec.EncodeAnswer(&e.ctx.Response.Header, answer.header)
 	e.ctx.SetStatusCode(answer.header.StatusCode())
 	e.server.deps.Metrics.recordFirstByte(time.Since(e.arrived))
-	e.ctx.Response.SetBodyStream(answer.stream, -1)
+	e.ctx.Response.SetBodyStream(body, -1)
 }
 
 // refuse answers a request that was not sent to any endpoint.
@@ -63,6 +64,9 @@
 		e.server.deps.Metrics.Refused.Inc(1)
 	}
 	e.respondLocal(r.status, r.reason, r.retryAfter)
+	if r.notPassedOn {
+		e.ctx.Response.Header.Set(headerNotPassedOn, "1")
+	}
 	e.logOutcome("request refused", r.status, errors.New(r.reason), "retry_after_ms", r.retryAfter.Milliseconds())
 	e.cancel()
 	e.releaseBody()
@@ -193,6 +197,12 @@
 		attributes = append(attributes, "endpoint", e.inFlight.Endpoint.ID, "cost_ms", e.inFlight.Cost.Milliseconds(),
 			"missing_tokens", e.inFlight.UncachedTokens)
 	}
+	if e.peer != "" {
+		attributes = append(attributes, "peer", e.peer)
+	}
+	if e.fromPeer {
+		attributes = append(attributes, "from_peer", true)
+	}
 	if e.origin != nil {
 		attributes = append(attributes, "software", e.origin.Version)
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -35,7 +35,7 @@
 
 // NewServer returns a Server that accepts connections once Serve is called.
 func NewServer(cfg Config, deps Deps) *Server {
-	s := &Server{cfg: cfg.withDefaults(), deps: deps}
+	s := &Server{cfg: cfg.withDefaults(), deps: deps.withDefaults()}
 	s.startBy = time.Now().Add(s.cfg.StartWait)
 	s.answers = boundedbuffer.NewMemory(s.cfg.MaxAnswerMemory)
 	s.bodies = boundedbuffer.NewMemory(s.cfg.MaxBodyMemory)
@@ -78,6 +78,13 @@
 	return s.http.Serve(wrapped)
 }
 
+// ServePeer serves the requests that another instance passes on over a connection, until it is closed.
+func (s *Server) ServePeer(conn net.Conn) error {
+	client := &clientConn{Conn: conn, readTimeout: s.cfg.ReadTimeout, fromPeer: true}
+	s.conns.observe(client, fasthttp.StateNew)
+	return s.http.ServeConn(client)
+}
+
 // Drain makes the Server close each connection after its next answer.
 func (s *Server) Drain() { s.draining.Store(true) }
 
@@ -187,7 +194,13 @@
 	// A request has arrived when its body is complete, which may be seconds after its header.
 	e.arrived, e.view = time.Now(), s.deps.State.View()
 	if s.refusing.Load() {
-		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "instance is stopping", retryAfter: minRetryAfter})
+		e.refuse(&refusal{
+			status: fasthttp.StatusServiceUnavailable, reason: "instance is stopping", retryAfter: minRetryAfter, notPassedOn: e.fromPeer,
+		})
+		return
+	}
+	if e.fromPeer && (!s.started() || s.lostEndpoints()) {
+		e.refuse(&refusal{status: fasthttp.StatusServiceUnavailable, reason: "no path to endpoints", retryAfter: retryAfterNoEndpoint, notPassedOn: true})
 		return
 	}
 	if s.conns.isSurplus(ctx.Conn()) {
@@ -211,8 +224,11 @@
 	switch {
 	case err != nil:
 		e.fail(err)
+	case answer.passedOn != nil:
+		e.respondStream(answer, answer.passedOn)
+		return // passedOnStream.Close releases the exchange
 	case answer.stream != nil:
-		e.respondStream(answer)
+		e.respondStream(answer, answer.stream)
 		return // eventStream.Close releases the exchange
 	default:
 		e.respondBuffered(answer)
@@ -220,19 +236,27 @@
 	e.release()
 }
 
+// started reports whether the instance has read what it needs to serve requests.
+func (s *Server) started() bool {
+	if s.deps.Started == nil {
+		return true
+	}
+	select {
+	case <-s.deps.Started:
+		return true
+	default:
+		return false
+	}
+}
+
 // awaitStart waits until the instance has read what it needs to serve the request, or until startBy.
 //
 // Load pattern: all instances are killed at once and restart while callers keep sending. A caller that is refused then comes
 // back late, whereas the instance can serve its request a few hundred milliseconds after its start.
 func (s *Server) awaitStart(e *exchange) {
-	if s.deps.Started == nil {
+	if s.started() {
 		return
 	}
-	select {
-	case <-s.deps.Started:
-		return
-	default:
-	}
 	timer := time.NewTimer(time.Until(s.startBy))
 	defer timer.Stop()
 	select {
@@ -252,6 +276,9 @@
 		request: s.deps.Codec.DecodeRequest(&ctx.Request.Header),
 		tried:   make(map[string]bool),
 	}
+	if client, ok := ctx.Conn().(*clientConn); ok {
+		e.fromPeer = client.fromPeer
+	}
 	e.context, e.cancel = context.WithCancel(context.Background())
 	e.copyHeader()
 	return e
