forward: a refused connection shows a crash only while another endpoint is reached

Callers would see: requests and prompt parts quarantined at all instances because one instance lost its own paths. Cause: an exchange that was lost before its answer made progress counted as a crash if the endpoint then refused a connection. Change: the refusal counts if an endpoint has answered since the loss, or another one that is not known to have crashed accepts a connection (three at most are tried), or there is no other. The specs of crashing requests and prompt parts (go test ./platform -ginkgo.focus crash) pass.

--- a/dispatch/avoidance.go
+++ b/dispatch/avoidance.go
@@ -173,6 +173,14 @@
 	return first
 }
 
+// Crashed reports whether the endpoint is avoided because its process has ended.
+func (b *Balancer) Crashed(now time.Time, endpoint *deployment.Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reason, _ := avoidance(now, endpoint, b.current(endpoint))
+	return reason == Crashed
+}
+
 // LeavingKnown returns the endpoints with Leaving set for those that have stated in an answer that they leave. It does not
 // change endpoints.
 func (b *Balancer) LeavingKnown(endpoints map[string]*deployment.Endpoint) map[string]*deployment.Endpoint {
--- a/entry/lost_endpoints_test.go
+++ b/entry/lost_endpoints_test.go
@@ -1,12 +1,14 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -24,6 +26,19 @@
 	// cut is set while no bytes pass. refuses is set if new connections are refused then, instead of getting no answer.
 	cut     atomic.Bool
 	refuses bool
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// reset cuts the path and ends the connections that are open.
+func (p *endpointPath) reset() {
+	p.cut.Store(true)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.conns {
+		_ = conn.Close()
+	}
 }
 
 func (p *endpointPath) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -38,6 +53,9 @@
 	if err != nil {
 		return nil, err
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns = append(p.conns, conn)
 	return &pathConn{Conn: conn, path: p}, nil
 }
 
@@ -69,6 +87,25 @@
 	paths    [2]endpointPath
 	callers  [2]string
 	backends []*platformtest.Backend
+	log      lockedBuffer
+}
+
+// lockedBuffer is a buffer for the log of all instances.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 func startLostEndpointsFleet() *lostEndpointsFleet {
@@ -92,7 +129,7 @@
 	for n := range f.instances {
 		settings := f.settings(n)
 		f.callers[n] = settings.Listen.Callers
-		f.instances[n] = entry.NewWithDial(slog.New(slog.DiscardHandler), settings, platform.NewAdapter(settings.Store, settings.Cloud), f.paths[n].dial)
+		f.instances[n] = entry.NewWithDial(slog.New(slog.NewTextHandler(&f.log, nil)), settings, platform.NewAdapter(settings.Store, settings.Cloud), f.paths[n].dial)
 		go func() { f.done <- f.instances[n].Run(ctx) }()
 	}
 	DeferCleanup(f.kill)
@@ -156,6 +193,23 @@
 		Entry("if new connections are refused", true),
 	)
 
+	// Guards against endpoints that count as crashed, and prompts as the cause, because the instance's own connections were reset and
+	// new ones are refused.
+	It("takes no endpoint for crashed", func() {
+		f := startLostEndpointsFleet()
+		f.paths[0].refuses = true
+		for _, backend := range f.backends[:3] {
+			backend.Enqueue(platformtest.Response{Events: 8, EventInterval: time.Minute})
+		}
+		outcome := make(chan platformtest.Outcome, 1)
+		go func() { outcome <- f.request(0, platformtest.DictationPath, "in-progress") }()
+		Eventually(func() int { return f.runs("in-progress") }, originsWait).Should(Equal(1))
+		f.paths[0].reset()
+		Eventually(outcome, originsWait).Should(Receive())
+		Eventually(f.log.String, originsWait).Should(ContainSubstring("no other endpoint is reached either"))
+		Expect(f.log.String()).NotTo(ContainSubstring("endpoint crashed"))
+	})
+
 	// Guards against requests that instances pass on to each other in turn, and against an answer that says less than that the
 	// request has not run.
 	It("refuses if the others have lost theirs as well", func() {
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -60,7 +60,7 @@
 	}
 	s, inFlight, id, keys := e.server, e.inFlight, e.request.ID, e.keys
 	endpoint, idleLimit := inFlight.Endpoint, e.idleLimit()
-	done := make(chan struct{})
+	done, lostAt := make(chan struct{}), time.Now()
 	go func() {
 		defer close(done)
 		_ = contain.Run(s.deps.Log, "investigate a lost exchange", func() {
@@ -68,6 +68,10 @@
 			if !s.deps.Pool.Refuses(context.Background(), target, idleLimit) {
 				return
 			}
+			if !s.reachesAnother(endpoint.ID, lostAt) {
+				s.deps.Log.Warn("lost exchange is no sign of a crash", "endpoint", endpoint.ID, "id", id, "reason", "no other endpoint is reached either")
+				return
+			}
 			process := quarantine.ProcessKey(endpoint.ID, endpoint.StartedAtMs)
 			s.deps.Quarantine.RecordCrash(s.deps.Now(), process, keys)
 			if inFlight.RecordCrash(time.Now()) {
@@ -83,6 +87,31 @@
 	}
 }
 
+// maxWitnesses is the number of other endpoints that reachesAnother tries.
+const maxWitnesses = 3
+
+// reachesAnother reports whether an endpoint other than the given one has answered since a time or accepts a connection, or there is
+// none that is not known to have crashed. If not, this instance may have lost its own paths, so that a refused connection says nothing
+// about the endpoint.
+func (s *Server) reachesAnother(id string, since time.Time) bool {
+	if s.deps.Reach.HeardSince(since) {
+		return true
+	}
+	tried := 0
+	for otherID, other := range s.deps.State.View().Endpoints {
+		if otherID == id || s.deps.Balancer.Crashed(time.Now(), other) {
+			continue
+		}
+		if tried++; tried > maxWitnesses {
+			return false
+		}
+		if s.deps.Pool.Open(context.Background(), upstream.Target{Address: other.Address, ID: otherID}, 1) == nil {
+			return true
+		}
+	}
+	return tried == 0
+}
+
 // awaitEvidence holds a request that was in progress at a crash a moment ago until it is known whether it is the cause. A random part
 // keeps its repeats at several instances from going on together. A request that would lose over half of its time goes on at once. It returns
 // false if the caller left meanwhile.
--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -51,6 +51,13 @@
 	clear(m.failedAt)
 }
 
+// HeardSince reports whether an endpoint has answered after the given time.
+func (m *Monitor) HeardSince(since time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.heardAt.After(since)
+}
+
 // Failed records that a connection to an endpoint could not be opened, or was given up because the endpoint was silent.
 func (m *Monitor) Failed(now time.Time, endpoint string) {
 	m.mu.Lock()
