forward: the spec of the retry budget takes the endpoint's turn first

Cause: an endpoint with a limit of 0 takes one request in some 10 s, at a time of day. The spec expects that the request is refused for its limit, and was given a turn if one was due within its second; the failures come in steps of 10.4 s (06:36:39.9, 06:37:00.9, 06:37:11.1, ...). The exchange of the spec has no metrics for the wait that follows. Change: the spec takes the turn that is due and checks that the next one is over 2 s away. What it checks of the budget is unchanged.

--- a/forward/retry_budget_test.go
+++ b/forward/retry_budget_test.go
@@ -28,6 +28,10 @@
 		})
 		Expect(err).NotTo(HaveOccurred())
 		first.RecordRateLimit(time.Now(), endpointlimit.Statement{Kind: endpointlimit.Named})
+		// An endpoint with a limit of 0 takes one request in some 10 s, at a time of day that may be within the second of this one.
+		process := quarantine.ProcessKey(endpoint.ID, endpoint.StartedAtMs)
+		balancer.Limits().Take(time.Now(), process)
+		Expect(balancer.Limits().Wait(time.Now(), process)).To(BeNumerically(">", 2*time.Second))
 		budget := retrybudget.NewBudget(clock.Now(), retrybudget.Config{Slack: 2, Window: time.Minute})
 		e := &exchange{
 			server: &Server{deps: Deps{
