--- a/forward/header_codec.go
+++ b/forward/header_codec.go
@@ -72,6 +72,8 @@
 	Leaving bool
 	// RetryAfter is the time within which the endpoint wants no further request, 0 if it states none.
 	RetryAfter time.Duration
+	// RejectionLimit is the number of requests that the endpoint can reject in a second before it fails, 0 if it states none.
+	RejectionLimit float64
 	// RateLimit is what the answer says about the rate limit of the endpoint.
 	RateLimit endpointlimit.Statement
 	// Load is nil if the endpoint does not report its load.
