entry: only the age of an answer confirms the versions of endpoints

Cause: endpointSink told the directory of stream origins that its endpoints were complete at the time at which it applied an answer. The first answer after a pause may have been written before it, and the first list after a cut may be another instance's copy of up to 2 s ago. The confirmation with the right age, which followed, was ignored as older. Change: only Confirm tells it, with the age of the answer.

--- a/entry/endpoint_sink.go
+++ b/entry/endpoint_sink.go
@@ -26,7 +26,8 @@
 	// onRestart is called with the ID of an endpoint whose process has restarted under the same ID.
 	onRestart func(id string)
 	// onListed is called with the origins that streams can have at the listed endpoints, onComplete with the latest time at which
-	// these endpoints are known to have been complete. Both may be nil.
+	// these endpoints are known to have been complete: an answer may have been read late, or be of another instance's older copy.
+	// Both may be nil.
 	onListed   func(listed map[streamorigin.Origin]bool)
 	onComplete func(at time.Time)
 }
@@ -76,7 +77,7 @@
 		}
 	}
 	s.publish(next)
-	s.complete(s.cfg.now())
+	s.completeAt = s.cfg.now() // Confirm follows with the age of the answer
 }
 
 // Apply implements objectwatch.Sink.
@@ -97,7 +98,7 @@
 		}
 	}
 	s.publish(next)
-	s.complete(s.cfg.now())
+	s.completeAt = s.cfg.now() // Confirm follows with the age of the answer
 }
 
 // upsert adds or replaces the endpoint of an entry. An entry that cannot be decoded removes the endpoint. The caller
@@ -163,19 +164,14 @@
 	s.cfg.onListed(listed)
 }
 
-// complete records that the copy was complete at a time. The caller holds s.mu.
-func (s *endpointSink) complete(at time.Time) {
-	s.completeAt = at
-	if s.cfg.onComplete != nil {
-		s.cfg.onComplete(at)
-	}
-}
-
 // Confirm implements objectwatch.Sink.
 func (s *endpointSink) Confirm(age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.complete(s.cfg.now().Add(-age))
+	s.completeAt = s.cfg.now().Add(-age)
+	if s.cfg.onComplete != nil {
+		s.cfg.onComplete(s.completeAt)
+	}
 }
 
 // observeStore records whether any instance reaches the store. The caller holds s.mu.
