forward: only a 503 of an instance says that it has not tried a request

Callers would see: a request that runs twice, at an instance that passes it on, if an endpoint's answer has the field with which instances mark the refusal of a request that they have not tried. Cause: the field counted in any answer, and an instance passes the fields of endpoints on. Change: it counts in a 503 only, which instances never pass on from an endpoint. Measured: with endpoints that send the field, the spec 'serves through another instance' fails without the change (no request served in 20 s, since all seem not to have been tried) and holds with it.

--- a/entry/lost_endpoints_test.go
+++ b/entry/lost_endpoints_test.go
@@ -114,9 +114,10 @@
 		platformtest.EngineService, platformtest.EngineService, platformtest.EngineService,
 		platformtest.PlainService, platformtest.PlainService, platformtest.PlainService,
 	} {
-		response := platformtest.Response{Body: "booked"}
+		// No field of an endpoint may make an instance believe that another one has not tried the request.
+		response := platformtest.Response{Body: "booked", Fields: "Hoist-Not-Passed-On: 1\r\n"}
 		if service == platformtest.EngineService {
-			response = platformtest.Response{Events: 8, EventInterval: 5 * time.Millisecond}
+			response = platformtest.Response{Events: 8, EventInterval: 5 * time.Millisecond, Fields: response.Fields}
 		}
 		backend, err := platformtest.NewBackend(response)
 		Expect(err).NotTo(HaveOccurred())
--- a/forward/pass_on.go
+++ b/forward/pass_on.go
@@ -18,7 +18,8 @@
 	minUnreached = 2
 	// peerIdleLimit is the number of idle connections that are kept to another instance.
 	peerIdleLimit = 8
-	// headerNotPassedOn marks the refusal of an instance that did not try to pass the request of another one on. No caller gets it.
+	// headerNotPassedOn marks the refusal of an instance that has not tried the request of another one. It counts in a 503 only: an
+	// instance passes no 503 of an endpoint on, which could have the field as well.
 	headerNotPassedOn = "Hoist-Not-Passed-On"
 )
 
@@ -50,7 +51,7 @@
 }
 
 // passOn sends the request through another instance, which does all that this one does for a caller: it charges the team, chooses
-// endpoints and repeats the request. passed is false if none has taken the request; it has not run then.
+// endpoints and repeats the request. passed is false if none has taken the request, or it may be sent again all the same.
 func (e *exchange) passOn(reason string) (answer *endpointAnswer, passed bool, err error) {
 	s := e.server
 	if e.fromPeer {
@@ -99,7 +100,7 @@
 	}
 	status := response.Header.StatusCode()
 	switch {
-	case len(response.Header.Peek(headerNotPassedOn)) > 0:
+	case status == fasthttp.StatusServiceUnavailable && len(response.Header.Peek(headerNotPassedOn)) > 0:
 		discardBody(response)
 		response.Close()
 		s.deps.Peers.Failed(time.Now(), peer)
--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -48,7 +48,9 @@
 		return
 	}
 	m.heardAt = now
-	clear(m.failedAt)
+	if len(m.failedAt) > 0 {
+		clear(m.failedAt)
+	}
 }
 
 // HeardSince reports whether an endpoint has answered after the given time.
