--- a/entry/origins_late_copy_test.go
+++ b/entry/origins_late_copy_test.go
@@ -14,7 +14,9 @@
 )
 
 var _ = Describe("The origin of a stream at an instance that was out of step", func() {
-	object := func(name, version string) objectapi.Object { return objectapi.Object{Name: name, Value: []byte(version)} }
+	object := func(name, version string) objectapi.Object {
+		return objectapi.Object{Name: name, Value: []byte(version)}
+	}
 	// Guards against streams of a software version that joined meanwhile, which go on at the former version (ORDER): the first endpoints that
 	// the instance reads after a pause or a cut may be those of before the version joined.
 	DescribeTable("is not taken for the only known version", func(read func(sink *endpointSink), age time.Duration) {
