--- a/faultsoak/config_return_test.go
+++ b/faultsoak/config_return_test.go
@@ -22,23 +22,7 @@
 // TestConfigOverStoreReturns guards against a confirmed change of the configuration that a daemon never applies, and against
 // one that it takes back, when the store returns from an older copy.
 func TestConfigOverStoreReturns(t *testing.T) {
-	runSeeds(t, runConfigReturns)
-}
-
-// runSeeds runs a test for each seed of the environment variables, in parallel.
-func runSeeds(t *testing.T, run func(t *testing.T, seed uint64, binary string)) {
-	binary, err := buildDaemon(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	first := intFromEnv(seedVariable, 1)
-	for n := range intFromEnv(seedsVariable, 1) {
-		seed := uint64(first + n)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			run(t, seed, binary)
-		})
-	}
+	runSeeds(t, seedsFromEnv(1), runConfigReturns)
 }
 
 func runConfigReturns(t *testing.T, seed uint64, binary string) {
--- a/faultsoak/soak_test.go
+++ b/faultsoak/soak_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -53,22 +54,32 @@
 // TestPromisesHold guards against every violation that ledger.check and checkDuties report, under faults that are
 // injected from outside the daemons.
 func TestPromisesHold(t *testing.T) {
+	seeds := seedsFromEnv(defaultSeeds)
+	if os.Getenv(seedVariable) == "" {
+		seeds = append(slices.Clone(regressions), seeds...)
+	}
+	runSeeds(t, seeds, runSeed)
+}
+
+// seedsFromEnv returns the seeds that the environment variables select, defaultCount without them.
+func seedsFromEnv(defaultCount int) []uint64 {
+	var seeds []uint64
+	for n := range intFromEnv(seedsVariable, defaultCount) {
+		seeds = append(seeds, uint64(intFromEnv(seedVariable, 1)+n))
+	}
+	return seeds
+}
+
+// runSeeds runs a test for each seed, in parallel. binary is the path of the daemon.
+func runSeeds(t *testing.T, seeds []uint64, run func(t *testing.T, seed uint64, binary string)) {
 	binary, err := buildDaemon(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
-	first, count := intFromEnv(seedVariable, 1), intFromEnv(seedsVariable, defaultSeeds)
-	seeds := regressions
-	if os.Getenv(seedVariable) != "" {
-		seeds = nil
-	}
-	for n := range count {
-		seeds = append(seeds, uint64(first+n))
-	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed, binary)
+			run(t, seed, binary)
 		})
 	}
 }
--- a/faultsoak/store_return_test.go
+++ b/faultsoak/store_return_test.go
@@ -33,7 +33,7 @@
 // TestOneFenceOverStoreReturns guards against one fencing token from two holders, and two different reports of one window, when
 // the store returns from an older copy that lacks a takeover or a report.
 func TestOneFenceOverStoreReturns(t *testing.T) {
-	runSeeds(t, runStoreReturns)
+	runSeeds(t, seedsFromEnv(1), runStoreReturns)
 }
 
 func runStoreReturns(t *testing.T, seed uint64, binary string) {
--- a/faultsoak/version_soak_test.go
+++ b/faultsoak/version_soak_test.go
@@ -1,7 +1,6 @@
 package faultsoak
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -23,18 +22,7 @@
 // TestVersionsDoNotMix guards against streams that join events of two software versions, in one answer or over the tries of a caller,
 // against gaps and repeats in their event ids, and against take-ups that fail although servers of the version serve.
 func TestVersionsDoNotMix(t *testing.T) {
-	binary, err := buildDaemon(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	first := intFromEnv(seedVariable, 1)
-	for n := range intFromEnv(seedsVariable, defaultSeeds) {
-		seed := uint64(first + n)
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			runVersionSeed(t, seed, binary)
-		})
-	}
+	runSeeds(t, seedsFromEnv(defaultSeeds), runVersionSeed)
 }
 
 func runVersionSeed(t *testing.T, seed uint64, binary string) {
