objectwatch: an era that a relay has told before ends no watch

Callers would see nothing; instances would log 'watch lost' and read again with a delay, all readers of relays at each return of the store and at a start. Cause: a watch ended at any rise of the era that the process sees, also to the era that its copy already had from a relay; the cancelled call then counted as a failure. Found in reading the diff. Change: the watch ends only at a rise above the era of its copy. Measured: TestEraKnownBefore failed before ('lost' after 'replace') and holds; go test -race ./objectwatch passes.

--- a/objectwatch/watcher.go
+++ b/objectwatch/watcher.go
@@ -180,17 +180,19 @@
 // not end otherwise.
 func (w *Watcher) untilRise(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
+	own := w.position.Era
 	era, risen := w.cfg.Era()
-	if era > w.position.Era {
-		cancel()
-		return ctx, cancel
-	}
 	go func() {
-		select {
-		case <-risen:
-			cancel()
-		case <-ctx.Done():
+		// The era may rise to that of the copy, which a relay has told before.
+		for era <= own {
+			select {
+			case <-risen:
+				era, risen = w.cfg.Era()
+			case <-ctx.Done():
+				return
+			}
 		}
+		cancel()
 	}()
 	return ctx, cancel
 }
--- a/objectwatch/watcher_test.go
+++ b/objectwatch/watcher_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -199,6 +201,49 @@
 	})
 })
 
+// Guards against a copy that counts as lost because the process sees an era that a relay has told before.
+func TestEraKnownBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var mu sync.Mutex
+		era, risen := objectapi.Era(0), make(chan struct{})
+		see := func(next objectapi.Era) {
+			mu.Lock()
+			defer mu.Unlock()
+			era = next
+			close(risen)
+			risen = make(chan struct{})
+		}
+		watches := 0
+		store := storeFunc(func(ctx context.Context, request objectapi.Request) (objectapi.Reply, error) {
+			if request.Op == objectapi.OpList {
+				return objectapi.Reply{Version: 5, Era: 2}, nil
+			}
+			if watches++; watches == 2 {
+				cancel()
+				return objectapi.Reply{}, ctx.Err()
+			}
+			see(1)
+			see(2)
+			synctest.Wait()
+			if ctx.Err() != nil {
+				return objectapi.Reply{}, ctx.Err()
+			}
+			return objectapi.Reply{Version: 6, Era: 2}, nil
+		})
+		cfg := Config{Kind: objectapi.KindEndpoint, Era: func() (objectapi.Era, <-chan struct{}) {
+			mu.Lock()
+			defer mu.Unlock()
+			return era, risen
+		}}
+		sink := &recordingSink{}
+		NewWatcher(slog.New(slog.DiscardHandler), cfg, store, sink).Run(ctx)
+		g.Expect(sink.entries).To(Equal([]string{"replace"}))
+	})
+}
+
 type storeFunc func(ctx context.Context, request objectapi.Request) (objectapi.Reply, error)
 
 func (f storeFunc) Do(ctx context.Context, request objectapi.Request) (objectapi.Reply, error) {
