--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -23,6 +23,7 @@
 // engine is a model server: it prefills prompts in chunks, between the steps in which each running request gets a token.
 type engine struct {
 	id       string
+	version  string
 	rec      *record
 	listener net.Listener
 	slots    int
@@ -34,6 +35,8 @@
 	// silentUntil is the time until which the engine does nothing.
 	silentUntil time.Time
 	closed      bool
+	// conns holds the open channels.
+	conns map[net.Conn]bool
 	// onStep is called at each step without the lock.
 	onStep func()
 }
@@ -53,11 +56,18 @@
 }
 
 func newEngine(rec *record, id string, slots int) (*engine, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	return startEngine(rec, id, slots, net.JoinHostPort(loopback(), "0"), "1")
+}
+
+// startEngine starts an engine at an address with a version of its software.
+func startEngine(rec *record, id string, slots int, address, version string) (*engine, error) {
+	ln, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, rec: rec, listener: ln, slots: slots, cached: make(map[string]bool)}
+	e := &engine{
+		id: id, version: version, rec: rec, listener: ln, slots: slots, cached: make(map[string]bool), conns: make(map[net.Conn]bool),
+	}
 	go e.accept()
 	go e.work()
 	return e, nil
@@ -65,11 +75,30 @@
 
 func (e *engine) address() string { return e.listener.Addr().String() }
 
+// close ends the engine as the end of its process does: its channels are reset.
 func (e *engine) close() {
+	_ = e.listener.Close()
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.closed = true
-	e.mu.Unlock()
-	_ = e.listener.Close()
+	for conn := range e.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// track adds or removes an open channel. It returns false after the end of the engine.
+func (e *engine) track(conn net.Conn, open bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if open {
+		e.conns[conn] = true
+	} else {
+		delete(e.conns, conn)
+	}
+	return !e.closed
 }
 
 // fallSilent lets the engine do nothing for a while. Then it goes on.
@@ -169,7 +198,7 @@
 			r.eventAt = now
 			e.rec.note("server %s makes event %d of %s, its first one here", e.id, event, r.id)
 		}
-		r.out <- fmt.Sprintf("id: %d\ndata: %s-%d\n\n", event, r.id, event)
+		r.out <- fmt.Sprintf("id: %d\ndata: %s-%d v%s\n\n", event, r.id, event, e.version)
 		if event >= r.events {
 			r.done = true
 			close(r.out)
@@ -216,6 +245,10 @@
 
 func (e *engine) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	defer e.track(conn, false)
+	if !e.track(conn, true) {
+		return
+	}
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -106,10 +106,16 @@
 	return w.store.Put("servers", id, entry)
 }
 
+// loopback returns a loopback address at which no other process listens, and which is no channel's own end: those have 127.0.0.1.
+func loopback() string {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(64+pid>>16), byte(pid>>8), byte(pid)).String()
+}
+
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
 	for range n {
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		ln, err := net.Listen("tcp4", net.JoinHostPort(loopback(), "0"))
 		if err != nil {
 			return nil, err
 		}
