--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -45,7 +45,7 @@
 
 // run is one request at an engine.
 type run struct {
-	id, last     string
+	id           string
 	from, events int
 	parts        []string
 	toPrefill    int
