--- a/review/standin-3/case_upgrade.go
+++ b/review/standin-3/case_upgrade.go
@@ -9,8 +9,6 @@
 	"knapweedhoist/standin"
 )
 
-func init() { cases["upgrade"] = playUpgrade }
-
 const (
 	// outage is how long the platform's store answers 503.
 	outage = 4500 * time.Millisecond
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -1,4 +1,4 @@
-// Command standin-3 plays the cases 11 to 15 of this review. It starts stand-ins of the platform's store and cloud, of servers and of
+// Command standin-3 plays the cases 11 and 12 of this review. It starts stand-ins of the platform's store and cloud, of servers and of
 // clients in its own process, and the entry instances as processes with the command of deploy/system.toml. It exits with 1 if the
 // rule of the case was broken, 0 if it held, and 2 if the case could not run.
 package main
@@ -7,12 +7,24 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // cases has the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
-	"silent": playSilent,
+	"silent":  playSilent,
+	"upgrade": playUpgrade,
+}
+
+// endOnSignal ends the processes that the case has started.
+func endOnSignal(w *world) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	_ = w.close()
+	os.Exit(2)
 }
 
 func main() {
@@ -37,6 +49,7 @@
 		rec.note("could not run: %v", err)
 		return 2
 	}
+	go endOnSignal(w)
 	broken, err := cases[os.Args[1]](w, trouble)
 	err = errors.Join(err, w.close())
 	switch {
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 
 	"knapweedhoist/platform/platformtest"
@@ -68,18 +67,14 @@
 // close ends all processes and removes the temporary folder.
 func (w *world) close() error {
 	for _, n := range w.nodes {
-		n.signal(syscall.SIGKILL)
-		<-n.ended
+		if n.command != nil && n.ended != nil {
+			_ = n.command.Process.Kill()
+			<-n.ended
+		}
 		_ = n.log.Close()
 	}
 	w.cloud.Close()
-	keep := os.Getenv("KEEP") != ""
-	err := w.store.Close()
-	if keep {
-		fmt.Println("logs kept in", w.dir)
-		return err
-	}
-	return errors.Join(err, os.RemoveAll(w.dir))
+	return errors.Join(w.store.Close(), os.RemoveAll(w.dir))
 }
 
 // configure writes the next version of the configuration.
@@ -206,8 +201,6 @@
 	return nil
 }
 
-func (n *node) signal(s syscall.Signal) { _ = n.command.Process.Signal(s) }
-
 func (n *node) awaitReady() error {
 	for end := time.Now().Add(startLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		response, err := http.Get("http://" + n.ready + "/knapweedhoist/ready")
