--- a/review/standin-3/case_silent.go
+++ b/review/standin-3/case_silent.go
@@ -42,7 +42,7 @@
 	}
 	var works workLog
 	for _, e := range engines {
-		e.onStep = func() { works.observe(e) }
+		e.afterSteps(func() { works.observe(e) })
 	}
 	if err := w.startNodes(2); err != nil {
 		return false, err
--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -74,6 +74,13 @@
 	return e, nil
 }
 
+// afterSteps makes the engine call a function after each step, without the lock.
+func (e *engine) afterSteps(call func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.onStep = call
+}
+
 func (e *engine) address() string { return e.listener.Addr().String() }
 
 // close ends the engine as the end of its process does: its channels are reset.
